--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+ARGS ?=
+SECONDS ?= 60
+SEED ?= 1
+
+.PHONY: demo test lint format soak capacity bench
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock setuptools==83.0.0
+	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.ready
+	$(BIN)/hyssop-demo $(ARGS)
+
+test: $(VENV)/.ready
+	$(BIN)/python tests/run.py
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+
+format: $(VENV)/.ready
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
--- /dev/null
+++ b/src/hyssopspring/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' files: checks, merge and acceptance."""
--- /dev/null
+++ b/src/hyssopspring/config/accepting.py
@@ -0,0 +1,205 @@
+"""Bring the folder and the accepted configuration into agreement."""
+
+from dataclasses import dataclass
+
+from twisted.internet import defer, task
+
+from ..core.accepted import (
+    ACCEPTED_KEY,
+    FOLDER_PREFIX,
+    Accepted,
+    Verdict,
+    decode_accepted,
+    encode_accepted,
+)
+from ..core.events import EventKind
+from ..core.exceptions import KeyValueError, PlatformError
+from ..core.sentinels import NOTHING
+from ..platform.keyvalues import Applied
+from .acceptance import Judge, RawFile, confirm, withdraw
+
+CONFIRM_WITHIN = 2.5
+CONFIRM_POLL = 0.1
+RETRY_PAUSE = 0.05
+EVALUATE_EVERY = 2.0
+MOST_ROUNDS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The accepted configuration with its revision in the service."""
+
+    accepted: Accepted
+    revision: int
+
+
+class Acceptor:
+    """Judge the folder whenever it changes.
+
+    Any number of these may run. Each change of the accepted value is one
+    compare-and-swap, and what is written depends only on what was read,
+    so a lost answer or a race costs one more round and nothing else.
+
+    Args:
+        store: The key-value client.
+        hosts: The `HostListClient`.
+        pages: The `PageReader`.
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+        rng: Random number generator.
+    """
+
+    def __init__(self, store, hosts, pages, clock, timeline, rng):
+        self.store = store
+        self.hosts = hosts
+        self.pages = pages
+        self.clock = clock
+        self.timeline = timeline
+        self.rng = rng
+        self.running = False
+        self.again = False
+        self.watch = NOTHING
+
+    def start(self):
+        """Watch the folder."""
+        self.watch = self.store.watch(FOLDER_PREFIX, self.changed)
+
+    def stop(self):
+        """End the watch."""
+        if self.watch is not NOTHING:
+            self.watch.stop()
+
+    def changed(self):
+        """Judge the folder soon, one judgement at a time."""
+        if self.running:
+            self.again = True
+            return
+        self.running = True
+        defer.ensureDeferred(self.evaluate()).addBoth(self.finished)
+
+    def finished(self, result):
+        """Judge once more if the folder changed meanwhile."""
+        self.running = False
+        if self.again:
+            self.again = False
+            self.changed()
+        return result
+
+    async def evaluate(self):
+        """Judge until folder and accepted configuration agree.
+
+        Returns:
+            Whether they agree, or the platform did not answer in time.
+        """
+        for _ in range(MOST_ROUNDS):
+            try:
+                if await self.round():
+                    return True
+            except KeyValueError:
+                return False
+            pause = RETRY_PAUSE * (1 + self.rng.random())
+            await task.deferLater(self.clock, pause)
+        return False
+
+    async def round(self):
+        """Make one step; return whether nothing is left to do."""
+        held = await self.read()
+        if held.accepted.proposal is not None:
+            await self.settle(held)
+            return False
+        listing = await self.store.list(FOLDER_PREFIX)
+        folder = {
+            entry.key[len(FOLDER_PREFIX) :]: RawFile(
+                entry.value.decode("utf-8", "replace"), entry.revision
+            )
+            for entry in listing.entries
+        }
+        judged = Judge(held.accepted).judge(folder, listing.revision)
+        if judged.accepted is NOTHING:
+            return True
+        if await self.swap(held, judged.accepted):
+            self.note_verdicts(judged.verdicts)
+        return False
+
+    async def read(self):
+        """Return what is `Held`.
+
+        Raises:
+            KeyValueError: The platform did not answer.
+        """
+        entry = await self.store.get(ACCEPTED_KEY)
+        if entry is NOTHING:
+            return Held(Accepted(), 0)
+        return Held(decode_accepted(entry.value), entry.revision)
+
+    async def swap(self, held, accepted):
+        """Replace what is held; return whether it surely took effect."""
+        result = await self.store.swap(
+            ACCEPTED_KEY, encode_accepted(accepted), held.revision
+        )
+        return isinstance(result, Applied)
+
+    def note_verdicts(self, verdicts):
+        """Put the verdicts on the time line."""
+        for name, state in verdicts.items():
+            if state.verdict is Verdict.REFUSED:
+                self.timeline.note(
+                    EventKind.CONFIG_REFUSED,
+                    file=name,
+                    line=state.line,
+                    reason=state.reason,
+                )
+            else:
+                self.timeline.note(
+                    EventKind.CONFIG_ACCEPTED,
+                    file=name,
+                    generation=state.generation,
+                )
+
+    async def settle(self, held):
+        """Wait for the hosts that lose a right, then accept or refuse.
+
+        A host that has not heard of a restriction goes on using the
+        right. Only when each has confirmed that it enforces the stricter
+        of both is the restriction in force everywhere, and only then is
+        the operator told so.
+        """
+        give_up = self.clock.seconds() + CONFIRM_WITHIN
+        while True:
+            unheard = await self.unheard(held.accepted)
+            if not unheard:
+                await self.swap(held, confirm(held.accepted))
+                return
+            if self.clock.seconds() >= give_up:
+                self.timeline.note(
+                    EventKind.CONFIG_REFUSED, unheard=",".join(unheard)
+                )
+                await self.swap(held, withdraw(held.accepted, unheard))
+                return
+            await task.deferLater(self.clock, CONFIRM_POLL)
+
+    async def unheard(self, accepted):
+        """Return the affected hosts that do not enforce *accepted* yet."""
+        try:
+            listed = await self.hosts.read()
+        except PlatformError:
+            return ["host list"]
+        affected = [
+            row
+            for row in listed.gateways
+            if row.region in accepted.proposal.affected
+        ]
+        statuses = await gather(
+            self.pages.status(row.forward) for row in affected
+        )
+        return [
+            row.name
+            for row, status in zip(affected, statuses, strict=True)
+            if status is NOTHING or status.generation < accepted.generation
+        ]
+
+
+async def gather(coroutines):
+    """Run coroutines at the same time and return their results."""
+    work = [defer.ensureDeferred(coroutine) for coroutine in coroutines]
+    return await defer.gatherResults(work, consumeErrors=True)
--- /dev/null
+++ b/src/hyssopspring/config/checks.py
@@ -0,0 +1,130 @@
+"""Checks on the whole of the merged configuration."""
+
+from .schema import Problem
+
+CHECKS = []
+
+
+def check(function):
+    """Register a check.
+
+    A check takes the merged `Configuration` and the `Merged` leaves and
+    yields a `Problem` for each fault.
+    """
+    CHECKS.append(function)
+    return function
+
+
+def find_problems(configuration, merged):
+    """Return the problems of all checks."""
+    return [
+        problem
+        for function in CHECKS
+        for problem in function(configuration, merged)
+    ]
+
+
+@check
+def known_regions(configuration, merged):
+    """Each named region must be declared."""
+    known = configuration.regions
+    for name, workspace in configuration.workspaces.items():
+        if workspace.home not in known:
+            path = ("workspaces", name, "home")
+            yield Problem(path, f"no region {workspace.home!r}")
+    for path, value in merged.leaves.items():
+        if path[-1] not in ("residency", "regions") or len(path) < 3:
+            continue
+        for region in value:
+            if region not in known:
+                yield Problem(path, f"no region {region!r}")
+
+
+@check
+def known_distances(configuration, merged):
+    """A round trip must be to a declared region."""
+    for name, region in configuration.regions.items():
+        for other in region.round_trip_ms:
+            if other not in configuration.regions:
+                path = ("regions", name, "round_trip_ms", other)
+                yield Problem(path, f"no region {other!r}")
+
+
+@check
+def possible_residency(configuration, merged):
+    """What all files permit together must not be empty."""
+    for kind, field in (
+        ("workspaces", "residency"),
+        ("models", "regions"),
+        ("services", "regions"),
+    ):
+        for name, part in getattr(configuration, kind).items():
+            regions = getattr(part, field)
+            if regions is not None and not regions:
+                reason = "the files together permit no region"
+                yield Problem((kind, name, field), reason)
+
+
+@check
+def home_is_permitted(configuration, merged):
+    """A workspace must be allowed to be served at home."""
+    for name, workspace in configuration.workspaces.items():
+        residency = workspace.residency
+        if residency and workspace.home not in residency:
+            path = ("workspaces", name, "home")
+            reason = f"home {workspace.home!r} is not in the residency"
+            yield Problem(path, reason)
+
+
+@check
+def known_fallbacks(configuration, merged):
+    """A fallback must exist and must not lead back."""
+    for kind in ("models", "services"):
+        offers = getattr(configuration, kind)
+        for name, offer in offers.items():
+            path = (kind, name, "fallback")
+            for fallback in offer.fallback:
+                if fallback not in offers:
+                    yield Problem(path, f"no such fallback {fallback!r}")
+            if leads_back(name, offers):
+                yield Problem(path, "the fallbacks form a cycle")
+
+
+def leads_back(start, offers):
+    """Whether following fallbacks from *start* comes back to it."""
+    seen = set()
+    waiting = list(offers[start].fallback)
+    while waiting:
+        name = waiting.pop()
+        if name == start:
+            return True
+        if name in seen or name not in offers:
+            continue
+        seen.add(name)
+        waiting.extend(offers[name].fallback)
+    return False
+
+
+@check
+def one_owner_of_keys(configuration, merged):
+    """Keys of a workspace come from one file, a key from one workspace.
+
+    Else a team could open another team's workspace with a key of its
+    own, by a file that the other team never reads.
+    """
+    owners = {}
+    for path, origins in merged.origins.items():
+        if path[0] != "workspaces" or path[2:3] != ("keys",):
+            continue
+        for origin in origins:
+            owner = owners.setdefault(path[1], origin.file)
+            if owner != origin.file:
+                reason = f"the keys of this workspace are in {owner!r}"
+                yield Problem(path, reason)
+    users = {}
+    for name, workspace in configuration.workspaces.items():
+        for label, digest in workspace.keys.items():
+            user = users.setdefault(digest, name)
+            if user != name:
+                path = ("workspaces", name, "keys", label)
+                yield Problem(path, f"the key belongs to {user!r}")
--- /dev/null
+++ b/src/hyssopspring/config/merging.py
@@ -0,0 +1,147 @@
+"""Merge of all files in the order of their names, leaf by leaf."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..core.configuration import Configuration
+from ..core.sentinels import NOTHING
+
+RULES = {}
+
+FIELD_RULES = {
+    "residency": "intersection",
+    "regions": "intersection",
+    "repeatable": "all_true",
+    "requests_per_second": "minimum",
+    "concurrent": "minimum",
+    "deadline_ms": "minimum",
+    "attempts": "minimum",
+}
+
+
+def rule(name):
+    """Register a rule that combines two values of one leaf.
+
+    A rule takes the value merged so far and the one of a later file.
+    """
+
+    def register(combine):
+        RULES[name] = combine
+        return combine
+
+    return register
+
+
+@rule("later")
+def later(before, after):
+    """Let the later file win."""
+    return after
+
+
+@rule("intersection")
+def intersection(before, after):
+    """Keep what all files permit, whatever their order."""
+    return [item for item in before if item in after]
+
+
+@rule("all_true")
+def all_true(before, after):
+    """Let a single no win, whatever the order."""
+    return before and after
+
+
+@rule("minimum")
+def minimum(before, after):
+    """Let the lowest limit win, whatever the order."""
+    return min(before, after)
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """One file's word on a leaf."""
+
+    file: str
+    line: int
+    value: object
+
+
+@dataclass(slots=True)
+class Merged:
+    """Merged leaves, and which file said what.
+
+    Attributes:
+        leaves: Value by path of keys.
+        origins: List of `Origin` by path, in the order of names.
+    """
+
+    leaves: dict = field(default_factory=dict)
+    origins: dict = field(default_factory=dict)
+
+    def explain(self, path):
+        """Return rule, merged value and origins of one leaf."""
+        return {
+            "path": ".".join(path),
+            "rule": rule_name(path),
+            "value": self.leaves[path],
+            "files": [
+                {"file": one.file, "line": one.line, "value": one.value}
+                for one in self.origins[path]
+            ],
+        }
+
+
+def merge(files):
+    """Merge files in the order of their names.
+
+    Args:
+        files: `ParsedFile` by file name.
+
+    Returns:
+        A `Merged`.
+    """
+    merged = Merged()
+    for name in sorted(files):
+        parsed = files[name]
+        for path, value in parsed.leaves.items():
+            merge_leaf(merged, path, value)
+            origin = Origin(name, parsed.line(path), value)
+            merged.origins.setdefault(path, []).append(origin)
+    return merged
+
+
+def merge_leaf(merged, path, value):
+    """Combine one more value into the merged leaf."""
+    if value is NOTHING:
+        merged.leaves.setdefault(path, NOTHING)
+        return
+    if path in merged.leaves:
+        combine = RULES[rule_name(path)]
+        value = combine(merged.leaves[path], value)
+    merged.leaves[path] = value
+
+
+def rule_name(path):
+    """Return the name of the rule for the leaf at *path*."""
+    if path[0] == "regions" or "keys" in path[2:3]:
+        return "later"
+    return FIELD_RULES.get(path[-1], "later")
+
+
+def build(merged, generation):
+    """Return the `Configuration` of merged leaves.
+
+    Raises:
+        msgspec.ValidationError: A needed field is given by no file.
+    """
+    nested = {}
+    for path, value in merged.leaves.items():
+        place = nested
+        for key in path[:-1]:
+            place = place.setdefault(key, {})
+        if value is NOTHING:
+            place.setdefault(path[-1], {})
+        else:
+            place[path[-1]] = value
+    nested["generation"] = generation
+    return msgspec.convert(nested, Configuration)
--- /dev/null
+++ b/src/hyssopspring/config/schema.py
@@ -0,0 +1,197 @@
+"""Form of one operators' file, checked field by field."""
+
+import functools
+from typing import Annotated
+
+import yaml
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..core.sentinels import NOTHING
+
+NAME = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+Name = Annotated[str, Field(pattern=NAME)]
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Share = Annotated[float, Field(ge=0, le=1)]
+LONGEST_FILE = 65_536
+LONGEST_DEADLINE_MS = 86_400_000
+PARSED_FILES = 4096
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+
+class Part(BaseModel):
+    """Base of all parts: unknown fields are errors."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class LimitsPart(Part):
+    """Limits of a workspace; the least over all files holds."""
+
+    requests_per_second: float | None = Field(None, gt=0)
+    concurrent: int | None = Field(None, gt=0)
+
+
+class WeightsPart(Part):
+    """What a workspace minds; a later file wins."""
+
+    tail: Share | None = None
+    cost: Share | None = None
+    away: Share | None = None
+
+
+class WorkspacePart(Part):
+    """What a file says of one workspace."""
+
+    home: Name | None = None
+    residency: list[Name] | None = Field(None, min_length=1)
+    keys: dict[Name, Digest] | None = None
+    limits: LimitsPart | None = None
+    weights: WeightsPart | None = None
+    repeatable: bool | None = None
+    deadline_ms: int | None = Field(None, gt=0, le=LONGEST_DEADLINE_MS)
+    attempts: int | None = Field(None, ge=1, le=3)
+
+
+class OfferPart(Part):
+    """What a file says of one model or service."""
+
+    regions: list[Name] | None = Field(None, min_length=1)
+    repeatable: bool | None = None
+    deadline_ms: int | None = Field(None, gt=0, le=LONGEST_DEADLINE_MS)
+    attempts: int | None = Field(None, ge=1, le=3)
+    fallback: list[Name] | None = None
+
+
+class RegionPart(Part):
+    """What a file says of one region."""
+
+    round_trip_ms: dict[Name, float] | None = None
+
+
+class FilePart(Part):
+    """A whole file."""
+
+    regions: dict[Name, RegionPart | None] | None = None
+    workspaces: dict[Name, WorkspacePart | None] | None = None
+    models: dict[Name, OfferPart | None] | None = None
+    services: dict[Name, OfferPart | None] | None = None
+
+
+class Problem(Exception):  # noqa: N818 - the operators' word for it
+    """Something in a file that is wrong.
+
+    Attributes:
+        path: Path of keys to the place, as a tuple.
+        reason: What was expected.
+        line: Line in the file; 0 for the whole file.
+    """
+
+    def __init__(self, path, reason, line=0):
+        super().__init__(f"line {line}: {'.'.join(path)}: {reason}")
+        self.path = tuple(path)
+        self.reason = reason
+        self.line = line
+
+    @property
+    def text(self):
+        """Where and what, without the line."""
+        where = ".".join(self.path)
+        return f"{where}: {self.reason}" if where else self.reason
+
+
+class ParsedFile:
+    """A checked file.
+
+    Attributes:
+        leaves: Value by path of keys.
+        lines: Line number by path of keys.
+    """
+
+    def __init__(self, leaves, lines):
+        self.leaves = leaves
+        self.lines = lines
+
+    def line(self, path):
+        """Return the line of *path* or of the nearest key above it."""
+        for length in range(len(path), 0, -1):
+            found = self.lines.get(tuple(path[:length]))
+            if found:
+                return found
+        return 0
+
+
+@functools.lru_cache(maxsize=PARSED_FILES)
+def parse_file(text):
+    """Check one file by itself.
+
+    Args:
+        text: The YAML text.
+
+    Returns:
+        A `ParsedFile`.
+
+    Raises:
+        Problem: The first thing that is wrong.
+    """
+    if len(text) > LONGEST_FILE:
+        raise Problem((), f"longer than {LONGEST_FILE} characters")
+    loader = LOADER(text)
+    try:
+        node = loader.get_single_node()
+        values = loader.construct_document(node) if node else None
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        line = mark.line + 1 if mark else 0
+        what = getattr(error, "problem", None) or "no YAML"
+        raise Problem((), f"no YAML: {what}", line) from None
+    if values is None:
+        return ParsedFile({}, {})
+    lines = {}
+    if node is not None:
+        collect_lines(node, (), lines)
+    try:
+        part = FilePart.model_validate(values)
+    except ValidationError as error:
+        raise first_problem(error, lines) from None
+    leaves = {}
+    flatten(part.model_dump(exclude_unset=True), (), leaves)
+    return ParsedFile(leaves, lines)
+
+
+def first_problem(error, lines):
+    """Turn the first error of a validation into a `Problem`."""
+    first = error.errors()[0]
+    path = tuple(str(part) for part in first["loc"] if part != "[key]")
+    place = ParsedFile({}, lines)
+    return Problem(path, first["msg"], place.line(path))
+
+
+def collect_lines(node, path, lines):
+    """Note the line of each key below a YAML node.
+
+    Raises:
+        Problem: A key stands twice, of which YAML would silently keep
+            only the last.
+    """
+    if not isinstance(node, yaml.MappingNode):
+        return
+    for key, value in node.value:
+        below = (*path, str(key.value))
+        line = key.start_mark.line + 1
+        if below in lines:
+            raise Problem(below, "the key stands twice", line)
+        lines[below] = line
+        collect_lines(value, below, lines)
+
+
+def flatten(value, path, leaves):
+    """Collect the leaves of nested mappings; lists are leaves."""
+    if value is None and len(path) != 2:
+        return
+    if isinstance(value, dict) or value is None:
+        if len(path) == 2:
+            leaves[path] = NOTHING
+        for key, below in (value or {}).items():
+            flatten(below, (*path, key), leaves)
+        return
+    leaves[path] = value
--- /dev/null
+++ b/src/hyssopspring/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input, output, wall clock or reactor."""
--- /dev/null
+++ b/src/hyssopspring/core/choice.py
@@ -0,0 +1,89 @@
+"""Policies that choose a backend server within a data centre."""
+
+from .exceptions import UnknownPolicyError
+from .hashing import hash_text
+
+CHOICES = {}
+DEFAULT_CHOICE = "affinity"
+AFFINE_SERVERS = 2
+BOUND = 1.25
+
+
+def choice(name):
+    """Register a policy under *name*.
+
+    A policy takes the request, a non-empty list of servers, the time in
+    seconds and a random number generator, and returns one server.
+    """
+
+    def register(policy):
+        CHOICES[name] = policy
+        return policy
+
+    return register
+
+
+def find_choice(name):
+    """Return the policy called *name*.
+
+    Raises:
+        UnknownPolicyError: No such policy is registered.
+    """
+    try:
+        return CHOICES[name]
+    except KeyError:
+        raise UnknownPolicyError(name) from None
+
+
+@choice("round_robin")
+def round_robin(request, servers, now, rng):
+    """Take the servers in turn, by the number of the request."""
+    turn = hash_text(request.id)
+    return servers[turn % len(servers)]
+
+
+@choice("least_in_flight")
+def least_in_flight(request, servers, now, rng):
+    """Take the server with the fewest own requests."""
+    return min(servers, key=lambda server: server.in_flight)
+
+
+@choice("two_choices")
+def two_choices(request, servers, now, rng):
+    """Take the less loaded of two servers drawn at random."""
+    drawn = [rng.choice(servers), rng.choice(servers)]
+    return min(drawn, key=lambda server: relative_load(server, now))
+
+
+@choice("affinity")
+def affinity(request, servers, now, rng):
+    """Prefer the servers that likely hold the prompt's start.
+
+    Rendezvous hashing over the prompt's start names the same few servers
+    on every host without any message. A popular start would overload
+    them, so one is passed over once its load exceeds the mean by a
+    quarter and has no free slot; then two random choices spread the
+    rest, which keeps hosts with the same old reports from all picking
+    the same server.
+    """
+    ranked = rank(request.prefix, servers)
+    mean = sum(relative_load(server, now) for server in servers)
+    bound = BOUND * mean / len(servers)
+    for server in ranked[:AFFINE_SERVERS]:
+        load = relative_load(server, now)
+        if load < 1.0 or load <= bound:
+            return server
+    return two_choices(request, servers, now, rng)
+
+
+def rank(prefix, servers):
+    """Order *servers* by rendezvous hashing of *prefix*."""
+    return sorted(
+        servers,
+        key=lambda server: hash_text(server.entry.name, prefix),
+    )
+
+
+def relative_load(server, now):
+    """Return the share of its slots that one more request would fill."""
+    return (server.load(now) + 1) / server.slots
--- /dev/null
+++ b/src/hyssopspring/core/events.py
@@ -0,0 +1,148 @@
+"""Numbered events, and the time line that they make up."""
+
+import enum
+from collections import deque
+from dataclasses import dataclass, field
+
+RING_SIZE = 2_000
+
+
+class EventKind(enum.Enum):
+    """The catalogue: number, and meaning for operators."""
+
+    STARTED = (100, "process started")
+    STOPPING = (101, "planned stop began")
+    STOPPED = (102, "planned stop ended, nothing was cut")
+    LOOP_STALL = (103, "event loop stood still")
+    REQUEST = (200, "request admitted")
+    ATTEMPT = (201, "attempt sent to a backend server")
+    FORWARD = (202, "attempt forwarded to another data centre")
+    ATTEMPT_ENDED = (203, "attempt ended without an answer")
+    ANSWERED = (204, "whole answer delivered")
+    NOT_RUN = (205, "caller told that its request was not run")
+    UNKNOWN = (206, "caller told that the outcome is not known")
+    FORWARD_REFUSED = (207, "forwarded request refused")
+    RESUMED = (208, "stream resumed at the same server")
+    LATE_ANSWER = (209, "late answer of an abandoned attempt dropped")
+    CONFIG_APPLIED = (300, "configuration is in force on this host")
+    CONFIG_ACCEPTED = (301, "configuration accepted")
+    CONFIG_REFUSED = (302, "configuration file refused")
+    CONFIG_STALE = (303, "older configuration ignored")
+    CONFIG_INVALID = (304, "configuration could not be read")
+    CONFIG_CONFIRMED = (305, "host enforces a proposed restriction")
+    SERVER_ADDED = (400, "backend server joined")
+    SERVER_GONE = (401, "backend server left the host list")
+    SERVER_LEAVING = (402, "backend server is leaving")
+    SERVER_PAUSED = (403, "backend server failed and is tried last")
+    PEER_REFUSED = (404, "message with a bad signature dropped")
+    PLATFORM_DOWN = (500, "platform does not answer")
+    PLATFORM_BACK = (501, "platform answers again")
+    CLAIM_COMMITTED = (600, "claims of keys recorded")
+    CLAIM_CONFLICT = (601, "claim lost to another claimant")
+    CLAIM_UNAVAILABLE = (602, "claims cannot be recorded now")
+
+    @property
+    def number(self):
+        """The number by which operators look it up."""
+        return self.value[0]
+
+    @property
+    def meaning(self):
+        """One line for operators."""
+        return self.value[1]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """Something that happened in one process.
+
+    Attributes:
+        millis: Hybrid logical time, wall-clock part in milliseconds.
+        counter: Hybrid logical time, part that orders equal times.
+        host: Host on which it happened.
+        number: Number in the catalogue.
+        name: Name in the catalogue.
+        request: Request that it belongs to, or an empty string.
+        details: What else to know, as text by name.
+    """
+
+    millis: int
+    counter: int
+    host: str
+    number: int
+    name: str
+    request: str = ""
+    details: dict[str, str] = field(default_factory=dict)
+
+
+class HybridClock:
+    """Order events over hosts whose wall clocks differ.
+
+    A message carries its sender's time; who receives it moves on past
+    that time. So an effect never stands before its cause on the time
+    line, even when the receiver's wall clock is behind.
+
+    Args:
+        seconds: Callable that returns the wall clock in seconds.
+    """
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.millis = 0
+        self.counter = 0
+
+    def tick(self):
+        """Return the time of a local event, later than any before."""
+        wall = int(self.seconds() * 1000)
+        if wall > self.millis:
+            self.millis, self.counter = wall, 0
+        else:
+            self.counter += 1
+        return self.millis, self.counter
+
+    def witness(self, millis, counter):
+        """Move past the time that a message carried."""
+        if (millis, counter) > (self.millis, self.counter):
+            self.millis, self.counter = millis, counter
+
+
+class Timeline:
+    """Keep the newest events of one process.
+
+    Args:
+        host: Name of the host.
+        clock: A `HybridClock`.
+        listeners: Called with each new `Event`.
+    """
+
+    def __init__(self, host, clock, *, listeners=()):
+        self.host = host
+        self.clock = clock
+        self.listeners = list(listeners)
+        self.ring = deque(maxlen=RING_SIZE)
+
+    def note(self, kind, *, request="", **details):
+        """Record an event of *kind* now."""
+        millis, counter = self.clock.tick()
+        event = Event(
+            millis=millis,
+            counter=counter,
+            host=self.host,
+            number=kind.number,
+            name=kind.name.lower(),
+            request=request,
+            details={key: str(value) for key, value in details.items()},
+        )
+        self.ring.append(event)
+        for listener in self.listeners:
+            listener(event)
+        return event
+
+    def select(self, *, request="", after=(0, 0)):
+        """Return the kept events, of one request if it is named."""
+        return [
+            event
+            for event in self.ring
+            if (event.millis, event.counter) > after
+            and (not request or event.request == request)
+        ]
--- /dev/null
+++ b/src/hyssopspring/core/outcomes.py
@@ -0,0 +1,99 @@
+"""The three outcomes that an attempt and a request can end in."""
+
+import enum
+from dataclasses import dataclass
+
+
+class Reason(enum.StrEnum):
+    """Why an attempt or a request was not answered.
+
+    The values are the error codes that callers read.
+    """
+
+    UNKNOWN_WORKSPACE = "unknown_workspace"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    WRONG_METHOD = "wrong_method"
+    BAD_DEADLINE = "bad_deadline"
+    RESIDENCY = "residency_excludes_all"
+    NOT_RESIDENT_HERE = "region_not_permitted"
+    FORWARD_LOOP = "forward_loop"
+    BAD_PEER = "bad_peer_signature"
+    NO_SERVER = "no_server"
+    OVERLOADED = "overloaded"
+    RATE_LIMIT = "rate_limit"
+    CONCURRENCY_LIMIT = "concurrency_limit"
+    LEAVING = "host_leaving"
+    NO_CONFIGURATION = "no_configuration"
+    DEADLINE = "deadline_exceeded"
+    CONNECT = "connect_failed"
+    REFUSED = "refused_by_server"
+    CONNECTION_LOST = "connection_lost"
+    BAD_ANSWER = "bad_answer"
+    TRUNCATED = "truncated_answer"
+    SERVER_ERROR = "server_error"
+    CALLER_GONE = "caller_gone"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
+    CLAIM_IN_PROGRESS = "key_in_progress"
+    CLAIM_DONE = "key_already_run"
+    CLAIM_UNKNOWN = "key_outcome_unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer arrived.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """No backend server ran the request.
+
+    Attributes:
+        reason: Why it was not run.
+        retry_after: Seconds after which the caller may come back.
+    """
+
+    reason: Reason
+    retry_after: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run, once or in part.
+
+    Attributes:
+        reason: Why the answer is missing.
+    """
+
+    reason: Reason
+
+
+Outcome = Answered | NotRun | Unknown
+
+
+def combine(outcomes):
+    """Return what a caller may be told after *outcomes*.
+
+    Args:
+        outcomes: Outcome of each attempt, in order; not empty.
+
+    Returns:
+        The answer if there was one; `NotRun` only if each attempt was
+        `NotRun`, since one attempt that may have run is enough for the
+        request to have run.
+    """
+    for outcome in outcomes:
+        if isinstance(outcome, Answered):
+            return outcome
+    for outcome in outcomes:
+        if isinstance(outcome, Unknown):
+            return outcome
+    return outcomes[-1]
--- /dev/null
+++ b/src/hyssopspring/core/plans.py
@@ -0,0 +1,187 @@
+"""The attempts of one request: what to try next, and when to stop."""
+
+from dataclasses import dataclass
+
+from .choice import DEFAULT_CHOICE, find_choice
+from .exceptions import ensure
+from .outcomes import Answered, NotRun, Reason, Unknown, combine
+from .placement import CentreSummary, permitted_regions, rank_centres
+from .requests import Request, Target
+from .sentinels import NOTHING
+from .servers import Server
+
+LEAST_TIME = 0.005
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Send an attempt to a backend server of the own data centre."""
+
+    server: Server
+    target: Target
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forward:
+    """Send an attempt to a gateway of another data centre."""
+
+    summary: CentreSummary
+    address: str
+    target: Target
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Give the caller its final outcome."""
+
+    outcome: Answered | NotRun | Unknown
+
+
+class Plan:
+    """Decide the attempts of one request, one after the other.
+
+    One budget of attempts covers retries, fallbacks and other regions
+    together, so that settings of different teams cannot multiply.
+
+    Args:
+        request: The `Request`.
+        configuration: The `Configuration` in force.
+        table: `ServerTable` of the own data centre.
+        centres: `CentreTable` of the other data centres.
+        budget: `RetryBudget` of this host.
+        rng: Random number generator.
+        policy: Name of the registered choice within a data centre.
+    """
+
+    def __init__(
+        self,
+        request,
+        *,
+        configuration,
+        table,
+        centres,
+        budget,
+        rng,
+        policy=DEFAULT_CHOICE,
+    ):
+        self.request: Request = request
+        self.configuration = configuration
+        self.table = table
+        self.centres = centres
+        self.budget = budget
+        self.rng = rng
+        self.choose = find_choice(policy)
+        self.outcomes = []
+        self.tried_servers = set()
+        self.tried_centres = set()
+
+    def next(self, now):
+        """Return the next step: `Serve`, `Forward` or `Finish`."""
+        if self.outcomes:
+            final = self.settled(now)
+            if final is not NOTHING:
+                return Finish(final)
+        else:
+            self.budget.earn()
+        if self.request.deadline - now < LEAST_TIME:
+            return Finish(self.conclude(Reason.DEADLINE))
+        step = self.find_step(now)
+        if step is NOTHING:
+            return Finish(self.conclude(Reason.NO_SERVER))
+        return step
+
+    def record(self, outcome):
+        """Note the outcome of the step that `next` gave last."""
+        self.outcomes.append(outcome)
+
+    def settled(self, now):
+        """Return the final outcome if no further attempt is allowed."""
+        last = self.outcomes[-1]
+        if isinstance(last, Answered):
+            return last
+        if not self.request.repeatable:
+            # A second attempt of a request that must not be repeated is
+            # a second run if the first one arrived after all. Nothing
+            # but a key with a claim could tell, so one attempt it is.
+            return combine(self.outcomes)
+        if len(self.outcomes) >= self.request.attempts:
+            return combine(self.outcomes)
+        if last == Unknown(Reason.CALLER_GONE):
+            return last
+        if not self.budget.spend():
+            return combine(self.outcomes)
+        return NOTHING
+
+    def conclude(self, reason):
+        """Return the final outcome when nothing is left to try."""
+        if self.outcomes:
+            return combine(self.outcomes)
+        return NotRun(reason)
+
+    def find_step(self, now):
+        """Return the best untried step over target and fallbacks."""
+        for target in (self.request.target, *self.request.fallbacks):
+            step = self.find_step_for(target, now)
+            if step is not NOTHING:
+                return step
+        return NOTHING
+
+    def find_step_for(self, target, now):
+        """Return the best untried step for one target, or `NOTHING`."""
+        for option in rank_centres(
+            self.request,
+            target,
+            self.table,
+            self.centres,
+            self.configuration,
+            now,
+        ):
+            if option.summary is NOTHING:
+                step = self.serve(target, now)
+            else:
+                step = self.forward(option.summary, target)
+            if step is not NOTHING:
+                return step
+        return NOTHING
+
+    def serve(self, target, now):
+        """Return an attempt in the own data centre, or `NOTHING`."""
+        ensure(
+            self.centres.region in self.allowed(target),
+            "served outside the request's residency",
+        )
+        untried = [
+            server
+            for server in self.table.serving(target, now)
+            if server.entry.name not in self.tried_servers
+        ]
+        if not untried:
+            return NOTHING
+        server = self.choose(self.request, untried, now, self.rng)
+        self.tried_servers.add(server.entry.name)
+        return Serve(server, target, len(self.outcomes))
+
+    def allowed(self, target):
+        """Return the regions that may serve *target*."""
+        return permitted_regions(self.request, target, self.configuration)
+
+    def forward(self, summary, target):
+        """Return an attempt in another data centre, or `NOTHING`.
+
+        A request that was forwarded once stays where it is: two gateways
+        that each hold the other for less loaded would send it to and fro
+        without end.
+        """
+        ensure(
+            summary.region in self.allowed(target),
+            "forwarded outside the request's residency",
+        )
+        if self.request.path or not summary.gateways:
+            return NOTHING
+        if summary.data_centre in self.tried_centres:
+            return NOTHING
+        self.tried_centres.add(summary.data_centre)
+        address = self.rng.choice(summary.gateways)
+        return Forward(summary, address, target, len(self.outcomes))
--- /dev/null
+++ b/src/hyssopspring/core/servers.py
@@ -0,0 +1,256 @@
+"""What a host knows of the backend servers of its own data centre."""
+
+from dataclasses import dataclass, field
+
+from .sentinels import NOTHING
+
+REPORT_HALF_LIFE = 2.0
+FAILURE_PAUSE = 1.0
+LONGEST_FAILURE_PAUSE = 30.0
+DEFAULT_SLOTS = 8
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServerEntry:
+    """A backend server as the platform's host list names it.
+
+    Attributes:
+        name: Name, unique over all data centres.
+        address: IP address and port, as ``ip:port``.
+        region: Region that it stands in.
+        data_centre: Data centre that it stands in.
+        targets: Models or services that it serves, as `Target`.
+        leaving: Whether the list says that it is about to go.
+    """
+
+    name: str
+    address: str
+    region: str
+    data_centre: str
+    targets: frozenset
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadReport:
+    """Load that a backend server reported of itself.
+
+    Attributes:
+        incarnation: Changes each time that the server starts.
+        sequence: Grows with each report of one incarnation.
+        running: Requests that it is working on.
+        waiting: Requests that it has queued.
+        slots: Requests that it can work on at once.
+        leaving: Whether it said that it takes no new work.
+        at: Time of arrival on the host's clock, in seconds.
+    """
+
+    incarnation: str
+    sequence: int
+    running: int
+    waiting: int
+    slots: int
+    leaving: bool
+    at: float
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server with all evidence about it.
+
+    Attributes:
+        entry: What the host list says.
+        report: Newest load report, or `NOTHING`.
+        in_flight: Requests that this host has there now.
+        sent_since_report: Requests sent after the newest report.
+        left_incarnation: Incarnation that said it leaves, or `NOTHING`.
+        failures: Failed attempts in a row.
+        paused_until: Time until which it is tried last.
+        first_token: Moving average of seconds to the first byte.
+    """
+
+    entry: ServerEntry
+    report: LoadReport = NOTHING
+    in_flight: int = 0
+    sent_since_report: int = 0
+    left_incarnation: str = NOTHING
+    failures: int = 0
+    paused_until: float = 0.0
+    first_token: float = 0.0
+
+    @property
+    def leaving(self):
+        """Whether any evidence says that the server is leaving.
+
+        The host list lags, so a server may still stand there as live
+        after it said itself that it leaves. The server's own word holds
+        until it has started anew, which its incarnation shows; else a
+        late list entry would send new work to it again.
+        """
+        if self.entry.leaving:
+            return True
+        return self.left_incarnation is not NOTHING
+
+    @property
+    def slots(self):
+        """Requests that the server can work on at once."""
+        if self.report is NOTHING:
+            return DEFAULT_SLOTS
+        return max(1, self.report.slots)
+
+    def load(self, now):
+        """Estimate the requests that the server has at *now*.
+
+        An old report says little of what other hosts have sent since, so
+        it fades with its age; what this host itself sent always counts.
+        """
+        if self.report is NOTHING:
+            return float(self.in_flight)
+        age = max(0.0, now - self.report.at)
+        trust = 0.5 ** (age / REPORT_HALF_LIFE)
+        reported = self.report.running + self.report.waiting
+        return max(
+            float(self.in_flight), reported * trust + self.sent_since_report
+        )
+
+    def wait(self, now):
+        """Estimate the seconds to the first token for one more request."""
+        ahead = self.load(now) - self.slots + 1
+        queued = max(0.0, ahead) / self.slots
+        return self.first_token * (1.0 + queued)
+
+
+@dataclass(slots=True)
+class ServerTable:
+    """All backend servers of one data centre.
+
+    Attributes:
+        data_centre: The data centre.
+        servers: `Server` by name.
+    """
+
+    data_centre: str
+    servers: dict[str, Server] = field(default_factory=dict)
+
+    def replace(self, entries):
+        """Take over the host list; keep the evidence on known servers.
+
+        Args:
+            entries: Each `ServerEntry` of the list, of any data centre.
+
+        Returns:
+            Names that are new and names that are gone, as two sets.
+        """
+        mine = {
+            entry.name: entry
+            for entry in entries
+            if entry.data_centre == self.data_centre
+        }
+        before = set(self.servers)
+        for name, entry in mine.items():
+            known = self.servers.get(name)
+            if known is None or known.entry.address != entry.address:
+                self.servers[name] = Server(entry)
+            else:
+                known.entry = entry
+        for name in before - set(mine):
+            del self.servers[name]
+        return set(mine) - before, before - set(mine)
+
+    def take_report(self, name, report):
+        """Note a load report unless a newer one is known.
+
+        Reports cross the network by several ways and arrive late or
+        twice. One of the same incarnation with no greater sequence is
+        older news, which would bring back a load, or a readiness, that
+        has passed.
+
+        Returns:
+            Whether the report was news.
+        """
+        server = self.servers.get(name)
+        if server is None:
+            return False
+        known = server.report
+        if known is not NOTHING:
+            same = known.incarnation == report.incarnation
+            if same and report.sequence <= known.sequence:
+                return False
+        server.report = report
+        server.sent_since_report = 0
+        if report.leaving:
+            server.left_incarnation = report.incarnation
+        elif server.left_incarnation != report.incarnation:
+            server.left_incarnation = NOTHING
+        return True
+
+    def mark_leaving(self, name):
+        """Note that the server itself refused new work since it leaves."""
+        server = self.servers.get(name)
+        if server is None:
+            return
+        incarnation = ""
+        if server.report is not NOTHING:
+            incarnation = server.report.incarnation
+        server.left_incarnation = incarnation
+
+    def begin(self, name):
+        """Count an attempt that is about to be sent."""
+        server = self.servers[name]
+        server.in_flight += 1
+        server.sent_since_report += 1
+
+    def finish(self, name, now, *, failed, first_token=NOTHING):
+        """Count an attempt that has ended.
+
+        Args:
+            name: The server; it may have left the list meanwhile.
+            now: Time on the host's clock, in seconds.
+            failed: Whether the server is to blame for a failure.
+            first_token: Seconds to the first byte, if it came.
+        """
+        server = self.servers.get(name)
+        if server is None:
+            return
+        server.in_flight = max(0, server.in_flight - 1)
+        if first_token is not NOTHING:
+            server.first_token += 0.2 * (first_token - server.first_token)
+        if not failed:
+            server.failures = 0
+            return
+        server.failures += 1
+        pause = FAILURE_PAUSE * 2 ** (server.failures - 1)
+        server.paused_until = now + min(pause, LONGEST_FAILURE_PAUSE)
+
+    def serving(self, target, now):
+        """Return the servers that may get new work for *target*.
+
+        Servers that failed lately are left out while others remain.
+        """
+        able = [
+            server
+            for server in self.servers.values()
+            if target in server.entry.targets and not server.leaving
+        ]
+        sound = [server for server in able if server.paused_until <= now]
+        return sound or able
+
+    def summary(self, now):
+        """Return slots, load and wait of each target in the centre.
+
+        Returns:
+            Mapping from `Target` to a tuple of slots, load and the
+            shortest wait in seconds.
+        """
+        totals = {}
+        for server in self.servers.values():
+            if server.leaving or server.paused_until > now:
+                continue
+            for target in server.entry.targets:
+                slots, load, wait = totals.get(target, (0, 0.0, 3600.0))
+                totals[target] = (
+                    slots + server.slots,
+                    load + server.load(now),
+                    min(wait, server.wait(now)),
+                )
+        return totals
--- /dev/null
+++ b/src/hyssopspring/demo.py
@@ -0,0 +1,178 @@
+"""Two regions with fakes on one reactor: ``hyssop-demo``."""
+
+import sys
+
+import click
+import msgspec
+from twisted.internet import defer, reactor
+from twisted.web.http_headers import Headers
+
+from hyssopspring_fakes.fleet import Fleet, Shape, configuration_text
+
+from .logs import start_logging
+from .net.clients import fetch
+
+KEY = "demo-key"
+TIMEOUT = 10.0
+BAD_FILE = """\
+workspaces:
+  quotes:
+    residency: [atlantis]
+"""
+GOOD_FILE = """\
+workspaces:
+  quotes:
+    deadline_ms: 20000
+"""
+
+
+@click.command()
+@click.option("--once", is_flag=True, help="Run each case once and stop.")
+@click.option("--log", default="ERROR", show_default=True)
+@click.version_option(package_name="hyssopspring")
+def main(once, log):
+    """Serve two regions with fakes until stopped."""
+    start_logging(log)
+    results = []
+    work = defer.ensureDeferred(run(once, log))
+    work.addBoth(results.append)
+    if once:
+        work.addBoth(lambda _: reactor.callWhenRunning(reactor.stop))
+    reactor.run()
+    if results and hasattr(results[0], "printTraceback"):
+        results[0].printTraceback()
+        sys.exit(1)
+    sys.exit(0 if results and results[0] else 1)
+
+
+async def run(once, log):
+    """Start the fleet; run the cases or print how to use it."""
+    fleet = Fleet(reactor, Shape(log=log))
+    await fleet.start()
+    text = configuration_text(fleet.shape.regions, KEY)
+    status, report = await fleet.put("10-base.yaml", text)
+    if status != 200:
+        click.echo(f"the configuration was refused: {report}", err=True)
+        return False
+    if not once:
+        print_usage(fleet)
+        return True
+    demo = Demo(fleet)
+    sound = await demo.run_all()
+    await fleet.stop()
+    return sound
+
+
+def print_usage(fleet):
+    """Print lines to paste into a shell."""
+    gateway = fleet.gateways["dar-0"].settings.listen
+    admin = fleet.admin.settings.listen
+    body = '{"model":"quick-draft","prompt":"Quote for two lorries"'
+    call = (
+        f"curl -s http://{gateway}/v1/completions "
+        f"-H 'Authorization: Bearer {KEY}' "
+    )
+    click.echo("# a request, whole and streamed")
+    click.echo(f"{call}-d '{body}}}'")
+    click.echo(f"{call}-N -d '{body},\"stream\":true}}'")
+    click.echo("# a plain service, and the entry hosts to use")
+    click.echo(
+        f"curl -s http://{gateway}/services/rating/quote "
+        f"-H 'Authorization: Bearer {KEY}' -d 'two lorries'"
+    )
+    click.echo(f"curl -s http://{gateway}/v1/hosts")
+    click.echo("# the state of all hosts, for operators")
+    click.echo(
+        f"curl -s http://{admin}/v1/status "
+        "-H 'Authorization: Bearer operator-token'"
+    )
+    click.echo("# stop with Ctrl-C")
+
+
+class Demo:
+    """The cases of ``--once``.
+
+    Args:
+        fleet: A `Fleet` that serves.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.sound = True
+
+    async def run_all(self):
+        """Run all cases; return whether each went as it should."""
+        await self.whole()
+        await self.streamed()
+        await self.forwarded()
+        await self.change()
+        await self.refused_change()
+        return self.sound
+
+    def show(self, name, good, text):
+        """Print the outcome of a case."""
+        self.sound = self.sound and good
+        click.echo(f"{name}: {'right' if good else 'WRONG'}: {text}")
+
+    async def call(self, host, **more):
+        """Send a completion to *host*; return status and body."""
+        address = self.fleet.gateways[host].settings.listen
+        body = {"model": "quick-draft", "prompt": "Two lorries", **more}
+        headers = Headers({b"authorization": [b"Bearer " + KEY.encode()]})
+        return await fetch(
+            self.fleet.agent,
+            b"POST",
+            f"http://{address}/v1/completions",
+            msgspec.json.encode(body),
+            clock=reactor,
+            timeout=TIMEOUT,
+            headers=headers,
+        )
+
+    async def whole(self):
+        """Serve a request whole, at home."""
+        status, body = await self.call("dar-0", max_tokens=4)
+        answer = msgspec.json.decode(body)
+        good = status == 200 and answer["usage"]["completion_tokens"] == 4
+        self.show("whole answer", good, f"status {status}, 4 tokens")
+
+    async def streamed(self):
+        """Serve a streamed request."""
+        status, body = await self.call("dar-0", max_tokens=4, stream=True)
+        good = status == 200 and body.endswith(b"data: [DONE]\n\n")
+        events = body.count(b"data: ")
+        self.show("streamed answer", good, f"{events} events, end mark last")
+
+    async def forwarded(self):
+        """Serve a request in the other region while home has no room."""
+        for name, engine in self.fleet.engines.items():
+            engine.faults.refuse = name.startswith("dar")
+        before = self.ran("arusha")
+        status, _ = await self.call("dar-0")
+        for engine in self.fleet.engines.values():
+            engine.faults.refuse = False
+        good = status == 200 and self.ran("arusha") == before + 1
+        self.show("forwarded request", good, "served in arusha")
+
+    def ran(self, region):
+        """Return how many requests a region's engines took."""
+        return sum(
+            len(engine.ran)
+            for name, engine in self.fleet.engines.items()
+            if name.startswith(region)
+        )
+
+    async def change(self):
+        """Change the configuration."""
+        status, report = await self.fleet.put("20-team.yaml", GOOD_FILE)
+        hosts = ", ".join(report.get("in_force", []))
+        good = status == 200 and not report["not_in_force"]
+        text = f"generation {report['generation']} in force on {hosts}"
+        self.show("configuration change", good, text)
+
+    async def refused_change(self):
+        """Have a wrong change refused."""
+        status, report = await self.fleet.put("30-other.yaml", BAD_FILE)
+        good = status == 409 and report["line"] == 3
+        text = f"line {report['line']}: {report['reason']}"
+        self.show("refused change", good, text)
--- /dev/null
+++ b/src/hyssopspring/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets round the core: callers, backend servers and peers."""
--- /dev/null
+++ b/src/hyssopspring/net/administration.py
@@ -0,0 +1,396 @@
+"""The HTTP interface for operators."""
+
+import hmac
+import re
+
+import msgspec
+from twisted.internet import task
+
+from ..config.acceptance import Judge, RawFile
+from ..config.accepting import gather
+from ..config.merging import merge
+from ..config.schema import parse_file
+from ..core.accepted import FOLDER_PREFIX, Verdict
+from ..core.exceptions import KeyValueError, PlatformError
+from ..core.sentinels import NOTHING
+from ..platform.keyvalues import Applied, WriteUnknown
+from .openapi import OPENAPI
+from .serving import header, respond_error, respond_json
+
+FILES = "/v1/files/"
+FILE_NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,99}\.ya?ml$")
+VERDICT_WITHIN = 8.0
+IN_FORCE_WITHIN = 4.0
+POLL = 0.05
+WRITE_TRIES = 5
+
+
+class FileReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of one write of a file.
+
+    Attributes:
+        file: Its name.
+        verdict: ``accepted``, ``refused`` or ``pending``.
+        generation: Generation in which it was decided.
+        line: Line to which a refusal points; 0 for the whole file.
+        reason: Why it was refused.
+        in_force: Hosts on which it is in force.
+        not_in_force: Hosts on which it is not, or that do not answer.
+        seconds: From the write until the last host had it in force.
+    """
+
+    file: str
+    verdict: str
+    generation: int
+    line: int = 0
+    reason: str = ""
+    in_force: list[str] = []
+    not_in_force: list[str] = []
+    seconds: float = 0.0
+
+
+class AdminApi:
+    """Serve operators.
+
+    Args:
+        acceptor: The `Acceptor`.
+        hosts: The `HostListClient`.
+        pages: The `PageReader`.
+        clock: The runtime's clock.
+        timeline: The `Timeline` of this process.
+        tokens: Bearer token by team.
+    """
+
+    def __init__(self, acceptor, hosts, pages, clock, timeline, tokens):
+        self.acceptor = acceptor
+        self.store = acceptor.store
+        self.hosts = hosts
+        self.pages = pages
+        self.clock = clock
+        self.timeline = timeline
+        self.tokens = tokens
+
+    def add_routes(self, router):
+        """Add the paths for operators."""
+        router.add("GET", "/openapi.json", self.show_openapi)
+        router.add("GET", "/healthz", self.health)
+        for method, path, handler in (
+            ("GET", "/v1/files", self.list_files),
+            ("GET", FILES, self.show_file),
+            ("PUT", FILES, self.put_file),
+            ("DELETE", FILES, self.delete_file),
+            ("POST", "/v1/check/", self.check_file),
+            ("GET", "/v1/explain", self.explain),
+            ("GET", "/v1/status", self.show_status),
+            ("GET", "/v1/timeline", self.show_timeline),
+        ):
+            router.add(method, path, self.guard(handler))
+
+    def guard(self, handler):
+        """Let only operators with a token through to *handler*."""
+
+        async def guarded(request):
+            if not self.find_team(request):
+                respond_error(
+                    request, 401, "unknown_token", "no team has this token"
+                )
+                return
+            try:
+                await handler(request)
+            except (KeyValueError, PlatformError) as error:
+                respond_error(
+                    request,
+                    503,
+                    "platform_unavailable",
+                    f"the platform does not answer: {error}",
+                    headers=[("retry-after", "2")],
+                )
+
+        return guarded
+
+    def find_team(self, request):
+        """Return the team of the request's token, or an empty string."""
+        scheme, _, token = header(request, "authorization").partition(" ")
+        found = ""
+        for team, known in self.tokens.items():
+            if hmac.compare_digest(known.encode(), token.encode()):
+                found = team
+        return found if scheme.lower() == "bearer" else ""
+
+    def show_openapi(self, request):
+        """Answer with the description of this interface."""
+        respond_json(request, 200, OPENAPI)
+
+    def health(self, request):
+        """Answer that the process runs."""
+        respond_json(request, 200, {"status": "ok"})
+
+    async def list_files(self, request):
+        """Answer with the state of all files."""
+        held = await self.acceptor.read()
+        rows = [
+            {"file": name, **state_row(state)}
+            for name, state in sorted(held.accepted.files.items())
+        ]
+        respond_json(
+            request,
+            200,
+            {"generation": held.accepted.generation, "files": rows},
+        )
+
+    async def show_file(self, request):
+        """Answer with one file and its state."""
+        name = file_name(request)
+        entry = await self.store.get(FOLDER_PREFIX + name)
+        if entry is NOTHING:
+            respond_error(request, 404, "not_found", f"no file {name!r}")
+            return
+        held = await self.acceptor.read()
+        state = held.accepted.files.get(name)
+        row = state_row(state) if state else {"verdict": Verdict.PENDING}
+        respond_json(
+            request,
+            200,
+            {"file": name, "content": entry.value.decode(), **row},
+        )
+
+    async def put_file(self, request):
+        """Write a file and answer with its verdict."""
+        name = file_name(request)
+        if not FILE_NAME.match(name):
+            respond_error(
+                request,
+                400,
+                "bad_name",
+                "a file name has lower-case letters, digits, dots, dashes "
+                "and ends in .yaml",
+            )
+            return
+        request.content.seek(0)
+        await self.write(request, name, request.content.read())
+
+    async def delete_file(self, request):
+        """Remove a file and answer with the verdict on that."""
+        await self.write(request, file_name(request), None)
+
+    async def write(self, request, name, content):
+        """Write or remove a file, and wait until it is judged."""
+        began = self.clock.seconds()
+        revision = await self.store_file(name, content)
+        if revision is NOTHING:
+            respond_error(request, 404, "not_found", f"no file {name!r}")
+            return
+        self.acceptor.changed()
+        report = await self.wait_verdict(name, revision)
+        if report.verdict == Verdict.ACCEPTED:
+            report = await self.wait_in_force(report, began)
+        status = 200 if report.verdict == Verdict.ACCEPTED else 409
+        if report.verdict == Verdict.PENDING:
+            status = 202
+        respond_json(request, status, report)
+
+    async def store_file(self, name, content):
+        """Write a file into the folder.
+
+        Returns:
+            The revision of the write, or `NOTHING` if there is no file
+            to remove.
+
+        Raises:
+            KeyValueError: The platform did not answer.
+        """
+        key = FOLDER_PREFIX + name
+        for _ in range(WRITE_TRIES):
+            entry = await self.store.get(key)
+            known = entry.revision if entry is not NOTHING else 0
+            if content is None and not known:
+                return NOTHING
+            if content is None:
+                result = await self.store.remove(key, known)
+            else:
+                result = await self.store.swap(key, content, known)
+            if isinstance(result, Applied):
+                return result.revision
+            if isinstance(result, WriteUnknown):
+                entry = await self.store.get(key)
+                if entry is not NOTHING and entry.value == content:
+                    return entry.revision
+        raise KeyValueError("the file could not be written")
+
+    async def wait_verdict(self, name, revision):
+        """Return the `FileReport` once the write is judged."""
+        give_up = self.clock.seconds() + VERDICT_WITHIN
+        while self.clock.seconds() < give_up:
+            try:
+                held = await self.acceptor.read()
+            except KeyValueError:
+                await task.deferLater(self.clock, POLL)
+                continue
+            report = find_report(held.accepted, name, revision)
+            if report is not NOTHING:
+                return report
+            await task.deferLater(self.clock, POLL)
+        return FileReport(
+            file=name,
+            verdict=Verdict.PENDING,
+            generation=0,
+            reason="not judged yet; ask for the file's state later",
+        )
+
+    async def wait_in_force(self, report, began):
+        """Return *report* with where it is in force."""
+        give_up = began + IN_FORCE_WITHIN
+        while True:
+            statuses = await self.read_statuses()
+            behind = [
+                name
+                for name, status in statuses.items()
+                if status is NOTHING or status.generation < report.generation
+            ]
+            now = self.clock.seconds()
+            if not behind or now >= give_up:
+                return msgspec.structs.replace(
+                    report,
+                    in_force=sorted(set(statuses) - set(behind)),
+                    not_in_force=sorted(behind),
+                    seconds=round(now - began, 3),
+                )
+            await task.deferLater(self.clock, POLL)
+
+    async def read_statuses(self):
+        """Return the `HostStatus` of each gateway by name."""
+        listed = await self.hosts.read()
+        found = await gather(
+            self.pages.status(row.forward) for row in listed.gateways
+        )
+        names = [row.name for row in listed.gateways]
+        return dict(zip(names, found, strict=True))
+
+    async def check_file(self, request):
+        """Judge a file as if it were written, without writing it."""
+        name = file_name(request)
+        request.content.seek(0)
+        text = request.content.read().decode("utf-8", "replace")
+        held = await self.acceptor.read()
+        listing = await self.store.list(FOLDER_PREFIX)
+        folder = {
+            entry.key[len(FOLDER_PREFIX) :]: RawFile(
+                entry.value.decode("utf-8", "replace"), entry.revision
+            )
+            for entry in listing.entries
+        }
+        revision = listing.revision + 1
+        folder[name] = RawFile(text, revision)
+        judged = Judge(held.accepted).judge(folder, revision)
+        state = judged.verdicts.get(name)
+        if state is None:
+            respond_error(request, 409, "busy", "a change is being judged")
+            return
+        status = 200 if state.verdict is Verdict.ACCEPTED else 409
+        respond_json(request, status, {"file": name, **state_row(state)})
+
+    async def explain(self, request):
+        """Answer which file set which field, and which rule won."""
+        wanted = {
+            (kind + "s", request.args[kind.encode()][0].decode())
+            for kind in ("workspace", "model", "service")
+            if kind.encode() in request.args
+        }
+        held = await self.acceptor.read()
+        merged = merge(
+            {
+                name: parse_file(state.content)
+                for name, state in held.accepted.files.items()
+                if state.content is not None
+            }
+        )
+        rows = [
+            merged.explain(path)
+            for path in sorted(merged.leaves)
+            if path[:2] in wanted and merged.leaves[path] is not NOTHING
+        ]
+        respond_json(
+            request,
+            200,
+            {"generation": held.accepted.generation, "fields": rows},
+        )
+
+    async def show_status(self, request):
+        """Answer with the state of all gateways."""
+        statuses = await self.read_statuses()
+        rows = [row for row in statuses.values() if row is not NOTHING]
+        silent = [name for name, row in statuses.items() if row is NOTHING]
+        respond_json(request, 200, {"hosts": rows, "silent": sorted(silent)})
+
+    async def show_timeline(self, request):
+        """Answer with the events of all processes in one order."""
+        asked = request.args.get(b"request", [b""])[0].decode()
+        listed = await self.hosts.read()
+        found = await gather(
+            self.pages.events(row.forward, asked) for row in listed.gateways
+        )
+        events = list(self.timeline.select(request=asked))
+        silent = []
+        for row, answer in zip(listed.gateways, found, strict=True):
+            if answer is NOTHING:
+                silent.append(row.name)
+            else:
+                events.extend(answer)
+        events.sort(
+            key=lambda event: (event.millis, event.counter, event.host)
+        )
+        respond_json(
+            request, 200, {"events": events, "silent": sorted(silent)}
+        )
+
+
+def file_name(request):
+    """Return the last part of the request's path."""
+    return request.path.rsplit(b"/", 1)[1].decode("utf-8", "replace")
+
+
+def state_row(state):
+    """Return what operators read of a `FileState`."""
+    return {
+        "verdict": state.verdict,
+        "generation": state.generation,
+        "line": state.line,
+        "reason": state.reason,
+        "in_force": state.content is not None,
+    }
+
+
+def find_report(accepted, name, revision):
+    """Return the `FileReport` on a write, or `NOTHING` before it is judged.
+
+    Args:
+        accepted: The `Accepted` that is in force.
+        name: Name of the file.
+        revision: Revision of the write.
+    """
+    state = accepted.files.get(name)
+    judged = accepted.folder_revision >= revision
+    if state is None:
+        if not judged:
+            return NOTHING
+        return FileReport(
+            file=name,
+            verdict=Verdict.ACCEPTED,
+            generation=accepted.generation,
+        )
+    if state.revision < revision and not judged:
+        return NOTHING
+    if state.revision > revision:
+        return FileReport(
+            file=name,
+            verdict=Verdict.REFUSED,
+            generation=state.generation,
+            reason="another operator wrote the file after you",
+        )
+    return FileReport(
+        file=name,
+        verdict=state.verdict,
+        generation=state.generation,
+        line=state.line,
+        reason=state.reason,
+    )
--- /dev/null
+++ b/src/hyssopspring/net/callers.py
@@ -0,0 +1,328 @@
+"""The HTTP interface for callers."""
+
+import hashlib
+import uuid
+
+import msgspec
+
+from ..core.configuration import DEFAULT_DEADLINE_MS
+from ..core.events import EventKind
+from ..core.hashing import hash_bytes
+from ..core.outcomes import Answered, NotRun, Reason
+from ..core.requests import Priority, Request, Target, TargetKind
+from ..core.sentinels import NOTHING
+from .answers import Sink, respond_outcome
+from .backends import Message
+from .serving import header, respond_json
+
+PREFIX_CHARACTERS = 256
+SERVICES = b"/services/"
+PRIORITIES = {
+    "interactive": Priority.INTERACTIVE,
+    "normal": Priority.NORMAL,
+    "batch": Priority.BATCH,
+}
+LONGEST_KEY = 255
+
+
+class Refused(Exception):  # noqa: N818 - an outcome, not a fault of ours
+    """A request that ends before any attempt.
+
+    Attributes:
+        outcome: What its caller is told.
+    """
+
+    def __init__(self, reason, retry_after=1.0):
+        super().__init__(reason)
+        self.outcome = NotRun(reason, retry_after)
+
+
+class ChatBody(msgspec.Struct):
+    """What the gateway reads of a body; engines read the rest."""
+
+    model: str
+    stream: bool = False
+    prompt: str | list = ""
+    messages: list[msgspec.Raw] = []
+
+
+class CallerApi:
+    """Serve callers.
+
+    Args:
+        state: The `HostState`.
+        dispatcher: The `Dispatcher`.
+        drain: The `Drain`.
+        gates: `Gates` that a request passes before its first attempt.
+        entry_hosts: Called for the list of hosts to use.
+    """
+
+    def __init__(self, state, dispatcher, drain, gates, entry_hosts):
+        self.state = state
+        self.dispatcher = dispatcher
+        self.drain = drain
+        self.gates = gates
+        self.entry_hosts = entry_hosts
+        self.body_decoder = msgspec.json.Decoder(ChatBody)
+
+    def add_routes(self, router):
+        """Add the paths for callers."""
+        router.add("POST", "/v1/completions", self.model_call)
+        router.add("POST", "/v1/chat/completions", self.model_call)
+        router.add("*", "/services/", self.service_call)
+        router.add("GET", "/v1/models", self.list_models)
+        router.add("GET", "/v1/hosts", self.list_hosts)
+        router.add("GET", "/healthz", self.health)
+        router.add("GET", "/readyz", self.ready)
+
+    def health(self, http_request):
+        """Answer that the process runs."""
+        respond_json(http_request, 200, {"status": "ok"})
+
+    def ready(self, http_request):
+        """Answer whether the host takes new requests."""
+        generation = self.state.keeper.generation
+        ready = generation > 0 and not self.drain.leaving
+        respond_json(
+            http_request,
+            200 if ready else 503,
+            {"ready": ready, "generation": generation},
+        )
+
+    def list_hosts(self, http_request):
+        """Answer which entry hosts to use, best first."""
+        respond_json(http_request, 200, self.entry_hosts())
+
+    def list_models(self, http_request):
+        """Answer with the models that the caller may use."""
+        try:
+            workspace = self.identify(http_request)
+        except Refused as refused:
+            respond_outcome(http_request, refused.outcome)
+            return
+        configuration = self.state.keeper.enforced
+        names = [
+            name
+            for name in configuration.models
+            if configuration.permitted(
+                workspace, Target(TargetKind.MODEL, name)
+            )
+        ]
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": ""}
+            for name in names
+        ]
+        respond_json(http_request, 200, {"object": "list", "data": rows})
+
+    async def model_call(self, http_request):
+        """Serve a completion or a chat completion."""
+        await self.serve(http_request, self.read_model_call)
+
+    async def service_call(self, http_request):
+        """Serve a call of a plain service."""
+        await self.serve(http_request, self.read_service_call)
+
+    async def serve(self, http_request, read):
+        """Read a request, pass it through the gates and carry it out."""
+        identifier = uuid.uuid4().hex
+        sink = Sink(
+            http_request,
+            self.state.clock,
+            [(b"hyssop-request-id", identifier.encode())],
+        )
+        try:
+            request, message = read(http_request, identifier)
+        except Refused as refused:
+            sink.fail(refused.outcome)
+            return
+        gone = http_request.notifyFinish()
+        gone.addErrback(lambda _: self.dispatcher.abandon(identifier))
+        with self.drain.working():
+            outcome = await self.carry_out(request, message, sink)
+            self.conclude(request, outcome, sink)
+
+    async def carry_out(self, request, message, sink):
+        """Return the outcome of a request that was read."""
+        self.state.timeline.note(
+            EventKind.REQUEST,
+            request=request.id,
+            workspace=request.workspace,
+            target=request.target.name,
+        )
+        return await self.gates.carry_out(
+            request, lambda: self.dispatcher.run(request, message, sink)
+        )
+
+    def conclude(self, request, outcome, sink):
+        """End the answer, or tell the caller why there is none."""
+        if isinstance(outcome, Answered):
+            sink.finish()
+            kind = EventKind.ANSWERED
+            details = {"status": outcome.status, "bytes": sink.bytes}
+        else:
+            sink.fail(outcome)
+            kind = EventKind.UNKNOWN
+            if isinstance(outcome, NotRun):
+                kind = EventKind.NOT_RUN
+            details = {"reason": outcome.reason}
+        self.state.timeline.note(kind, request=request.id, **details)
+
+    def identify(self, http_request):
+        """Return the workspace of the caller's key.
+
+        Raises:
+            Refused: The host has no configuration, or nobody has the
+                key.
+        """
+        keeper = self.state.keeper
+        if not keeper.generation:
+            raise Refused(Reason.NO_CONFIGURATION)
+        scheme, _, key = header(http_request, "authorization").partition(" ")
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        workspace = keeper.key_owners.get(digest)
+        if scheme.lower() != "bearer" or workspace is None:
+            raise Refused(Reason.UNKNOWN_WORKSPACE)
+        return workspace
+
+    def read_model_call(self, http_request, identifier):
+        """Return the `Request` and the `Message` of a model call."""
+        workspace = self.identify(http_request)
+        http_request.content.seek(0)
+        body = http_request.content.read()
+        try:
+            values = self.body_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            raise Refused(Reason.BAD_REQUEST) from None
+        target = Target(TargetKind.MODEL, values.model)
+        if self.state.keeper.enforced.offer(target) is NOTHING:
+            raise Refused(Reason.UNKNOWN_MODEL)
+        message = Message(
+            b"POST", http_request.path, b"application/json", body
+        )
+        request = self.resolve(
+            http_request,
+            identifier,
+            workspace,
+            target,
+            stream=values.stream,
+            prefix=prefix_of(values),
+        )
+        return request, message
+
+    def read_service_call(self, http_request, identifier):
+        """Return the `Request` and the `Message` of a service call."""
+        workspace = self.identify(http_request)
+        rest = http_request.uri[len(SERVICES) :]
+        name, _, resource = rest.partition(b"/")
+        target = Target(TargetKind.SERVICE, name.decode("utf-8", "replace"))
+        if self.state.keeper.enforced.offer(target) is NOTHING:
+            raise Refused(Reason.UNKNOWN_SERVICE)
+        http_request.content.seek(0)
+        message = Message(
+            http_request.method,
+            b"/" + resource,
+            header(http_request, "content-type", "text/plain").encode(),
+            http_request.content.read(),
+        )
+        request = self.resolve(http_request, identifier, workspace, target)
+        return request, message
+
+    def resolve(
+        self,
+        http_request,
+        identifier,
+        workspace,
+        target,
+        *,
+        stream=False,
+        prefix=0,
+    ):
+        """Return the `Request` with all rights and wishes resolved.
+
+        Raises:
+            Refused: Nothing may serve it, or a header is wrong.
+        """
+        configuration = self.state.keeper.enforced
+        if self.drain.refusing:
+            raise Refused(Reason.LEAVING)
+        rights = configuration.workspaces[workspace]
+        offer = configuration.offer(target)
+        residency = configuration.permitted(workspace, target)
+        wanted = header(http_request, "hyssop-residency")
+        if wanted:
+            named = {part.strip() for part in wanted.split(",")}
+            residency &= frozenset(named)
+        if not residency:
+            raise Refused(Reason.RESIDENCY)
+        fallbacks = configuration.fallbacks(target)
+        repeatable = rights.repeatable and offer.repeatable
+        for fallback in fallbacks:
+            repeatable &= configuration.offer(fallback).repeatable
+        if header(http_request, "hyssop-repeatable").lower() == "no":
+            repeatable = False
+        most = min(rights.deadline_ms, offer.deadline_ms)
+        return Request(
+            id=identifier,
+            workspace=workspace,
+            target=target,
+            residency=residency,
+            home=rights.home,
+            deadline=self.state.clock.seconds()
+            + read_deadline(http_request, most),
+            priority=read_priority(http_request),
+            repeatable=repeatable,
+            key=read_key(http_request),
+            prefix=prefix,
+            attempts=min(rights.attempts, offer.attempts),
+            fallbacks=fallbacks,
+            stream=stream,
+        )
+
+
+def read_deadline(http_request, most_ms):
+    """Return the seconds that the caller gives, at most *most_ms*.
+
+    Raises:
+        Refused: The header is no positive number.
+    """
+    text = header(http_request, "hyssop-deadline-ms")
+    if not text:
+        return min(most_ms, DEFAULT_DEADLINE_MS) / 1000
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise Refused(Reason.BAD_DEADLINE)
+    return min(most_ms, int(text)) / 1000
+
+
+def read_priority(http_request):
+    """Return the `Priority` that the caller gives.
+
+    Raises:
+        Refused: There is no such priority.
+    """
+    text = header(http_request, "hyssop-priority", "normal").lower()
+    if text not in PRIORITIES:
+        raise Refused(Reason.BAD_REQUEST)
+    return PRIORITIES[text]
+
+
+def read_key(http_request):
+    """Return the idempotency key, or `NOTHING`.
+
+    Raises:
+        Refused: It is too long.
+    """
+    key = header(http_request, "idempotency-key")
+    if len(key) > LONGEST_KEY:
+        raise Refused(Reason.BAD_REQUEST)
+    return key or NOTHING
+
+
+def prefix_of(values):
+    """Return a hash of the start of the prompt."""
+    if values.messages:
+        start = b"".join(bytes(part) for part in values.messages[:4])
+    elif isinstance(values.prompt, str):
+        start = values.prompt.encode()
+    else:
+        start = msgspec.json.encode(values.prompt)
+    return hash_bytes(start[:PREFIX_CHARACTERS])
--- /dev/null
+++ b/src/hyssopspring/net/control.py
@@ -0,0 +1,187 @@
+"""Signed pages that hosts and the administration ask each other for."""
+
+from base64 import b64decode, b64encode
+from binascii import Error as Base64Error
+
+import msgspec
+from twisted.internet import defer, error
+from twisted.web.client import ResponseFailed
+from twisted.web.http_headers import Headers
+
+from ..core.accepted import decode_accepted, encode_accepted
+from ..core.events import Event
+from ..core.exceptions import ProtocolError
+from ..core.sentinels import NOTHING
+from .clients import read_body
+from .serving import header, respond, respond_error
+
+SIGNATURE = "hyssop-signature"
+PAGE_TIMEOUT = 1.0
+CONFIG_PAGE = "/config"
+STATUS_PAGE = "/status"
+EVENTS_PAGE = "/events"
+FAILURES = (
+    error.ConnectError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    error.TimeoutError,
+    defer.TimeoutError,
+    defer.CancelledError,
+    ResponseFailed,
+    ProtocolError,
+)
+
+
+class HostStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """State of one gateway.
+
+    Attributes:
+        host: Its name.
+        region: Its region.
+        data_centre: Its data centre.
+        generation: Configuration that it enforces.
+        leaving: Whether it is being stopped.
+        active: Requests in progress.
+        live: Live hosts of its data centre, as it sees them.
+        servers: Load by backend server; -1 for one that is leaving.
+        centres: Age in seconds of each other data centre's summary.
+        stall_ms: Longest time that its loop stood still lately.
+    """
+
+    host: str
+    region: str
+    data_centre: str
+    generation: int
+    leaving: bool
+    active: int
+    live: list[str]
+    servers: dict[str, float]
+    centres: dict[str, float]
+    stall_ms: float
+
+
+class ControlPages:
+    """Serve the signed pages of one gateway.
+
+    Args:
+        signer: The `Signer`.
+        keeper: The `GenerationKeeper`.
+        timeline: The `Timeline`.
+        status: Called for the `HostStatus`.
+    """
+
+    def __init__(self, signer, keeper, timeline, status):
+        self.signer = signer
+        self.keeper = keeper
+        self.timeline = timeline
+        self.status = status
+
+    def add_routes(self, router):
+        """Add the pages."""
+        router.add("GET", CONFIG_PAGE, self.show_config)
+        router.add("GET", STATUS_PAGE, self.show_status)
+        router.add("GET", EVENTS_PAGE, self.show_events)
+
+    def show_config(self, request):
+        """Answer with the accepted configuration."""
+        self.answer(request, lambda: encode_accepted(self.keeper.accepted))
+
+    def show_status(self, request):
+        """Answer with the `HostStatus`."""
+        self.answer(request, lambda: msgspec.json.encode(self.status()))
+
+    def show_events(self, request):
+        """Answer with the kept events."""
+        asked = request.args.get(b"request", [b""])[0].decode()
+        self.answer(
+            request,
+            lambda: msgspec.json.encode(self.timeline.select(request=asked)),
+        )
+
+    def answer(self, request, make):
+        """Answer a signed request with a signed body."""
+        try:
+            signature = b64decode(header(request, SIGNATURE))
+        except Base64Error:
+            signature = b""
+        if not self.signer.verify(signature, request.uri):
+            respond_error(request, 403, "bad_signature", "bad signature")
+            return
+        body = make()
+        signed = b64encode(self.signer.sign(request.uri, body)).decode()
+        respond(
+            request,
+            200,
+            body,
+            content_type="application/octet-stream",
+            headers=[(SIGNATURE, signed)],
+        )
+
+
+class PageReader:
+    """Read the signed pages of other hosts.
+
+    Args:
+        agent: The agent to use.
+        clock: The runtime's clock.
+        signer: The `Signer`.
+    """
+
+    def __init__(self, agent, clock, signer):
+        self.agent = agent
+        self.clock = clock
+        self.signer = signer
+
+    async def config(self, address):
+        """Return the `Accepted` that the host holds, or `NOTHING`."""
+        body = await self.read(address, CONFIG_PAGE)
+        return body if body is NOTHING else decode_accepted(body)
+
+    async def status(self, address):
+        """Return the `HostStatus` of the host, or `NOTHING`."""
+        body = await self.read(address, STATUS_PAGE)
+        if body is NOTHING:
+            return NOTHING
+        return msgspec.json.decode(body, type=HostStatus)
+
+    async def events(self, address, request=""):
+        """Return the events that the host keeps, or `NOTHING`."""
+        page = f"{EVENTS_PAGE}?request={request}" if request else EVENTS_PAGE
+        body = await self.read(address, page)
+        if body is NOTHING:
+            return NOTHING
+        return msgspec.json.decode(body, type=list[Event])
+
+    async def read(self, address, page):
+        """Return the body of a page, or `NOTHING` if there is no answer.
+
+        Args:
+            address: Address of the host for forwarded requests.
+            page: Path and query.
+        """
+        work = defer.ensureDeferred(self.ask(address, page.encode()))
+        work.addTimeout(PAGE_TIMEOUT, self.clock)
+        try:
+            return await work
+        except FAILURES:
+            return NOTHING
+
+    async def ask(self, address, page):
+        """Send one signed request and check the signed answer."""
+        signature = b64encode(self.signer.sign(page))
+        response = await self.agent.request(
+            b"GET",
+            f"http://{address}".encode() + page,
+            Headers({SIGNATURE.encode(): [signature]}),
+        )
+        body = await read_body(response)
+        values = response.headers.getRawHeaders(SIGNATURE.encode(), [b""])
+        try:
+            signed = b64decode(values[0])
+        except Base64Error:
+            signed = b""
+        if response.code != 200:
+            raise ProtocolError(f"{address} answered {response.code}")
+        if not self.signer.verify(signed, page, body):
+            raise ProtocolError(f"bad signature of {address}")
+        return body
--- /dev/null
+++ b/src/hyssopspring/net/dispatching.py
@@ -0,0 +1,227 @@
+"""Carry out the plan of a request, attempt by attempt."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ..core.events import EventKind
+from ..core.exceptions import ensure
+from ..core.outcomes import Answered, NotRun, Reason, Unknown
+from ..core.plans import Finish, Forward, Plan, Serve
+from ..core.sentinels import NOTHING
+from ..core.servers import LoadReport
+from .backends import backend_call
+from .forwarding import forward_call
+
+BLAMED = (
+    Reason.CONNECT,
+    Reason.REFUSED,
+    Reason.CONNECTION_LOST,
+    Reason.BAD_ANSWER,
+    Reason.TRUNCATED,
+    Reason.SERVER_ERROR,
+    Reason.DEADLINE,
+)
+
+
+class ReportedLoad(msgspec.Struct, frozen=True):
+    """Load report as backend servers send it."""
+
+    incarnation: str
+    sequence: int
+    running: int
+    waiting: int
+    slots: int
+    leaving: bool
+
+
+LOAD_DECODER = msgspec.json.Decoder(ReportedLoad)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostState:
+    """What the decisions on this host share.
+
+    Attributes:
+        host: Name of this host.
+        region: Its region.
+        data_centre: Its data centre.
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+        table: `ServerTable` of the data centre.
+        centres: `CentreTable` of the other data centres.
+        keeper: `GenerationKeeper` of the configuration.
+        budget: `RetryBudget` of the host.
+        rng: Random number generator.
+        policy: Name of the choice within the data centre.
+    """
+
+    host: str
+    region: str
+    data_centre: str
+    clock: object
+    timeline: object
+    table: object
+    centres: object
+    keeper: object
+    budget: object
+    rng: object
+    policy: str
+
+
+class Dispatcher:
+    """Carry out requests.
+
+    Args:
+        state: The `HostState`.
+        client: `BackendClient` for servers and peers.
+        signer: `Signer` for forwarded requests.
+    """
+
+    def __init__(self, state, client, signer):
+        self.state = state
+        self.client = client
+        self.signer = signer
+        self.active = {}
+
+    async def run(self, request, message, sink):
+        """Carry out one request.
+
+        Args:
+            request: The `Request`.
+            message: Its `Message`.
+            sink: Where the answer goes.
+
+        Returns:
+            The final outcome. The sink has got the answer if it is
+            `Answered`, and nothing more is ever written to it.
+        """
+        state = self.state
+        plan = Plan(
+            request,
+            configuration=state.keeper.enforced,
+            table=state.table,
+            centres=state.centres,
+            budget=state.budget,
+            rng=state.rng,
+            policy=state.policy,
+        )
+        while True:
+            step = plan.next(state.clock.seconds())
+            if isinstance(step, Finish):
+                return step.outcome
+            outcome = await self.attempt(request, message, sink, step)
+            if not isinstance(outcome, Answered):
+                self.note_failure(request, step, outcome)
+            if sink.started and not isinstance(outcome, Answered):
+                return Unknown(outcome.reason)
+            plan.record(outcome)
+
+    async def attempt(self, request, message, sink, step):
+        """Carry out one step and return its outcome."""
+        ensure(not sink.started, "an attempt after an answer has begun")
+        if isinstance(step, Serve):
+            return await self.serve(request, message, sink, step)
+        return await self.forward(request, message, sink, step)
+
+    async def serve(self, request, message, sink, step):
+        """Send an attempt to a backend server."""
+        state = self.state
+        entry = step.server.entry
+        attempt = f"{request.id}-{step.number}"
+        call = backend_call(
+            request, attempt, step.target, entry.address, message
+        )
+        state.timeline.note(
+            EventKind.ATTEMPT, request=request.id, server=entry.name
+        )
+        state.table.begin(entry.name)
+        began = state.clock.seconds()
+        outcome = NOTHING
+        try:
+            outcome = await self.send(request, call, sink, entry.name)
+        finally:
+            self.finish_serve(entry.name, outcome, sink, began)
+        return outcome
+
+    async def send(self, request, call, sink, server):
+        """Send *call* and wait for its outcome, unless it is given up."""
+        work = self.client.send(
+            call,
+            sink,
+            deadline=request.deadline,
+            loaded=lambda data: self.take_load(server, data),
+        )
+        self.active[request.id] = work
+        try:
+            return await work
+        finally:
+            self.active.pop(request.id, None)
+
+    def finish_serve(self, name, outcome, sink, began):
+        """Count the end of an attempt at a backend server."""
+        now = self.state.clock.seconds()
+        failed = getattr(outcome, "reason", NOTHING) in BLAMED
+        first = NOTHING
+        if sink.first_at is not NOTHING:
+            first = sink.first_at - began
+        self.state.table.finish(name, now, failed=failed, first_token=first)
+        if outcome == NotRun(Reason.LEAVING):
+            self.state.table.mark_leaving(name)
+
+    async def forward(self, request, message, sink, step):
+        """Send an attempt to a gateway of another data centre."""
+        state = self.state
+        state.timeline.note(
+            EventKind.FORWARD,
+            request=request.id,
+            data_centre=step.summary.data_centre,
+        )
+        call = forward_call(request, message, step, state, self.signer)
+        state.centres.begin(step.summary.data_centre)
+        try:
+            return await self.send(request, call, sink, "")
+        finally:
+            state.centres.finish(step.summary.data_centre)
+
+    def take_load(self, server, data):
+        """Take over a load report that rode on an answer."""
+        try:
+            load = LOAD_DECODER.decode(data)
+        except msgspec.DecodeError:
+            return
+        self.state.table.take_report(
+            server, load_report(load, self.state.clock.seconds())
+        )
+
+    def abandon(self, identifier):
+        """Give up the request since its caller has gone."""
+        work = self.active.pop(identifier, NOTHING)
+        if work is not NOTHING:
+            work.cancel()
+
+    def note_failure(self, request, step, outcome):
+        """Put the end of a failed attempt on the time line."""
+        place = step.server.entry.name if isinstance(step, Serve) else ""
+        if isinstance(step, Forward):
+            place = step.summary.data_centre
+        self.state.timeline.note(
+            EventKind.ATTEMPT_ENDED,
+            request=request.id,
+            at=place,
+            outcome=type(outcome).__name__,
+            reason=outcome.reason,
+        )
+
+
+def load_report(load, now):
+    """Return the `LoadReport` of a report that arrived at *now*."""
+    return LoadReport(
+        incarnation=load.incarnation,
+        sequence=load.sequence,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        leaving=load.leaving,
+        at=now,
+    )
--- /dev/null
+++ b/src/hyssopspring/net/membership.py
@@ -0,0 +1,276 @@
+"""Heartbeats, load reports and summaries, in and out."""
+
+import msgspec
+from twisted.internet import defer
+
+from ..core.events import EventKind
+from ..core.membership import HEARTBEAT_EVERY
+from ..core.placement import CentreSummary
+from ..core.requests import Target, TargetKind
+from ..core.sentinels import NOTHING
+from .bus import SUMMARY_TOPIC, beat_topic
+from .clients import fetch
+from .control import FAILURES
+from .dispatching import LOAD_DECODER, load_report
+from .messages import (
+    ENCODER,
+    Heartbeat,
+    ServerLoad,
+    Summary,
+    TargetLoad,
+)
+
+POLL_AFTER = 1.5
+POLL_TIMEOUT = 1.0
+SUMMARY_BYTES_PER_SECOND = 1000
+SUMMARY_EVERY = 1.0
+
+
+class Membership:
+    """Exchange control messages with the other hosts.
+
+    Args:
+        state: The `HostState`.
+        peers: The `PeerTable`.
+        bus: The `Bus`.
+        agent: Agent for load polls.
+        drain: The `Drain`.
+        incarnation: Changes each time that the process starts.
+        forward_address: Own address for forwarded requests.
+        newer: Called with host name and generation when a peer has a
+            newer configuration.
+    """
+
+    def __init__(
+        self,
+        state,
+        peers,
+        bus,
+        agent,
+        drain,
+        *,
+        incarnation,
+        forward_address,
+        newer,
+    ):
+        self.state = state
+        self.peers = peers
+        self.bus = bus
+        self.agent = agent
+        self.drain = drain
+        self.incarnation = incarnation
+        self.forward_address = forward_address
+        self.newer = newer
+        self.sequence = 0
+        self.summary_due = 0.0
+        self.polls = 0
+        self.extras = []
+
+    def start(self):
+        """Subscribe to what this host needs to hear."""
+        self.bus.subscribe(beat_topic(self.state.data_centre))
+        self.bus.subscribe(SUMMARY_TOPIC)
+
+    def tick(self):
+        """Do what is due; called once a heartbeat interval."""
+        self.bus.connect(self.peers.control_addresses())
+        self.send_heartbeat()
+        now = self.state.clock.seconds()
+        if self.peers.reports(now) and now >= self.summary_due:
+            self.send_summary(now)
+        return self.poll_servers(now)
+
+    def send_heartbeat(self):
+        """Tell the hosts of this data centre how things stand."""
+        now = self.state.clock.seconds()
+        millis, counter = self.state.timeline.clock.tick()
+        self.sequence += 1
+        message = Heartbeat(
+            host=self.state.host,
+            data_centre=self.state.data_centre,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            millis=millis,
+            counter=counter,
+            generation=self.state.keeper.generation,
+            leaving=self.drain.leaving,
+            servers=self.fresh_reports(now),
+            departing=[
+                name
+                for name, server in self.state.table.servers.items()
+                if server.leaving
+            ],
+        )
+        self.bus.publish(beat_topic(self.state.data_centre), message)
+
+    def fresh_reports(self, now):
+        """Return the reports of the last interval, to pass them on."""
+        loads = []
+        for name, server in self.state.table.servers.items():
+            report = server.report
+            if report is NOTHING or now - report.at > HEARTBEAT_EVERY:
+                continue
+            if not self.peers.owns(name, now):
+                continue
+            loads.append(
+                ServerLoad(
+                    name=name,
+                    incarnation=report.incarnation,
+                    sequence=report.sequence,
+                    running=report.running,
+                    waiting=report.waiting,
+                    slots=report.slots,
+                    leaving=report.leaving,
+                )
+            )
+        return loads
+
+    def send_summary(self, now):
+        """Tell the other data centres what is spare here.
+
+        The more hosts listen, the rarer the summaries: what this host
+        sends stays within a fixed number of bytes a second. Fresher news
+        rides on each answer to a forwarded request.
+        """
+        listeners = sum(
+            1 for host in self.peers.entries if not self.peers.is_local(host)
+        )
+        millis, counter = self.state.timeline.clock.tick()
+        self.sequence += 1
+        message = Summary(
+            host=self.state.host,
+            region=self.state.region,
+            data_centre=self.state.data_centre,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            millis=millis,
+            counter=counter,
+            generation=self.state.keeper.generation,
+            listeners=max(1, listeners),
+            gateways=self.local_gateways(now),
+            targets=target_loads(self.state.table, now),
+        )
+        size = len(ENCODER.encode(message))
+        paced = size * max(1, listeners) / SUMMARY_BYTES_PER_SECOND
+        every = max(SUMMARY_EVERY, paced)
+        message = msgspec.structs.replace(message, every=every)
+        self.bus.publish(SUMMARY_TOPIC, message)
+        self.summary_due = now + every - HEARTBEAT_EVERY / 2
+
+    def local_gateways(self, now):
+        """Return where other data centres can forward requests to."""
+        addresses = [
+            entry.forward
+            for host, entry in self.peers.entries.items()
+            if self.peers.is_local(host) and self.peers.usable(host, now)
+        ]
+        if not self.drain.leaving:
+            addresses.append(self.forward_address)
+        return sorted(addresses)
+
+    def hear(self, message):
+        """Take in a message of another host."""
+        now = self.state.clock.seconds()
+        self.state.timeline.clock.witness(message.millis, message.counter)
+        if not self.peers.hear(message, now):
+            return
+        if message.generation > self.state.keeper.generation:
+            self.newer(message.host, message.generation)
+        if isinstance(message, Summary):
+            self.state.centres.take(centre_summary(message, now))
+        elif isinstance(message, Heartbeat):
+            self.take_heartbeat(message, now)
+
+    def take_heartbeat(self, message, now):
+        """Take over the loads that a host of this data centre took."""
+        for load in message.servers:
+            self.take_load(load.name, load, now)
+        for name in message.departing:
+            server = self.state.table.servers.get(name)
+            if server is not None and not server.leaving:
+                self.note_leaving(name, message.host)
+                self.state.table.mark_leaving(name)
+        for extra in self.extras:
+            extra(message, now)
+
+    def take_load(self, name, load, now):
+        """Take over one load report."""
+        server = self.state.table.servers.get(name)
+        if server is None:
+            return
+        before = server.leaving
+        self.state.table.take_report(name, load_report(load, now))
+        if server.leaving and not before:
+            self.note_leaving(name, self.state.host)
+
+    def note_leaving(self, name, source):
+        """Put a server's leave on the time line."""
+        self.state.timeline.note(
+            EventKind.SERVER_LEAVING, server=name, source=source
+        )
+
+    def poll_servers(self, now):
+        """Ask the servers that this host polls and has no news of."""
+        work = []
+        for name, server in list(self.state.table.servers.items()):
+            report = server.report
+            fresh = report is not NOTHING and now - report.at < POLL_AFTER
+            if fresh or not self.peers.owns(name, now):
+                continue
+            work.append(defer.ensureDeferred(self.poll(name, server)))
+        return defer.DeferredList(work)
+
+    async def poll(self, name, server):
+        """Ask one server for its load."""
+        self.polls += 1
+        try:
+            status, body = await fetch(
+                self.agent,
+                b"GET",
+                f"http://{server.entry.address}/load",
+                clock=self.state.clock,
+                timeout=POLL_TIMEOUT,
+            )
+        except FAILURES:
+            return
+        if status != 200:
+            return
+        try:
+            load = LOAD_DECODER.decode(body)
+        except msgspec.DecodeError:
+            return
+        self.take_load(name, load, self.state.clock.seconds())
+
+
+def target_loads(table, now):
+    """Return the `TargetLoad` of each target of a data centre."""
+    return [
+        TargetLoad(
+            kind=target.kind,
+            name=target.name,
+            slots=slots,
+            load=round(load, 2),
+            wait=round(wait, 4),
+        )
+        for target, (slots, load, wait) in table.summary(now).items()
+    ]
+
+
+def centre_summary(message, now):
+    """Return the `CentreSummary` of a message that came at *now*."""
+    return CentreSummary(
+        region=message.region,
+        data_centre=message.data_centre,
+        gateways=tuple(message.gateways),
+        targets={
+            Target(TargetKind(load.kind), load.name): (
+                load.slots,
+                load.load,
+                load.wait,
+            )
+            for load in message.targets
+        },
+        listeners=message.listeners,
+        at=now,
+        every=message.every,
+    )
--- /dev/null
+++ b/src/hyssopspring/net/serving.py
@@ -0,0 +1,219 @@
+"""HTTP server helpers on `twisted.web`: limits, JSON, coroutines."""
+
+import msgspec
+from twisted.internet import defer
+from twisted.python import failure
+from twisted.web import http, resource, server
+
+from ..core.exceptions import HyssopError, ProtocolError
+
+LONGEST_REQUEST = 4 * 1024 * 1024
+IDLE_TIMEOUT = 30.0
+
+
+class LimitedRequest(server.Request):
+    """A request whose body may not grow beyond the site's limit.
+
+    Without the limit one caller's endless body fills the memory that all
+    other requests of the host need.
+    """
+
+    refused = False
+
+    def gotLength(self, length):
+        """Refuse a body whose announced length is too great."""
+        if length is not None and length > self.channel.site.longest:
+            self.refuse()
+            return
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        """Refuse a body of unknown length once it is too long."""
+        if self.refused:
+            return
+        if self.content.tell() + len(data) > self.channel.site.longest:
+            self.refuse()
+            return
+        super().handleContentChunk(data)
+
+    def requestReceived(self, command, path, version):
+        """Serve the request unless it was refused on the way."""
+        if not self.refused:
+            super().requestReceived(command, path, version)
+
+    def refuse(self):
+        """Answer that the body is too long, and hang up."""
+        if self.refused:
+            return
+        self.refused = True
+        body = self.channel.site.too_long
+        head = (
+            b"HTTP/1.1 413 Payload Too Large\r\n"
+            b"Content-Type: application/json\r\n"
+            b"Hyssop-Outcome: not-run\r\n"
+            b"Connection: close\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body)
+        )
+        self.channel.transport.write(head + body)
+        self.channel.loseConnection()
+
+
+class LimitedSite(server.Site):
+    """A site with limits on body size and on time without data."""
+
+    def __init__(self, root, *, longest=LONGEST_REQUEST, reactor=None):
+        super().__init__(root, timeout=IDLE_TIMEOUT, reactor=reactor)
+        self.requestFactory = LimitedRequest
+        self.longest = longest
+        self.too_long = (
+            b'{"error":{"message":"the body is too long",'
+            b'"type":"not_run","code":"body_too_large"}}'
+        )
+        self.displayTracebacks = False
+
+    def log(self, request):
+        """Write no access log; the time line holds what matters."""
+
+
+class CoroutineResource(resource.Resource):
+    """A leaf that answers by a coroutine.
+
+    Args:
+        handle: Coroutine function that takes the request and answers it.
+        failed: Called with request and failure if the handler raised.
+    """
+
+    isLeaf = True
+
+    def __init__(self, handle, failed):
+        super().__init__()
+        self.handle = handle
+        self.failed = failed
+
+    def render(self, request):
+        """Start the coroutine."""
+        work = defer.ensureDeferred(self.handle(request))
+        work.addErrback(self.recover, request)
+        return server.NOT_DONE_YET
+
+    def recover(self, reason, request):
+        """Answer a request whose handler failed, if it still can be."""
+        self.failed(request, reason)
+        if request.finished or request._disconnected:
+            return
+        if request.startedWriting:
+            request.loseConnection()
+            return
+        respond_error(request, 500, "internal_error", "internal error")
+
+
+class Router:
+    """Map method and path to handlers.
+
+    Args:
+        failed: Called with the failure of a handler that raised.
+    """
+
+    def __init__(self, failed):
+        self.failed = failed
+        self.routes = []
+
+    def add(self, method, path, handler):
+        """Add a handler; a *path* that ends in ``/`` takes all below."""
+        self.routes.append((method.encode(), path.encode(), handler))
+
+    def resource(self):
+        """Return the resource that serves all routes."""
+        return CoroutineResource(
+            self.dispatch, lambda request, reason: self.failed(reason)
+        )
+
+    async def dispatch(self, request):
+        """Call the handler of the request's method and path."""
+        known = False
+        for method, path, handler in self.routes:
+            below = path.endswith(b"/") and request.path.startswith(path)
+            if request.path != path and not below:
+                continue
+            known = True
+            if method in (request.method, b"*"):
+                return await self.call(handler, request)
+        if known:
+            return respond_error(
+                request, 405, "wrong_method", "the method is not allowed"
+            )
+        return respond_error(request, 404, "not_found", "no such path")
+
+    async def call(self, handler, request):
+        """Call one handler and turn its typed errors into answers."""
+        try:
+            result = handler(request)
+            if hasattr(result, "__await__"):
+                await result
+        except ProtocolError as error:
+            respond_error(request, 400, "bad_request", str(error))
+        except HyssopError as error:
+            self.failed(failure.Failure())
+            respond_error(request, 503, "unavailable", str(error))
+
+
+def respond_json(request, status, value, headers=()):
+    """Answer with *value* as JSON."""
+    respond(request, status, msgspec.json.encode(value), headers=headers)
+
+
+def respond(
+    request, status, body, *, content_type="application/json", headers=()
+):
+    """Answer with *body*, unless the other side has gone."""
+    if request._disconnected or request.finished:
+        return
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", content_type.encode())
+    for name, value in headers:
+        request.setHeader(name.encode(), value.encode())
+    request.setHeader(b"content-length", str(len(body)).encode())
+    request.write(body)
+    request.finish()
+
+
+def respond_error(request, status, code, message, *, kind="", headers=()):
+    """Answer with an error in the chat-completions convention."""
+    error = {"message": message, "type": kind or code, "code": code}
+    respond_json(request, status, {"error": error}, headers)
+
+
+def read_json(request, schema=dict):
+    """Return the request's body as *schema*.
+
+    Raises:
+        ProtocolError: The body is no JSON, or not of this form.
+    """
+    request.content.seek(0)
+    try:
+        return msgspec.json.decode(request.content.read(), type=schema)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ProtocolError(f"the body is not as expected: {error}") from None
+
+
+def header(request, name, default=""):
+    """Return a header as text."""
+    value = request.getHeader(name.encode())
+    if value is None:
+        return default
+    if isinstance(value, bytes):
+        return value.decode("utf-8", "replace")
+    return value
+
+
+__all__ = [
+    "CoroutineResource",
+    "LimitedSite",
+    "Router",
+    "header",
+    "http",
+    "read_json",
+    "respond",
+    "respond_error",
+    "respond_json",
+]
--- /dev/null
+++ b/src/hyssopspring/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of what the platform gives."""
--- /dev/null
+++ b/src/hyssopspring/platform/etcd.py
@@ -0,0 +1,253 @@
+"""Key-value client for the JSON gateway of the etcd version 3 protocol."""
+
+from base64 import b64decode, b64encode
+
+from twisted.internet import defer, error, protocol
+from twisted.web.client import ResponseFailed
+
+from ..core.exceptions import KeyValueError, ProtocolError
+from ..core.sentinels import NOTHING
+from ..net.clients import fetch_json, open_stream
+from .keyvalues import (
+    Applied,
+    Entry,
+    Listing,
+    NotApplied,
+    WriteUnknown,
+    key_value,
+)
+
+REQUEST_TIMEOUT = 1.0
+WATCH_RETRY = 1.0
+FAILURES = (
+    error.ConnectError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    defer.TimeoutError,
+    defer.CancelledError,
+    ResponseFailed,
+    ProtocolError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+
+
+@key_value("etcd")
+class EtcdKeyValue:
+    """Talk to one key-value service.
+
+    Args:
+        url: Base address, such as ``http://127.0.0.1:2379``.
+        agent: The `twisted.web.client.Agent` to use.
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, url, agent, clock):
+        self.url = url
+        self.agent = agent
+        self.clock = clock
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, key):
+        """Return the `Entry` of *key*, or `NOTHING` if there is none.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        answer = await self.read({"key": encode(key)})
+        found = answer.get("kvs", [])
+        return decode_entry(found[0]) if found else NOTHING
+
+    async def list(self, prefix):
+        """Return a `Listing` of what is below *prefix*.
+
+        Raises:
+            KeyValueError: The service did not answer.
+        """
+        answer = await self.read(
+            {"key": encode(prefix), "range_end": encode(range_end(prefix))}
+        )
+        try:
+            return decode_listing(answer)
+        except FAILURES as failure:
+            raise KeyValueError(repr(failure)) from failure
+
+    async def read(self, query):
+        """Send a range request and return the answer."""
+        self.reads += 1
+        try:
+            return await self.call("/v3/kv/range", query)
+        except FAILURES as failure:
+            raise KeyValueError(repr(failure)) from failure
+
+    async def swap(self, key, value, revision):
+        """Write *key* if its revision still is *revision*.
+
+        Args:
+            key: The key.
+            value: The new value, at most a megabyte.
+            revision: Revision that the key must have; 0 for a new key.
+
+        Returns:
+            `Applied`, `NotApplied`, or `WriteUnknown` if the answer did
+            not come: the write may have taken effect all the same.
+        """
+        put = {"key": encode(key), "value": b64encode(value).decode()}
+        return await self.transact(key, revision, {"request_put": put})
+
+    async def remove(self, key, revision):
+        """Delete *key* if its revision still is *revision*."""
+        operation = {"request_delete_range": {"key": encode(key)}}
+        return await self.transact(key, revision, operation)
+
+    async def transact(self, key, revision, operation):
+        """Carry out *operation* if *key* has *revision*."""
+        self.writes += 1
+        compare = {
+            "key": encode(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(revision),
+        }
+        body = {
+            "compare": [compare],
+            "success": [operation],
+            "failure": [{"request_range": {"key": encode(key)}}],
+        }
+        try:
+            answer = await self.call("/v3/kv/txn", body)
+            return decode_transaction(answer)
+        except FAILURES as failure:
+            return WriteUnknown(repr(failure))
+
+    async def call(self, path, body):
+        """Post *body* and return the decoded answer."""
+        status, answer = await fetch_json(
+            self.agent,
+            b"POST",
+            self.url + path,
+            body,
+            clock=self.clock,
+            timeout=REQUEST_TIMEOUT,
+        )
+        if status != 200:
+            raise ProtocolError(f"status {status} from {path}")
+        return answer
+
+    def watch(self, prefix, changed):
+        """Call *changed* whenever a key below *prefix* may have changed.
+
+        Args:
+            prefix: Start of the keys.
+            changed: Called without arguments, also after a reconnect,
+                since changes may have been missed.
+
+        Returns:
+            A `Watch`; call its ``stop()`` to end it.
+        """
+        watch = Watch(self, prefix, changed)
+        watch.start()
+        return watch
+
+
+class Watch:
+    """A waiting watch that reconnects until it is stopped."""
+
+    def __init__(self, client, prefix, changed):
+        self.client = client
+        self.prefix = prefix
+        self.changed = changed
+        self.stopped = False
+        self.waiting = NOTHING
+        self.transport = NOTHING
+
+    def start(self):
+        """Open the stream."""
+        if self.stopped:
+            return
+        self.client.reads += 1
+        body = {
+            "create_request": {
+                "key": encode(self.prefix),
+                "range_end": encode(range_end(self.prefix)),
+            }
+        }
+        opened = open_stream(
+            self.client.agent, self.client.url + "/v3/watch", body
+        )
+        opened.addCallbacks(self.opened, lambda _: self.again())
+
+    def opened(self, response):
+        """Read events from the open stream."""
+        self.changed()
+        reader = _WatchReader(self)
+        response.deliverBody(reader)
+        self.transport = reader.transport
+        if self.stopped:
+            self.stop()
+
+    def again(self):
+        """Open the stream anew after a pause."""
+        self.transport = NOTHING
+        if not self.stopped:
+            self.waiting = self.client.clock.callLater(WATCH_RETRY, self.start)
+
+    def stop(self):
+        """End the watch."""
+        self.stopped = True
+        if self.waiting is not NOTHING and self.waiting.active():
+            self.waiting.cancel()
+        if self.transport is not NOTHING:
+            self.transport.loseConnection()
+
+
+class _WatchReader(protocol.Protocol):
+    """Tell a `Watch` of each line that arrives."""
+
+    def __init__(self, watch):
+        self.watch = watch
+
+    def dataReceived(self, data):
+        """Report a change; what changed is read afresh."""
+        if b'"events"' in data and not self.watch.stopped:
+            self.watch.changed()
+
+    def connectionLost(self, reason):
+        """Open the stream again."""
+        self.watch.again()
+
+
+def encode(text):
+    """Encode a key as the protocol's JSON form wants it."""
+    return b64encode(text.encode()).decode()
+
+
+def range_end(prefix):
+    """Return the first key after all that start with *prefix*."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def decode_entry(found):
+    """Decode one ``KeyValue`` message."""
+    return Entry(
+        b64decode(found["key"]).decode(),
+        b64decode(found.get("value", "")),
+        int(found["mod_revision"]),
+    )
+
+
+def decode_listing(answer):
+    """Decode the answer to a range request over a prefix."""
+    entries = tuple(decode_entry(found) for found in answer.get("kvs", []))
+    return Listing(entries, int(answer["header"]["revision"]))
+
+
+def decode_transaction(answer):
+    """Decode the answer to a transaction."""
+    revision = int(answer["header"]["revision"])
+    if answer.get("succeeded", False):
+        return Applied(revision)
+    found = answer["responses"][0]["response_range"].get("kvs", [])
+    return NotApplied(decode_entry(found[0]) if found else NOTHING)
--- /dev/null
+++ b/src/hyssopspring/platform/hosts.py
@@ -0,0 +1,133 @@
+"""The platform's host list and its directory for clients."""
+
+from dataclasses import dataclass
+
+import msgspec
+from twisted.internet import defer, error
+from twisted.web.client import ResponseFailed
+
+from ..core.exceptions import PlatformError, ProtocolError
+from ..core.requests import Target, TargetKind
+from ..core.servers import ServerEntry
+from ..net.clients import fetch_json
+
+TIMEOUT = 1.0
+FAILURES = (
+    error.ConnectError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    defer.TimeoutError,
+    defer.CancelledError,
+    ResponseFailed,
+    ProtocolError,
+)
+
+
+class HostRow(msgspec.Struct, frozen=True, kw_only=True):
+    """One row of the host list.
+
+    Attributes:
+        name: Name of the host.
+        kind: ``entry``, ``engine`` or ``service``.
+        region: Its region.
+        data_centre: Its data centre.
+        address: Where callers or gateways reach it, as ``ip:port``.
+        leaving: Whether it is about to go.
+        models: Models that an engine serves.
+        services: Services that a server offers.
+        forward: Of an entry host: address for forwarded requests.
+        control: Of an entry host: address for control messages.
+    """
+
+    name: str
+    kind: str
+    region: str
+    data_centre: str
+    address: str
+    leaving: bool = False
+    models: list[str] = []
+    services: list[str] = []
+    forward: str = ""
+    control: str = ""
+
+    def server_entry(self):
+        """Return the `ServerEntry` of a backend server."""
+        models = {Target(TargetKind.MODEL, name) for name in self.models}
+        services = {Target(TargetKind.SERVICE, name) for name in self.services}
+        return ServerEntry(
+            name=self.name,
+            address=self.address,
+            region=self.region,
+            data_centre=self.data_centre,
+            targets=frozenset(models | services),
+            leaving=self.leaving,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """The rows of the host list, sorted by kind.
+
+    Attributes:
+        servers: `ServerEntry` of each backend server.
+        gateways: `HostRow` of each entry host.
+    """
+
+    servers: tuple
+    gateways: tuple
+
+
+class HostListClient:
+    """Read the host list, and keep this host's directory entry.
+
+    Args:
+        url: Base address.
+        agent: The agent to use.
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, url, agent, clock):
+        self.url = url
+        self.agent = agent
+        self.clock = clock
+
+    async def read(self):
+        """Return the `HostList`.
+
+        Raises:
+            PlatformError: The platform did not answer as it should.
+        """
+        answer = await self.call(b"GET", "/hosts")
+        try:
+            rows = msgspec.convert(answer["hosts"], list[HostRow])
+        except (msgspec.ValidationError, KeyError, TypeError) as error_:
+            raise PlatformError(f"host list: {error_}") from None
+        return HostList(
+            tuple(row.server_entry() for row in rows if row.kind != "entry"),
+            tuple(row for row in rows if row.kind == "entry"),
+        )
+
+    async def publish(self, host, entry):
+        """Put this host's entry into the directory."""
+        await self.call(b"PUT", f"/directory/{host}", entry)
+
+    async def withdraw(self, host):
+        """Take this host's entry out of the directory."""
+        await self.call(b"DELETE", f"/directory/{host}")
+
+    async def call(self, method, path, *body):
+        """Send one request and return the decoded answer."""
+        try:
+            status, answer = await fetch_json(
+                self.agent,
+                method,
+                self.url + path,
+                *body,
+                clock=self.clock,
+                timeout=TIMEOUT,
+            )
+        except FAILURES as failure:
+            raise PlatformError(repr(failure)) from failure
+        if status != 200:
+            raise PlatformError(f"{path} answered {status}")
+        return answer
--- /dev/null
+++ b/src/hyssopspring/platform/keyvalues.py
@@ -0,0 +1,88 @@
+"""What the product needs of a key-value service."""
+
+from dataclasses import dataclass
+
+from ..core.exceptions import UnknownPolicyError
+from ..core.sentinels import NOTHING
+
+KEY_VALUES = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value.
+
+    Attributes:
+        key: The key.
+        value: The value.
+        revision: Revision of the service at the last change; 0 stands
+            for a key that does not exist.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All keys below a prefix, as they were at one revision.
+
+    Attributes:
+        entries: Each `Entry`.
+        revision: Revision of the service at which they were read.
+    """
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The write took effect."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotApplied:
+    """The write took no effect, as the key had changed.
+
+    Attributes:
+        current: The `Entry` that stands there, or `NOTHING`.
+    """
+
+    current: Entry = NOTHING
+
+
+@dataclass(frozen=True, slots=True)
+class WriteUnknown:
+    """The answer was lost; the write may have taken effect."""
+
+    reason: str
+
+
+def key_value(scheme):
+    """Register a client class for addresses with *scheme*.
+
+    A client offers the coroutines ``get(key)``, ``list(prefix)``,
+    ``swap(key, value, revision)`` and ``remove(key, revision)``, and
+    ``watch(prefix, changed)``, which returns an object with ``stop()``.
+    """
+
+    def register(client):
+        KEY_VALUES[scheme] = client
+        return client
+
+    return register
+
+
+def find_key_value(scheme):
+    """Return the client class for *scheme*.
+
+    Raises:
+        UnknownPolicyError: No client is registered for it.
+    """
+    if scheme not in KEY_VALUES:
+        raise UnknownPolicyError(scheme)
+    return KEY_VALUES[scheme]
--- /dev/null
+++ b/src/hyssopspring/plots.py
@@ -0,0 +1,47 @@
+"""Plots, drawn only where the plotting library is installed."""
+
+import click
+
+
+def load_pyplot():
+    """Return the plotting library.
+
+    Raises:
+        click.ClickException: It is not installed.
+    """
+    try:
+        import matplotlib
+    except ImportError:
+        raise click.ClickException(
+            "plots need the extra 'plot': pip install hyssopspring[plot]"
+        ) from None
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    return pyplot
+
+
+def plot_timeline(events, path):
+    """Draw events over time, a row for each host.
+
+    Args:
+        events: Events as the administration gives them.
+        path: PNG file to write.
+    """
+    pyplot = load_pyplot()
+    hosts = sorted({event["host"] for event in events})
+    figure, axes = pyplot.subplots(figsize=(10, 1 + 0.5 * len(hosts)))
+    start = min((event["millis"] for event in events), default=0)
+    for name in sorted({event["name"] for event in events}):
+        chosen = [event for event in events if event["name"] == name]
+        axes.scatter(
+            [(event["millis"] - start) / 1000 for event in chosen],
+            [hosts.index(event["host"]) for event in chosen],
+            s=12,
+            label=name,
+        )
+    axes.set_yticks(range(len(hosts)), hosts)
+    axes.set_xlabel("seconds")
+    axes.legend(fontsize="x-small", loc="upper left", bbox_to_anchor=(1, 1))
+    figure.savefig(path, dpi=120, bbox_inches="tight")
+    pyplot.close(figure)
--- /dev/null
+++ b/src/hyssopspring_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins at the interfaces, with switches for faults."""
