Give every failed attempt the outcome that can be proved

An engine that hangs until the deadline was reported as a lost connection (502), since the client's own cancelling looked like one. During an outage of the platform each keyed request waited up to 1.6 s before it was refused. Ruled out: pausing claims per log (each shard waits by itself); letting the next caller probe (it pays the timeout); a periodic probe it is.

--- a/src/hyssopspring/net/backends.py
+++ b/src/hyssopspring/net/backends.py
@@ -105,7 +105,7 @@
         Returns:
             Deferred of an outcome. Cancelling it abandons the attempt.
         """
-        attempt = _Attempt(self, call, sink, loaded)
+        attempt = _Attempt(self, call, sink, loaded, deadline)
         work = defer.ensureDeferred(attempt.run())
         remaining = max(0.001, deadline - self.clock.seconds())
         work.addTimeout(remaining, self.clock)
@@ -129,11 +129,12 @@
 class _Attempt:
     """One attempt in progress."""
 
-    def __init__(self, client, call, sink, loaded):
+    def __init__(self, client, call, sink, loaded, deadline):
         self.client = client
         self.call = call
         self.sink = sink
         self.loaded = loaded
+        self.deadline = deadline
         self.producer = NOTHING
         self.answered = False
         self.started = False
@@ -277,7 +278,7 @@
             return NotRun(Reason.CONNECT)
         if not self.written:
             return NotRun(Reason.CONNECT)
-        if failure.check(defer.TimeoutError):
+        if self.client.clock.seconds() >= self.deadline:
             return Unknown(Reason.DEADLINE)
         if failure.check(defer.CancelledError):
             return Unknown(Reason.CALLER_GONE)
--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -1,5 +1,6 @@
 """Claims of keys: which host writes them, and what follows for a request."""
 
+import contextlib
 import secrets
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
@@ -15,6 +16,8 @@
     key_digest,
     shard_of,
 )
+from ..core.exceptions import KeyValueError
+from ..core.health import Health
 from ..core.membership import order
 from ..core.outcomes import (
     Answered,
@@ -25,7 +28,7 @@
 )
 from ..core.pacing import Pacer
 from ..core.sentinels import NOTHING
-from ..platform.claimlogs import MARK_LIFE, ClaimLog
+from ..platform.claimlogs import CLAIMS_PREFIX, MARK_LIFE, ClaimLog
 from .clients import fetch
 from .control import FAILURES, SIGNATURE
 from .serving import header, respond, respond_error
@@ -90,11 +93,20 @@
         self.wall = wall
         self.pacer = Pacer(FLEET_WRITES_PER_SECOND, WRITE_BURST)
         self.logs = {}
+        self.health = Health()
 
     def tick(self):
         """Adapt this host's share of the writes to the fleet's size."""
         hosts = len(self.peers.entries) + 1
         self.pacer.rate = FLEET_WRITES_PER_SECOND / hosts
+        if self.health.down:
+            defer.ensureDeferred(self.probe())
+
+    async def probe(self):
+        """Find out whether the service answers again."""
+        with contextlib.suppress(KeyValueError):
+            await self.store.get(CLAIMS_PREFIX)
+            self.health.succeed()
 
     def add_routes(self, router):
         """Add the path for asks of other hosts."""
@@ -109,6 +121,8 @@
         """
         if request.repeatable or request.key is NOTHING:
             return await run()
+        if self.health.down:
+            return REFUSALS[Verdict.UNAVAILABLE]
         nonce = secrets.token_bytes(NONCE_SIZE)
         record = self.make_record(request, nonce, Mark.CLAIMED)
         verdict = await self.claim(record, request)
@@ -170,6 +184,7 @@
                 wall=self.wall,
                 pacer=self.pacer,
                 timeline=self.state.timeline,
+                health=self.health,
             )
         return self.logs[shard]
 
--- a/src/hyssopspring/platform/claimlogs.py
+++ b/src/hyssopspring/platform/claimlogs.py
@@ -60,6 +60,7 @@
         wall: Callable that returns the wall clock in seconds.
         pacer: `Pacer` over all writes of this host.
         timeline: The `Timeline`.
+        health: `Health` of the service, over all logs of the host.
         retention: Seconds for which records are kept.
     """
 
@@ -72,6 +73,7 @@
         wall,
         pacer,
         timeline,
+        health,
         retention=RETENTION,
     ):
         self.store = store
@@ -80,13 +82,13 @@
         self.wall = wall
         self.pacer = pacer
         self.timeline = timeline
+        self.health = health
         self.retention = retention
         self.index = ClaimIndex()
         self.open = Segment()
         self.known = False
         self.pending = deque()
         self.running = False
-        self.down_until = 0.0
         self.commits = 0
 
     @property
@@ -109,10 +111,9 @@
             Deferred of a `Verdict`. `Verdict.UNAVAILABLE` comes at once
             while the service is known to be down.
         """
-        now = self.clock.seconds()
         full = len(self.pending) >= MOST_PENDING
         claim = record.mark is Mark.CLAIMED
-        if full or (claim and now < self.down_until):
+        if full or (claim and self.health.down):
             return defer.succeed(Verdict.UNAVAILABLE)
         waiting = Pending(record, give_up, defer.Deferred())
         self.pending.append(waiting)
@@ -196,6 +197,7 @@
             await task.deferLater(self.clock, CONFLICT_PAUSE)
             return
         self.commits += 1
+        self.health.succeed()
         self.take_open(segment, result.revision)
         self.timeline.note(
             EventKind.CLAIM_COMMITTED, shard=self.prefix, records=len(records)
@@ -312,10 +314,8 @@
         Marks wait, as no caller waits for them.
         """
         self.known = False
-        now = self.clock.seconds()
-        if now >= self.down_until:
+        if self.health.fail():
             self.timeline.note(EventKind.CLAIM_UNAVAILABLE, why=error)
-        self.down_until = now + DOWN_PAUSE
         kept = deque()
         for item in self.pending:
             if item.record.mark is Mark.CLAIMED:
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,334 @@
+"""What callers see when servers, links, callers or the platform fail."""
+
+import msgspec
+import pytest
+import pytest_twisted
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, HasLength
+from twisted.internet import defer
+from twisted.web.client import ResponseFailed
+
+from hyssopspring.net.forwarding import FORWARD_PATH
+from hyssopspring_fakes.fleet import Shape
+
+
+@pytest.fixture
+def shape():
+    """Return a fleet with one engine in each region."""
+    return Shape(engines=1)
+
+
+def set_faults(fleet, prefix, **faults):
+    """Set fault switches on the engines of a region."""
+    for name, engine in fleet.engines.items():
+        if name.startswith(prefix):
+            for fault, value in faults.items():
+                setattr(engine.faults, fault, value)
+
+
+def ran(fleet, prefix=""):
+    """Return the identifiers that the engines of a region took."""
+    return [
+        identifier
+        for name, engine in fleet.engines.items()
+        if name.startswith(prefix)
+        for identifier in engine.ran
+    ]
+
+
+def outcome_of(headers):
+    """Return the outcome that an answer states."""
+    return headers.getRawHeaders(b"hyssop-outcome", [b""])[0]
+
+
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("fault", ["garbage", "swap"])
+async def test_wrong_answer_never_reaches_the_caller(fleet, caller, fault):
+    """An answer that is no JSON, or another request's, is not passed on.
+
+    A user would read someone else's policy review: the engine mixes up
+    two answers, and the gateway passes on what came on the connection.
+    """
+    set_faults(fleet, "dar", **{fault: True})
+    status, _, body = await caller.complete("dar-0", max_tokens=2)
+    assert_that(status, Equals(200))
+    answer = msgspec.json.decode(body)
+    assert_that(
+        ran(fleet, "arusha"), Contains(answer["id"].rsplit("-", 1)[0] + "-0")
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_wrong_answer_of_a_single_run_is_unknown(fleet, caller):
+    """A request that must not be repeated is not tried elsewhere."""
+    set_faults(fleet, "dar", garbage=True)
+    status, headers, _ = await caller.complete(
+        "dar-0", headers={"hyssop_repeatable": "no"}
+    )
+    assert_that(status, Equals(502))
+    assert_that(outcome_of(headers), Equals(b"unknown"))
+    assert_that(ran(fleet), HasLength(1))
+
+
+@pytest_twisted.ensureDeferred
+async def test_cut_stream_is_resumed_without_loss_or_repetition(fleet, caller):
+    """A stream whose connection is cut goes on at the same engine.
+
+    A user would see a sentence twice or a hole in it: the connection
+    breaks in the middle, and the stream starts anew or somewhere.
+    """
+    set_faults(fleet, "dar", drop_after=3)
+    status, _, body = await caller.complete("dar-0", max_tokens=8, stream=True)
+    assert_that(status, Equals(200))
+    numbers = [
+        int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")
+    ]
+    assert_that(numbers, Equals(list(range(8))))
+    assert_that(ran(fleet), HasLength(1))
+
+
+@pytest_twisted.ensureDeferred
+async def test_stream_without_its_end_mark_is_cut_visibly(fleet, caller):
+    """A part of an answer never ends like a whole one.
+
+    A user would take half a review for the whole: the engine ends the
+    stream early but properly, and the gateway ends its own properly too.
+    """
+    set_faults(fleet, "dar", truncate_after=2)
+    for engine in fleet.engines.values():
+        engine.resume = lambda request: request.loseConnection()
+    with pytest.raises(ResponseFailed):
+        await caller.complete("dar-0", max_tokens=8, stream=True)
+    assert_that(ran(fleet), HasLength(1))
+
+
+@pytest_twisted.ensureDeferred
+async def test_silent_engine_is_unknown_at_the_deadline(fleet, caller):
+    """A request that may have run is not called 'not run'."""
+    set_faults(fleet, "", hang=True)
+    status, headers, _ = await caller.complete(
+        "dar-0", headers={"hyssop_deadline_ms": "300"}
+    )
+    assert_that(status, Equals(504))
+    assert_that(outcome_of(headers), Equals(b"unknown"))
+    job = next(iter(fleet.engines["dar-engine-0"].jobs.values()))
+    await fleet.until(lambda: job.cancelled)
+
+
+@pytest_twisted.ensureDeferred
+async def test_refused_everywhere_is_not_run_and_says_when(fleet, caller):
+    """A given-up request is answered at once with when to come back."""
+    set_faults(fleet, "", refuse=True)
+    status, headers, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(503))
+    assert_that(outcome_of(headers), Equals(b"not-run"))
+    assert headers.hasHeader(b"retry-after")
+    assert_that(ran(fleet), HasLength(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_residency_holds_when_home_cannot_serve(fleet, caller):
+    """A request bound to its region is refused rather than sent away.
+
+    A user's data would leave the region whenever home is full: the
+    choice falls on the only region that has room.
+    """
+    set_faults(fleet, "dar", refuse=True)
+    status, headers, _ = await caller.complete(
+        "dar-0", headers={"hyssop_residency": "dar"}
+    )
+    assert_that(status, Equals(503))
+    assert_that(outcome_of(headers), Equals(b"not-run"))
+    assert_that(ran(fleet), HasLength(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_receiver_refuses_what_its_own_configuration_excludes(
+    fleet, caller
+):
+    """The receiving region checks residency by what it knows itself.
+
+    A user's data would be served abroad for as long as one host is
+    behind: the sender has not heard of the restriction, the receiver
+    has, and it trusts the sender.
+    """
+    sender = fleet.gateways["dar-0"]
+    stale = sender.state.keeper.accepted
+    text = "workspaces: {quotes: {residency: [dar]}}\n"
+    status, report = await fleet.put("20-team.yaml", text)
+    assert status == 200, report
+    sender.state.keeper.accepted = stale
+    sender.state.keeper.enforced = stale.enforced()
+    sender.state.keeper.offer = lambda accepted: False
+    set_faults(fleet, "dar", refuse=True)
+    status, headers, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(503))
+    assert_that(ran(fleet), HasLength(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_forged_forward_is_refused(fleet, caller):
+    """Nobody without the hosts' secret can forward a request."""
+    address = fleet.gateways["dar-0"].settings.forward
+    response = await caller.request(
+        address,
+        FORWARD_PATH,
+        b"{}",
+        b"POST",
+        {"hyssop_head": "gA==", "hyssop_signature": "AAAA"},
+    )
+    assert_that(response.code, Equals(403))
+    assert_that(ran(fleet), HasLength(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_lost_answer_of_a_single_run_is_not_run_again(fleet, caller):
+    """A call that must run once is unknown when its answer is lost.
+
+    A supplier would be paid twice: the service takes the approval and
+    loses the connection, and the gateway sends it to the next server.
+    """
+    for service in fleet.services.values():
+        service.drop = True
+    status, headers, _ = await caller.send(
+        "dar-0", "/services/rating/pay", b"1", hyssop_repeatable="no"
+    )
+    assert_that(status, Equals(502))
+    assert_that(outcome_of(headers), Equals(b"unknown"))
+    calls = [call for one in fleet.services.values() for call in one.ran]
+    assert_that(calls, HasLength(1))
+
+
+@pytest_twisted.ensureDeferred
+async def test_key_runs_once_over_all_hosts(fleet, caller):
+    """Ten callers with one key at two hosts make one run.
+
+    A supplier would be paid twice: the portal hangs, its callers try
+    again at another host, and that host has never heard of the key.
+    """
+    headers = {"hyssop_repeatable": "no", "idempotency_key": "pay-1"}
+    answers = await defer.gatherResults(
+        [
+            defer.ensureDeferred(
+                caller.send(host, "/services/rating/pay", b"1", **headers)
+            )
+            for host in ["dar-0", "arusha-0"] * 5
+        ]
+    )
+    statuses = sorted(status for status, _, _ in answers)
+    assert_that(statuses, Equals([200] + [409] * 9))
+    calls = [call for one in fleet.services.values() for call in one.ran]
+    assert_that(calls, HasLength(1))
+    log = fleet.gateways["dar-0"].claims
+    await fleet.until(lambda: not any(p.pending for p in log.logs.values()))
+    await fleet.pause(0.2)
+    status, again, _ = await caller.send(
+        "arusha-0", "/services/rating/pay", b"1", **headers
+    )
+    assert_that(status, Equals(409))
+    assert_that(
+        again.getRawHeaders(b"hyssop-reason"), Equals([b"key_already_run"])
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_outage_refuses_keys_at_once_and_serves_the_rest(fleet, caller):
+    """While the platform is down only keyed single runs are refused."""
+    fleet.platform.set_fault("down", True)
+    headers = {"hyssop_repeatable": "no", "idempotency_key": "pay-2"}
+    for _ in range(2):
+        began = fleet.reactor.seconds()
+        status, answered, _ = await caller.send(
+            "dar-0", "/services/rating/pay", b"1", **headers
+        )
+        assert_that(status, Equals(503))
+        assert_that(outcome_of(answered), Equals(b"not-run"))
+        assert answered.hasHeader(b"retry-after")
+    assert fleet.reactor.seconds() - began < 0.4
+    status, _, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(200))
+    fleet.platform.set_fault("down", False)
+
+
+@pytest_twisted.ensureDeferred
+async def test_leaving_server_gets_nothing_new(fleet, caller):
+    """A server that says it leaves is passed over within three seconds.
+
+    A user would see requests cut when the server goes: the host list
+    still shows it as live, and some hosts go on sending.
+    """
+    set_faults(fleet, "dar", leaving=True)
+    gateway = fleet.gateways["dar-0"]
+    server = gateway.state.table.servers["dar-engine-0"]
+    await fleet.until(lambda: server.leaving, seconds=3)
+    before = len(ran(fleet, "dar"))
+    status, _, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(200))
+    assert_that(ran(fleet, "dar"), HasLength(before))
+
+
+@pytest_twisted.ensureDeferred
+async def test_planned_stop_cuts_nothing(fleet, caller):
+    """Requests that run when a stop begins end whole.
+
+    A user would see an answer break off at each release: the host closes
+    its connections as soon as it is told to stop.
+    """
+    host = "dar-0"
+    working = [
+        defer.ensureDeferred(
+            caller.complete(host, max_tokens=300, stream=number % 2 == 0)
+        )
+        for number in range(6)
+    ]
+    gateway = fleet.gateways[host]
+    await fleet.until(lambda: gateway.drain.active == 6)
+    stopped = defer.ensureDeferred(gateway.stop())
+    await fleet.until(lambda: gateway.drain.refusing)
+    status, headers, _ = await caller.complete(host)
+    assert_that(status, Equals(503))
+    assert_that(outcome_of(headers), Equals(b"not-run"))
+    answers = await defer.gatherResults(working)
+    for number, (status, _, body) in enumerate(answers):
+        assert_that(status, Equals(200))
+        if number % 2 == 0:
+            assert body.endswith(b"data: [DONE]\n\n")
+            assert_that(body.count(b"id: "), Equals(300))
+    await stopped
+    gateway.ports.clear()
+    assert_that(fleet.platform.directory, HasLength(1))
+
+
+@pytest_twisted.ensureDeferred
+async def test_abandoned_request_is_cancelled_at_the_engine(fleet, caller):
+    """An engine stops work for a caller that has hung up."""
+    address = fleet.gateways["dar-0"].settings.listen
+    body = msgspec.json.encode(
+        {"model": "quick-draft", "prompt": "x", "max_tokens": 5000}
+    )
+    work = caller.request(address, "/v1/completions", body, b"POST", {})
+    engine = fleet.engines["dar-engine-0"]
+    await fleet.until(lambda: engine.running)
+    work.addErrback(lambda _: None)
+    work.cancel()
+    await fleet.until(lambda: not engine.running)
+
+
+@pytest_twisted.ensureDeferred
+async def test_isolated_region_serves_its_own(fleet, caller):
+    """A region cut from the platform and all others serves its callers.
+
+    A broker in Dar would be refused while Dar is cut off: each request
+    waits for a platform or a region that cannot be reached.
+    """
+    fleet.platform.set_fault("down", True)
+    other = fleet.gateways["arusha-0"]
+    await other.close()
+    other.ports.clear()
+    trust = fleet.gateways["dar-0"].state.trust
+    await fleet.until(
+        lambda: trust.level(fleet.reactor.seconds()).value == "home only"
+    )
+    status, _, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(200))
+    fleet.platform.set_fault("down", False)
