Run both users' shapes as separate processes, under kills and freezes

Cause: all proofs so far ran on one reactor; kills, frozen processes and the official client need processes of their own. Ruled out: settings files committed per host (twenty near copies); one topology file per user and a script that writes them instead.

--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,9 @@
 	$(BIN)/python tests/run.py
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests examples
+	$(BIN)/ruff check src tests examples
 
 format: $(VENV)/.ready
-	$(BIN)/ruff format src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/ruff format src tests examples
+	$(BIN)/ruff check --fix src tests examples
--- /dev/null
+++ b/examples/processes.py
@@ -0,0 +1,276 @@
+"""Start the processes of an example on loopback and stop them again.
+
+Run it as ``python examples/processes.py examples/kilimanjaro.yaml``.
+"""
+
+import contextlib
+import hashlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import yaml
+
+LOOPBACK = "127.0.0.1"
+SECRET = "secret of the example fleet"
+TOKEN = "operator-token"
+STARTED_WITHIN = 30.0
+STOPPED_WITHIN = 20.0
+
+
+def free_address():
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+
+
+class Processes:
+    """The processes of one topology.
+
+    Args:
+        topology: The mapping of an example file.
+        directory: Where settings and logs are written.
+    """
+
+    def __init__(self, topology, directory):
+        self.topology = topology
+        self.directory = pathlib.Path(directory)
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.platform = free_address()
+        self.admin = free_address()
+        self.rows = []
+        self.running = {}
+        for region, shape in topology["regions"].items():
+            self.plan_region(region, shape)
+
+    def plan_region(self, region, shape):
+        """Note the host-list rows of one region."""
+        for kind, count, prefix in (
+            ("entry", shape["gateways"], "gateway"),
+            ("engine", shape["engines"], "engine"),
+            ("service", shape["services"], "service"),
+        ):
+            for number in range(count):
+                self.rows.append(
+                    self.plan_row(region, kind, f"{region}-{prefix}-{number}")
+                )
+
+    def plan_row(self, region, kind, name):
+        """Return one host-list row."""
+        row = {
+            "name": name,
+            "kind": kind,
+            "region": region,
+            "data_centre": f"{region}-a",
+            "address": free_address(),
+        }
+        if kind == "entry":
+            row |= {"forward": free_address(), "control": free_address()}
+        if kind == "engine":
+            row["models"] = self.topology["models"]
+        if kind == "service":
+            row["services"] = self.topology["services"]
+        return row
+
+    def start(self):
+        """Start all processes, and write the first configuration."""
+        hosts = self.write("hosts.yaml", {"hosts": self.rows})
+        self.run(
+            "platform",
+            "hyssop-fake-platform",
+            "--listen",
+            self.platform,
+            "--hosts",
+            hosts,
+        )
+        self.wait_for(self.platform, "/hosts")
+        for row in self.rows:
+            self.start_row(row)
+        self.run("admin", "hyssop-admin", "--settings", self.admin_settings())
+        self.wait_for(self.admin, "/healthz")
+        text = yaml.safe_dump(self.configuration())
+        status, report = self.operate("PUT", "/v1/files/10-base.yaml", text)
+        if status != 200:
+            raise SystemExit(f"the configuration was refused: {report}")
+        for row in self.gateways():
+            self.wait_for(row["address"], "/readyz")
+
+    def start_row(self, row):
+        """Start the process of one host-list row."""
+        name, address = row["name"], row["address"]
+        if row["kind"] == "entry":
+            path = self.write(f"{name}.yaml", self.gateway_settings(row))
+            self.run(name, "hyssop-gateway", "--settings", path)
+            return
+        program = f"hyssop-fake-{row['kind']}"
+        self.run(name, program, "--listen", address, "--name", name)
+
+    def gateways(self):
+        """Return the rows of the entry hosts."""
+        return [row for row in self.rows if row["kind"] == "entry"]
+
+    def common_settings(self, name, region):
+        """Return the settings that all processes have."""
+        return {
+            "host": name,
+            "region": region,
+            "data_centre": f"{region}-a",
+            "regions": list(self.topology["regions"]),
+            "platform": f"etcd+http://{self.platform}",
+            "host_list": f"http://{self.platform}",
+            "peer_secret": SECRET,
+        }
+
+    def gateway_settings(self, row):
+        """Return the settings of one gateway."""
+        peers = [
+            {
+                key: other[key]
+                for key in ("region", "data_centre", "forward", "control")
+            }
+            | {"host": other["name"]}
+            for other in self.gateways()
+            if other is not row
+        ]
+        return self.common_settings(row["name"], row["region"]) | {
+            "listen": row["address"],
+            "forward": row["forward"],
+            "control": row["control"],
+            "peers": peers,
+            "drain_seconds": 1.0,
+        }
+
+    def admin_settings(self):
+        """Write the settings of the administration; return their path."""
+        region = next(iter(self.topology["regions"]))
+        settings = self.common_settings("admin-0", region) | {
+            "listen": self.admin,
+            "tokens": {"operators": TOKEN},
+        }
+        self.write(
+            "hyssopctl.yaml",
+            {"admin": f"http://{self.admin}", "token": TOKEN},
+        )
+        return self.write("admin.yaml", settings)
+
+    def configuration(self):
+        """Return the first configuration file."""
+        regions = list(self.topology["regions"])
+        distance = self.topology["round_trip_ms"]
+        workspaces = {}
+        for name, values in self.topology["workspaces"].items():
+            rights = dict(values)
+            key = rights.pop("key")
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            workspaces[name] = rights | {"keys": {"example": digest}}
+        return {
+            "regions": {
+                region: {
+                    "round_trip_ms": {
+                        other: float(distance)
+                        for other in regions
+                        if other != region
+                    }
+                }
+                for region in regions
+            },
+            "workspaces": workspaces,
+            "models": {name: {} for name in self.topology["models"]},
+            "services": {name: {} for name in self.topology["services"]},
+        }
+
+    def write(self, name, value):
+        """Write a YAML file and return its path."""
+        path = self.directory / name
+        path.write_text(yaml.safe_dump(value, sort_keys=False))
+        return str(path)
+
+    def run(self, name, program, *arguments):
+        """Start one process; its output goes to a log file."""
+        log = open(self.directory / f"{name}.log", "ab")  # noqa: SIM115
+        path = pathlib.Path(sys.executable).parent / program
+        self.running[name] = subprocess.Popen(
+            [str(path), *arguments], stdout=log, stderr=log
+        )
+        log.close()
+
+    def wait_for(self, address, path):
+        """Wait until *path* answers with status 200."""
+        give_up = time.monotonic() + STARTED_WITHIN
+        while time.monotonic() < give_up:
+            with contextlib.suppress(OSError):
+                status, _ = self.fetch("GET", f"http://{address}{path}")
+                if status == 200:
+                    return
+            time.sleep(0.05)
+        raise TimeoutError(f"no answer from {address}{path}")
+
+    def operate(self, method, path, text=None):
+        """Ask the administration; return status and decoded answer."""
+        return self.fetch(
+            method,
+            f"http://{self.admin}{path}",
+            text.encode() if text is not None else None,
+            {"Authorization": f"Bearer {TOKEN}"},
+        )
+
+    def fetch(self, method, url, body=None, headers=None, timeout=20):
+        """Send one request; return status and decoded JSON answer."""
+        request = urllib.request.Request(
+            url, body, headers or {}, method=method
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.status, json.loads(answer.read() or b"null")
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read() or b"null")
+
+    def signal(self, name, number):
+        """Send a signal to one process."""
+        os.kill(self.running[name].pid, number)
+
+    def stop(self):
+        """Stop all processes; kill what does not stop in time."""
+        for process in self.running.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        give_up = time.monotonic() + STOPPED_WITHIN
+        for process in self.running.values():
+            left = max(0.1, give_up - time.monotonic())
+            try:
+                process.wait(left)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def main():
+    """Start an example and keep it running until interrupted."""
+    if len(sys.argv) != 2:
+        raise SystemExit(__doc__)
+    topology = yaml.safe_load(pathlib.Path(sys.argv[1]).read_text())
+    processes = Processes(topology, "out/" + pathlib.Path(sys.argv[1]).stem)
+    try:
+        processes.start()
+        for row in processes.gateways():
+            print(f"{row['name']}: http://{row['address']}")
+        print(f"hyssopctl --settings {processes.directory}/hyssopctl.yaml")
+        print("stop with Ctrl-C", flush=True)
+        signal.pause()
+    except KeyboardInterrupt:
+        pass
+    finally:
+        processes.stop()
+
+
+if __name__ == "__main__":
+    main()
