--- a/Makefile
+++ b/Makefile
@@ -20,9 +20,12 @@
 	$(BIN)/python tests/run.py
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check src tests examples
-	$(BIN)/ruff check src tests examples
+	$(BIN)/ruff format --check src tests examples benchmarks
+	$(BIN)/ruff check src tests examples benchmarks
 
 format: $(VENV)/.ready
-	$(BIN)/ruff format src tests examples
-	$(BIN)/ruff check --fix src tests examples
+	$(BIN)/ruff format src tests examples benchmarks
+	$(BIN)/ruff check --fix src tests examples benchmarks
+
+bench: $(VENV)/.ready
+	$(BIN)/python benchmarks/throughput.py
--- /dev/null
+++ b/src/hyssopspring/load.py
@@ -0,0 +1,294 @@
+"""Open-loop load with percentiles: ``hyssop-load``."""
+
+import csv
+import sys
+from collections import Counter
+from dataclasses import dataclass, field
+from io import BytesIO
+
+import click
+import msgspec
+import yaml
+from hdrh.histogram import HdrHistogram
+from twisted.internet import defer, error, protocol, task
+from twisted.web.client import (
+    FileBodyProducer,
+    ResponseDone,
+    ResponseFailed,
+)
+from twisted.web.http_headers import Headers
+
+from .core.sentinels import NOTHING
+from .net.clients import make_agent
+from .plots import plot_percentiles
+
+LONGEST_MICROS = 600_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 95.0, 99.0, 99.9, 100.0)
+KINDS = ("first_token", "between_tokens", "whole")
+
+
+class MixEntry(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One kind of request of a mix.
+
+    Attributes:
+        weight: How often it is sent, relative to the others.
+        model: Model to ask for.
+        key: Caller's key.
+        prompt: The prompt.
+        max_tokens: Tokens of the answer.
+        stream: Whether to ask for a stream.
+        headers: More headers.
+    """
+
+    weight: float = 1.0
+    model: str = "quick-draft"
+    key: str = "demo-key"
+    prompt: str = "Quote for two lorries"
+    max_tokens: int = 16
+    stream: bool = True
+    headers: dict[str, str] = {}
+
+
+def histogram():
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, LONGEST_MICROS, DIGITS)
+
+
+@dataclass
+class Results:
+    """What a run measured.
+
+    Attributes:
+        outcomes: Count by outcome.
+        times: Histogram by kind of time, in microseconds.
+        tokens: Stream events that arrived.
+        late: Longest delay of a send behind its schedule, in seconds.
+    """
+
+    outcomes: Counter = field(default_factory=Counter)
+    times: dict = field(
+        default_factory=lambda: {kind: histogram() for kind in KINDS}
+    )
+    tokens: int = 0
+    late: float = 0.0
+
+    def record(self, kind, seconds):
+        """Note one time."""
+        micros = max(1, min(LONGEST_MICROS, int(seconds * 1e6)))
+        self.times[kind].record_value(micros)
+
+    def rows(self):
+        """Return a row of percentiles in milliseconds for each kind."""
+        return [
+            [kind, times.get_total_count()]
+            + [
+                round(times.get_value_at_percentile(point) / 1000, 2)
+                for point in PERCENTILES
+            ]
+            for kind, times in self.times.items()
+            if times.get_total_count()
+        ]
+
+
+class AnswerReader(protocol.Protocol):
+    """Time the parts of one answer."""
+
+    def __init__(self, run, due, stream):
+        self.run = run
+        self.due = due
+        self.stream = stream
+        self.last = NOTHING
+        self.ended = False
+        self.done = defer.Deferred()
+
+    def dataReceived(self, data):
+        """Note when a part came."""
+        now = self.run.clock.seconds()
+        results = self.run.results
+        if self.last is NOTHING:
+            results.record("first_token", now - self.due)
+        elif self.stream:
+            results.record("between_tokens", now - self.last)
+        self.last = now
+        if self.stream:
+            results.tokens += data.count(b"data: {")
+            self.ended = self.ended or b"data: [DONE]" in data
+
+    def connectionLost(self, reason):
+        """Tell how the answer ended."""
+        whole = reason.check(ResponseDone) is not None
+        self.done.callback(whole and (self.ended or not self.stream))
+
+
+class Run:
+    """Send requests on a schedule, whatever became of earlier ones.
+
+    Times count from the moment at which a request was due. A generator
+    that waits for slow answers would send less while the server stalls,
+    and so leave out the very times that matter.
+
+    Args:
+        clock: The reactor.
+        urls: Base addresses to send to, in turn.
+        rate: Requests a second.
+        duration: Seconds for which requests are sent.
+        mix: List of `MixEntry`.
+    """
+
+    def __init__(self, clock, urls, rate, duration, mix):
+        self.clock = clock
+        self.urls = urls
+        self.rate = rate
+        self.count = int(rate * duration)
+        self.mix = spread(mix)
+        self.agent = make_agent(clock)
+        self.agent.pool.maxPersistentPerHost = 1000
+        self.results = Results()
+        self.sent = 0
+        self.began = NOTHING
+        self.open = set()
+
+    async def run(self):
+        """Send all requests; return the `Results`."""
+        self.began = self.clock.seconds()
+        while self.sent < self.count:
+            due = self.began + self.sent / self.rate
+            now = self.clock.seconds()
+            if due > now:
+                await task.deferLater(self.clock, due - now)
+                continue
+            self.results.late = max(self.results.late, now - due)
+            self.send(due)
+        while self.open:
+            await defer.DeferredList(list(self.open))
+        await self.agent.pool.closeCachedConnections()
+        return self.results
+
+    def send(self, due):
+        """Send the next request."""
+        entry = self.mix[self.sent % len(self.mix)]
+        url = self.urls[self.sent % len(self.urls)]
+        self.sent += 1
+        work = defer.ensureDeferred(self.ask(entry, url, due))
+        self.open.add(work)
+        work.addBoth(lambda _: self.open.discard(work))
+
+    async def ask(self, entry, url, due):
+        """Send one request and note its outcome."""
+        results = self.results
+        try:
+            outcome = await self.outcome(entry, url, due)
+        except (error.ConnectError, ResponseFailed) as failure:
+            outcome = type(failure).__name__
+        results.outcomes[outcome] += 1
+        if outcome == "answered":
+            results.record("whole", self.clock.seconds() - due)
+
+    async def outcome(self, entry, url, due):
+        """Return the name of one request's outcome."""
+        body = {
+            "model": entry.model,
+            "prompt": entry.prompt,
+            "max_tokens": entry.max_tokens,
+            "stream": entry.stream,
+        }
+        headers = Headers({"authorization": [f"Bearer {entry.key}"]})
+        for name, value in entry.headers.items():
+            headers.setRawHeaders(name, [value])
+        response = await self.agent.request(
+            b"POST",
+            f"{url}/v1/completions".encode(),
+            headers,
+            json_body(body),
+        )
+        reader = AnswerReader(self, due, entry.stream)
+        response.deliverBody(reader)
+        whole = await reader.done
+        if response.code != 200:
+            stated = response.headers.getRawHeaders("hyssop-reason", [""])
+            return stated[0] or f"status_{response.code}"
+        return "answered" if whole else "cut"
+
+
+def json_body(value):
+    """Return a body producer of *value* as JSON."""
+    return FileBodyProducer(BytesIO(msgspec.json.encode(value)))
+
+
+def spread(mix):
+    """Return a sequence in which each entry stands by its weight."""
+    least = min(entry.weight for entry in mix)
+    sequence = []
+    for entry in mix:
+        sequence.extend([entry] * max(1, round(entry.weight / least)))
+    return sequence
+
+
+def read_mix(path):
+    """Return the mix of a YAML file, or a single plain entry."""
+    if not path:
+        return [MixEntry()]
+    with open(path, encoding="utf-8") as file:
+        values = yaml.safe_load(file)
+    try:
+        return msgspec.convert(values["mix"], list[MixEntry])
+    except (msgspec.ValidationError, KeyError, TypeError) as error_:
+        click.echo(f"{path}: mix: {error_}", err=True)
+        sys.exit(2)
+
+
+def print_results(results, seconds):
+    """Print outcomes and percentiles."""
+    total = sum(results.outcomes.values())
+    click.echo(f"{total} requests in {seconds:.1f} s")
+    for outcome, count in results.outcomes.most_common():
+        click.echo(f"  {outcome}: {count}")
+    click.echo(f"  tokens a second: {results.tokens / seconds:.0f}")
+    click.echo(f"  latest send behind schedule: {results.late:.3f} s")
+    names = "  ".join(f"p{point:g}" for point in PERCENTILES)
+    click.echo(f"milliseconds: count  {names}")
+    for kind, *numbers in results.rows():
+        click.echo(f"  {kind}: " + "  ".join(str(n) for n in numbers))
+
+
+def write_csv(results, path):
+    """Write the percentiles into a CSV file."""
+    with open(path, "w", newline="", encoding="utf-8") as file:
+        writer = csv.writer(file)
+        writer.writerow(
+            ["kind", "count", *(f"p{point:g}_ms" for point in PERCENTILES)]
+        )
+        writer.writerows(results.rows())
+
+
+@click.command()
+@click.option("--url", "urls", multiple=True, required=True)
+@click.option("--rate", default=50.0, show_default=True)
+@click.option("--duration", default=10.0, show_default=True)
+@click.option("--mix", "mix_path", type=click.Path(exists=True))
+@click.option("--csv", "csv_path", type=click.Path())
+@click.option("--plot", "plot_path", type=click.Path())
+@click.version_option(package_name="hyssopspring")
+def main(urls, rate, duration, mix_path, csv_path, plot_path):
+    """Send an open-loop load and print its percentiles."""
+    from twisted.internet import reactor
+
+    run = Run(reactor, urls, rate, duration, read_mix(mix_path))
+    kept = []
+
+    def started(_):
+        work = defer.ensureDeferred(run.run())
+        return work.addCallback(kept.append)
+
+    try:
+        task.react(started)
+    except SystemExit as stopped:
+        if not kept:
+            sys.exit(stopped.code or 1)
+    results = kept[0]
+    print_results(results, run.clock.seconds() - run.began)
+    if csv_path:
+        write_csv(results, csv_path)
+    if plot_path:
+        plot_percentiles(results.times, plot_path)
--- a/src/hyssopspring/plots.py
+++ b/src/hyssopspring/plots.py
@@ -45,3 +45,28 @@
     axes.legend(fontsize="x-small", loc="upper left", bbox_to_anchor=(1, 1))
     figure.savefig(path, dpi=120, bbox_inches="tight")
     pyplot.close(figure)
+
+
+def plot_percentiles(times, path):
+    """Draw the time at each percentile, a line for each kind.
+
+    Args:
+        times: Histogram of microseconds by kind.
+        path: PNG file to write.
+    """
+    pyplot = load_pyplot()
+    figure, axes = pyplot.subplots(figsize=(7, 4))
+    points = [point / 2 for point in range(2, 200)] + [99.9]
+    for kind, histogram in times.items():
+        if histogram.get_total_count():
+            values = [
+                histogram.get_value_at_percentile(point) / 1000
+                for point in points
+            ]
+            axes.plot(points, values, label=kind)
+    axes.set_yscale("log")
+    axes.set_xlabel("percentile")
+    axes.set_ylabel("milliseconds")
+    axes.legend()
+    figure.savefig(path, dpi=120, bbox_inches="tight")
+    pyplot.close(figure)
