Hear every message behind a bad one, and shrink heartbeats

Cause, found by the capacity run at four gateways a data centre: the neighbours' summary broke its handler, the reader stopped there, and as the descriptor signals only the step from none to some, the messages behind it waited for good; fleets of that size never got connected. Ruled out: a socket per kind of message (the same failure in each).

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 bench: $(VENV)/.ready
 	$(BIN)/python benchmarks/throughput.py
+
+capacity: $(VENV)/.ready
+	$(BIN)/python benchmarks/capacity.py
--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,469 @@
+"""Slopes of what each role costs, and the plan's size worked out.
+
+Usage: ``python benchmarks/capacity.py``. Each slope is measured over at
+least three sizes in this run; the last table multiplies it by the size.
+"""
+
+import gc
+import random
+import sys
+import time
+import tracemalloc
+
+from twisted.internet import defer, reactor, task
+
+from hyssopspring.config.acceptance import Judge, RawFile
+from hyssopspring.core.accepted import (
+    Accepted,
+    decode_accepted,
+    encode_accepted,
+)
+from hyssopspring.core.claims import (
+    ClaimIndex,
+    Mark,
+    Record,
+    Segment,
+    encode_segment,
+)
+from hyssopspring.core.placement import CentreTable
+from hyssopspring.core.requests import Target, TargetKind
+from hyssopspring.core.servers import LoadReport, ServerEntry, ServerTable
+from hyssopspring.net.membership import centre_summary, target_loads
+from hyssopspring.net.messages import (
+    ENCODER,
+    Heartbeat,
+    ServerLoad,
+    Signer,
+    Summary,
+    decode_message,
+)
+from hyssopspring_fakes.fleet import (
+    Fleet,
+    Shape,
+    configuration_text,
+    key_digest,
+)
+
+DAEMONS = 330
+CENTRES = 51
+SERVERS = 2300
+MODELS = 34
+WORKSPACES = 330
+CHANGES_A_DAY = 1300
+KEYED_A_SECOND = 120
+SECONDS_A_DAY = 86_400
+RETENTION_HOURS = 6
+WINDOW = 5.0
+SIGNER = Signer("capacity")
+
+
+def timed(call, times):
+    """Return microseconds of processor time of one call."""
+    began = time.process_time()
+    for _ in range(times):
+        call()
+    return (time.process_time() - began) / times * 1e6
+
+
+def slope(points):
+    """Return intercept and slope of the least-squares line."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    rise = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    run = sum((x - mean_x) ** 2 for x, _ in points)
+    return mean_y - rise / run * mean_x, rise / run
+
+
+def show(title, unit, points):
+    """Print one measured series with its slope; return the line."""
+    line = slope(points)
+    shown = ", ".join(f"{x:g}: {y:.1f}" for x, y in points)
+    print(f"{title}: {shown}  -> {line[0]:.1f} + {line[1]:.4f} each, {unit}")
+    return line
+
+
+def make_servers(count):
+    """Return a table with reports of *count* servers."""
+    table = ServerTable("c")
+    models = [Target(TargetKind.MODEL, f"model-{n}") for n in range(MODELS)]
+    table.replace(
+        ServerEntry(
+            name=f"centre-engine-{number:04d}",
+            address="127.0.0.1:1",
+            region="r",
+            data_centre="c",
+            targets=frozenset({models[number % MODELS]}),
+        )
+        for number in range(count)
+    )
+    for name in table.servers:
+        table.take_report(name, report(1))
+    return table
+
+
+def report(sequence):
+    """Return a load report."""
+    return LoadReport(
+        incarnation=1,
+        sequence=sequence,
+        running=3,
+        waiting=1,
+        slots=8,
+        leaving=False,
+        at=0.0,
+    )
+
+
+def heartbeat(servers):
+    """Return a heartbeat with the loads of *servers* servers."""
+    loads = [
+        ServerLoad(2**31 + n, 2**31 + n, 99999, 3, 1, 8, False)
+        for n in range(servers)
+    ]
+    return Heartbeat(
+        host="region-gateway-0",
+        data_centre="region-a",
+        incarnation="0123456789ab",
+        sequence=10**6,
+        millis=10**12,
+        counter=1,
+        generation=10**5,
+        contact=True,
+        servers=loads,
+    )
+
+
+def measure_heartbeats():
+    """Measure bytes and processor time of heartbeats."""
+    sizes, sending, hearing = [], [], []
+    for servers in (1, 7, 45, 450):
+        message = heartbeat(servers)
+        data = ENCODER.encode(message)
+        signature = SIGNER.sign(b"b:c", data)
+        sizes.append((servers, len(data) + len(signature) + 10))
+        sending.append((servers, timed(lambda m=message: send(m), 300)))
+        hearing.append(
+            (servers, timed(lambda d=data, s=signature: hear(d, s), 300))
+        )
+    return (
+        show("heartbeat by loads in it", "bytes", sizes),
+        show("  send", "us", sending),
+        show("  hear", "us", hearing),
+    )
+
+
+def send(message):
+    """Encode and sign a message as the bus does."""
+    data = ENCODER.encode(message)
+    return SIGNER.sign(b"b:c", data)
+
+
+def hear(data, signature):
+    """Check and decode a message as the bus does."""
+    assert SIGNER.verify(signature, b"b:c", data)
+    return decode_message(data)
+
+
+def measure_summaries():
+    """Measure bytes and processor time of summaries."""
+    sizes, hearing = [], []
+    for models in (4, 34, 340):
+        table = ServerTable("c")
+        table.replace(
+            ServerEntry(
+                name=f"e{number}",
+                address="127.0.0.1:1",
+                region="r",
+                data_centre="c",
+                targets=frozenset(
+                    {Target(TargetKind.MODEL, f"model-{number}")}
+                ),
+            )
+            for number in range(models)
+        )
+        message = Summary(
+            host="region-gateway-0",
+            region="region",
+            data_centre="region-a",
+            incarnation="0123456789ab",
+            sequence=10**6,
+            millis=10**12,
+            counter=1,
+            generation=10**5,
+            gateways=[f"10.0.0.{n}:8200" for n in range(7)],
+            targets=target_loads(table, 0.0),
+        )
+        data = ENCODER.encode(message)
+        signature = SIGNER.sign(b"b:c", data)
+        centres = CentreTable("other")
+        sizes.append((models, len(data) + 26))
+        hearing.append(
+            (
+                models,
+                timed(
+                    lambda d=data, s=signature, c=centres: c.take(
+                        centre_summary(hear(d, s), 0.0)
+                    ),
+                    200,
+                ),
+            )
+        )
+    return (
+        show("summary by models", "bytes", sizes),
+        show("  hear", "us", hearing),
+    )
+
+
+def measure_table():
+    """Measure a report's cost in the server table, and its memory."""
+    taking, memory = [], []
+    for servers in (5, 50, 500):
+        gc.collect()
+        tracemalloc.start()
+        table = make_servers(servers)
+        memory.append((servers, tracemalloc.get_traced_memory()[0] / 1024))
+        tracemalloc.stop()
+        names = list(table.servers)
+        counter = iter(range(2, 10**9))
+        taking.append(
+            (
+                servers,
+                timed(
+                    lambda t=table, n=names, c=counter: t.take_report(
+                        n[0], report(next(c))
+                    ),
+                    2000,
+                ),
+            )
+        )
+    return (
+        show("server table by servers", "KB", memory),
+        show("  take one report", "us", taking),
+    )
+
+
+def make_files(count):
+    """Return a folder of *count* files, a workspace each."""
+    regions = ", ".join(f"region-{n}: {{}}" for n in range(17))
+    files = {
+        "00-base.yaml": RawFile(
+            f"regions: {{{regions}}}\nmodels: "
+            f"{{{', '.join(f'model-{n}: {{}}' for n in range(MODELS))}}}\n",
+            1,
+        )
+    }
+    for number in range(count):
+        digest = key_digest(f"key {number}")
+        text = (
+            f"workspaces:\n  workspace-{number}:\n"
+            f"    home: region-{number % 17}\n"
+            f"    residency: [region-{number % 17}]\n"
+            f"    keys: {{main: {digest}}}\n"
+            f"    limits: {{requests_per_second: 10.0, concurrent: 20}}\n"
+        )
+        files[f"{number + 10:05d}-team.yaml"] = RawFile(text, number + 2)
+    return files
+
+
+def measure_configuration():
+    """Measure the accepted value and the judging by files."""
+    sizes, judging, decoding, memory = [], [], [], []
+    for count in (10, 100, 330, 1000):
+        folder = make_files(count)
+        accepted = Judge(Accepted()).judge(folder, count + 2).accepted
+        data = encode_accepted(accepted)
+        sizes.append((count, len(data) / 1024))
+        changed = dict(folder)
+        name = sorted(folder)[-1]
+        changed[name] = RawFile(folder[name].content + "#", count + 9)
+        judging.append(
+            (
+                count,
+                timed(
+                    lambda a=accepted, c=changed, n=count: Judge(a).judge(
+                        c, n + 9
+                    ),
+                    3,
+                )
+                / 1000,
+            )
+        )
+        decoding.append(
+            (count, timed(lambda d=data: decode_accepted(d), 5) / 1000)
+        )
+        gc.collect()
+        tracemalloc.start()
+        kept = decode_accepted(data)
+        memory.append((count, tracemalloc.get_traced_memory()[0] / 1024))
+        tracemalloc.stop()
+        del kept
+    return (
+        show("accepted value by files", "KB", sizes),
+        show("  judge one change", "ms", judging),
+        show("  decode at a gateway", "ms", decoding),
+        show("  memory at a gateway", "KB", memory),
+    )
+
+
+def measure_claims():
+    """Measure bytes, memory and folding of claims."""
+    rng = random.Random(1)
+    memory, folding, sizes = [], [], []
+    for count in (1_000, 10_000, 50_000):
+        records = [
+            Record(rng.randbytes(16), rng.randbytes(8), Mark.CLAIMED, 10**9)
+            for _ in range(count)
+        ]
+        gc.collect()
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        index = ClaimIndex()
+        for record in records:
+            index.fold(record)
+        memory.append(
+            (count, (tracemalloc.get_traced_memory()[0] - before) / 1024)
+        )
+        tracemalloc.stop()
+        fresh = ClaimIndex()
+        began = time.process_time()
+        for record in records:
+            fresh.fold(record)
+        folding.append((count, (time.process_time() - began) * 1000))
+        sizes.append(
+            (count, len(encode_segment(Segment(records=records))) / 1024)
+        )
+    return (
+        show("claim index by keys", "KB beyond the records", memory),
+        show("  fold", "ms", folding),
+        show("  stored", "KB", sizes),
+    )
+
+
+async def measure_fleet(gateways, regions):
+    """Return per-daemon figures of a fleet on this reactor."""
+    names = tuple(f"region{n}" for n in range(regions))
+    shape = Shape(
+        regions=names,
+        gateways=gateways // regions,
+        engines=2,
+        services=0,
+    )
+    fleet = Fleet(reactor, shape)
+    await fleet.start()
+    status, answer = await fleet.put(
+        "10-base.yaml", configuration_text(names, "key")
+    )
+    if status != 200:
+        raise SystemExit(f"refused: {answer}")
+    await task.deferLater(reactor, 2.0)
+    bus = [gateway.bus for gateway in fleet.gateways.values()]
+    sent = sum(one.bytes_sent for one in bus)
+    heard = sum(one.bytes_received for one in bus)
+    polls = sum(g.membership.polls for g in fleet.gateways.values())
+    reads = fleet.platform.store.reads
+    used = time.process_time()
+    await task.deferLater(reactor, WINDOW)
+    figures = {
+        "cpu": (time.process_time() - used) / WINDOW / gateways * 100,
+        "sent": (sum(one.bytes_sent for one in bus) - sent)
+        / WINDOW
+        / gateways,
+        "heard": (sum(one.bytes_received for one in bus) - heard)
+        / WINDOW
+        / gateways,
+        "polls": (
+            sum(g.membership.polls for g in fleet.gateways.values()) - polls
+        )
+        / WINDOW
+        / gateways,
+        "reads": (fleet.platform.store.reads - reads) / WINDOW,
+    }
+    await fleet.stop()
+    return figures
+
+
+async def measure_fleets():
+    """Measure fleets of three sizes, idle."""
+    found = []
+    for gateways, regions in ((2, 2), (8, 2), (32, 4)):
+        figures = await measure_fleet(gateways, regions)
+        found.append((gateways, figures))
+        shown = ", ".join(f"{k} {v:.2f}" for k, v in figures.items())
+        print(f"fleet of {gateways} gateways in {regions} regions: {shown}")
+    print("  (cpu in % of a core a daemon, stand-ins and administration")
+    print("   included; bytes and polls a second a daemon; reads of the")
+    print("   key-value service a second in all)")
+    return found
+
+
+async def run():
+    """Measure everything and print the plan's size."""
+    beat = measure_heartbeats()
+    summary = measure_summaries()
+    table = measure_table()
+    configuration = measure_configuration()
+    claims = measure_claims()
+    await measure_fleets()
+    print_plan(beat, summary, table, configuration, claims)
+
+
+def at(line, size):
+    """Return what a line gives at *size*."""
+    return line[0] + line[1] * size
+
+
+def print_plan(beat, summary, table, configuration, claims):
+    """Print what each mechanism costs at the plan's size."""
+    hosts = DAEMONS / CENTRES
+    servers = SERVERS / CENTRES
+    own = servers / hosts
+    peers = hosts - 1
+    size, send_us, hear_us = (at(line, own) for line in beat)
+    print(f"--- at {DAEMONS} daemons, {CENTRES} data centres, {SERVERS}")
+    print(
+        f"heartbeats: {size * peers:.0f} bytes/s out and as many in, "
+        f"{(send_us + peers * hear_us) / 1e4:.4f}% of a core a daemon"
+    )
+    reports = servers * at(table[1], servers)
+    print(f"load reports taken: {reports / 1e4:.4f}% of a core a daemon")
+    print(f"load polls: {own / 2:.1f} a second a daemon if all are idle")
+    size = at(summary[0], MODELS)
+    listeners = DAEMONS - hosts
+    every = max(1.0, size * listeners / 1000)
+    print(
+        f"summaries: {size:.0f} bytes to {listeners:.0f} listeners, one "
+        f"every {every:.0f} s at the pace of 1,000 bytes/s; "
+        f"{CENTRES * at(summary[1], MODELS) / every / 1e4:.4f}% of a core "
+        "to hear all"
+    )
+    value = at(configuration[0], WORKSPACES)
+    changes = CHANGES_A_DAY / SECONDS_A_DAY
+    print(
+        f"configuration: value of {value:.0f} KB, "
+        f"{value * 1024 * changes:.0f} bytes/s in on average, "
+        f"{at(configuration[2], WORKSPACES) * changes / 10:.4f}% of a core, "
+        f"{at(configuration[3], WORKSPACES):.0f} KB of memory a daemon; "
+        f"judging {at(configuration[1], WORKSPACES):.0f} ms a change"
+    )
+    keys = KEYED_A_SECOND * RETENTION_HOURS * 3600
+    owned = keys / DAEMONS
+    print(
+        f"claims at {KEYED_A_SECOND} keyed a second, kept for "
+        f"{RETENTION_HOURS} h: {keys:,} keys, "
+        f"{owned * (claims[0][1] + 0.11) / 1024:.1f} MB a daemon, "
+        f"{keys * claims[2][1] / 1024:.0f} MB stored"
+    )
+    print(
+        f"watches: {2 * CENTRES}, host list reads {2 * CENTRES}/s + "
+        f"{(DAEMONS - 2 * CENTRES) / 10:.0f}/s"
+    )
+
+
+def main():
+    """Run on the reactor."""
+    task.react(lambda _: defer.ensureDeferred(run()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/hyssopspring/core/servers.py
+++ b/src/hyssopspring/core/servers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .hashing import short_id
 from .sentinels import NOTHING
 
 REPORT_HALF_LIFE = 2.0
@@ -36,7 +37,8 @@
     """Load that a backend server reported of itself.
 
     Attributes:
-        incarnation: Changes each time that the server starts.
+        incarnation: Changes each time that the server starts; the
+            `short_id` of what it calls itself.
         sequence: Grows with each report of one incarnation.
         running: Requests that it is working on.
         waiting: Requests that it has queued.
@@ -45,7 +47,7 @@
         at: Time of arrival on the host's clock, in seconds.
     """
 
-    incarnation: str
+    incarnation: int
     sequence: int
     running: int
     waiting: int
@@ -73,7 +75,7 @@
     report: LoadReport = NOTHING
     in_flight: int = 0
     sent_since_report: int = 0
-    left_incarnation: str = NOTHING
+    left_incarnation: int = NOTHING
     failures: int = 0
     paused_until: float = 0.0
     first_token: float = 0.0
@@ -127,10 +129,12 @@
     Attributes:
         data_centre: The data centre.
         servers: `Server` by name.
+        names: Name by `short_id`, for small messages.
     """
 
     data_centre: str
     servers: dict[str, Server] = field(default_factory=dict)
+    names: dict[int, str] = field(default_factory=dict)
 
     def replace(self, entries):
         """Take over the host list; keep the evidence on known servers.
@@ -155,6 +159,7 @@
                 known.entry = entry
         for name in before - set(mine):
             del self.servers[name]
+        self.names = {short_id(name): name for name in self.servers}
         return set(mine) - before, before - set(mine)
 
     def take_report(self, name, report):
@@ -189,7 +194,7 @@
         server = self.servers.get(name)
         if server is None:
             return
-        incarnation = ""
+        incarnation = 0
         if server.report is not NOTHING:
             incarnation = server.report.incarnation
         server.left_incarnation = incarnation
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -154,6 +154,7 @@
             self.settings.peer_secret,
             received=lambda message: self.membership.hear(message),
             refused=self.note_refused,
+            failed=self.note_failure,
         )
         self.membership = Membership(
             self.state,
--- a/src/hyssopspring/net/bus.py
+++ b/src/hyssopspring/net/bus.py
@@ -2,6 +2,7 @@
 
 import zmq
 from twisted.internet.interfaces import IReadDescriptor
+from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from ..core.exceptions import ProtocolError
@@ -55,14 +56,16 @@
         secret: Secret that all hosts share.
         received: Called with each message.
         refused: Called with the reason when a message is dropped.
+        failed: Called with the failure of a handler that raised.
     """
 
-    def __init__(self, reactor, address, secret, *, received, refused):
+    def __init__(self, reactor, address, secret, *, received, refused, failed):
         self.reactor = reactor
         self.address = address
         self.signer = Signer(secret)
         self.received = received
         self.refused = refused
+        self.failed = failed
         self.context = zmq.Context(io_threads=1)
         self.publisher = self.make_socket(zmq.PUB)
         self.subscriber = self.make_socket(zmq.SUB)
@@ -128,7 +131,8 @@
         """Read messages until there are none.
 
         The descriptor only signals the step from no message to some, so
-        a reader that stops early would never be woken for the rest. A
+        a reader that stops early, also at a message that breaks its
+        handler, would never be woken for the rest. A
         flood is read in slices, so that requests are served between.
         """
         for _ in range(DRAIN_AT_ONCE):
@@ -136,7 +140,10 @@
                 frames = self.subscriber.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
                 return
-            self.take(frames)
+            try:
+                self.take(frames)
+            except Exception:  # noqa: BLE001 - reported, and read on
+                self.failed(Failure())
         self.schedule_drain()
 
     def schedule_drain(self):
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -1,11 +1,12 @@
 """Carry out the plan of a request, attempt by attempt."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
 from ..core.events import EventKind
 from ..core.exceptions import ensure
+from ..core.hashing import short_id
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.plans import Finish, Forward, Plan, Serve
 from ..core.sentinels import NOTHING
@@ -193,7 +194,7 @@
         except msgspec.DecodeError:
             return
         self.state.table.take_report(
-            server, load_report(load, self.state.clock.seconds())
+            server, reported_load(load, self.state.clock.seconds())
         )
 
     def abandon(self, identifier):
@@ -216,6 +217,12 @@
         )
 
 
+def reported_load(load, now):
+    """Return the `LoadReport` of a server's own report."""
+    short = short_id(load.incarnation)
+    return replace(load_report(load, now), incarnation=short)
+
+
 def load_report(load, now):
     """Return the `LoadReport` of a report that arrived at *now*."""
     return LoadReport(
--- a/src/hyssopspring/net/membership.py
+++ b/src/hyssopspring/net/membership.py
@@ -4,6 +4,7 @@
 from twisted.internet import defer
 
 from ..core.events import EventKind
+from ..core.hashing import short_id
 from ..core.membership import HEARTBEAT_EVERY
 from ..core.placement import CentreSummary
 from ..core.requests import Target, TargetKind
@@ -11,7 +12,7 @@
 from .bus import SUMMARY_TOPIC, beat_topic
 from .clients import fetch
 from .control import FAILURES
-from .dispatching import LOAD_DECODER, load_report
+from .dispatching import LOAD_DECODER, load_report, reported_load
 from .messages import (
     ENCODER,
     Heartbeat,
@@ -115,7 +116,7 @@
                 continue
             loads.append(
                 ServerLoad(
-                    name=name,
+                    server=short_id(name),
                     incarnation=report.incarnation,
                     sequence=report.sequence,
                     running=report.running,
@@ -180,6 +181,8 @@
         else:
             self.note_contact(message, now)
         if isinstance(message, Summary):
+            if message.data_centre == self.state.data_centre:
+                return
             self.state.centres.take(centre_summary(message, now))
         elif isinstance(message, Heartbeat):
             self.take_heartbeat(message, now)
@@ -192,13 +195,15 @@
         """
         if message.data_centre != self.state.data_centre:
             self.state.trust.hear_direct(now)
-        elif message.contact:
+        elif isinstance(message, Heartbeat) and message.contact:
             self.state.trust.hear_neighbour(now)
 
     def take_heartbeat(self, message, now):
         """Take over the loads that a host of this data centre took."""
         for load in message.servers:
-            self.take_load(load.name, load, now)
+            name = self.state.table.names.get(load.server)
+            if name is not None:
+                self.take_load(name, load_report(load, now))
         for name in message.departing:
             server = self.state.table.servers.get(name)
             if server is not None and not server.leaving:
@@ -207,13 +212,13 @@
         for extra in self.extras:
             extra(message, now)
 
-    def take_load(self, name, load, now):
+    def take_load(self, name, report):
         """Take over one load report."""
         server = self.state.table.servers.get(name)
         if server is None:
             return
         before = server.leaving
-        self.state.table.take_report(name, load_report(load, now))
+        self.state.table.take_report(name, report)
         if server.leaving and not before:
             self.note_leaving(name, self.state.host)
 
@@ -253,7 +258,8 @@
             load = LOAD_DECODER.decode(body)
         except msgspec.DecodeError:
             return
-        self.take_load(name, load, self.state.clock.seconds())
+        now = self.state.clock.seconds()
+        self.take_load(name, reported_load(load, now))
 
 
 def target_loads(table, now):
--- a/src/hyssopspring/net/messages.py
+++ b/src/hyssopspring/net/messages.py
@@ -12,10 +12,14 @@
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
-    """A load report that one host took and passes on."""
+    """A load report that one host took and passes on.
 
-    name: str
-    incarnation: str
+    Name and incarnation are `short_id` hashes: in full they would be two
+    thirds of the heartbeat.
+    """
+
+    server: int
+    incarnation: int
     sequence: int
     running: int
     waiting: int
