Hold limits by shares in a ledger that never exceeds the whole

Cause: a workspace's limits were read and checked but never applied; each host by itself could only apply them in full, seven times over. Ruled out: a counter in the key-value service (a write per request); equal fixed shares (a quarter of the limit stays unused where nobody asks); short leases on shares (an outage of the platform stops every limited workspace); dividing among live hosts (two views of who lives exceed it).

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -40,6 +40,7 @@
     CLAIM_COMMITTED = (600, "claims of keys recorded")
     CLAIM_CONFLICT = (601, "claim lost to another claimant")
     CLAIM_UNAVAILABLE = (602, "claims cannot be recorded now")
+    SHARES_CHANGED = (700, "shares of limits written")
 
     @property
     def number(self):
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -27,6 +27,7 @@
 from .net.draining import Drain
 from .net.forwarding import ForwardedApi
 from .net.gates import Gates
+from .net.limiting import Limits
 from .net.membership import Membership
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
@@ -131,7 +132,14 @@
             self.signer,
             self.wall,
         )
-        self.gates = Gates(self.claims)
+        self.limits = Limits(
+            self.state,
+            self.peers,
+            self.store,
+            self.wall,
+            failed=self.note_failure,
+        )
+        self.gates = Gates(self.limits, self.claims)
         self.callers = CallerApi(
             self.state,
             self.dispatcher,
@@ -225,6 +233,7 @@
         self.config.tick()
         self.membership.tick()
         self.claims.tick()
+        self.limits.tick()
         self.publish()
 
     def publish(self):
