--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,11 @@
 
 capacity: $(VENV)/.ready
 	$(BIN)/python benchmarks/capacity.py
+
+policy: $(VENV)/.ready
+	$(BIN)/python benchmarks/policy.py $(ARGS)
+
+soak: $(VENV)/.ready
+	HYSSOP_SOAK_EXAMPLES=$$(( $(SECONDS) * 10 )) $(BIN)/python -m pytest \
+	    --hypothesis-profile soak --hypothesis-seed $(SEED) \
+	    -k "random_edits or random_faults or add_up" tests
--- a/src/hyssopspring/core/choice.py
+++ b/src/hyssopspring/core/choice.py
@@ -6,7 +6,6 @@
 CHOICES = {}
 DEFAULT_CHOICE = "affinity"
 AFFINE_SERVERS = 2
-BOUND = 1.25
 
 
 def choice(name):
@@ -60,20 +59,16 @@
     """Prefer the servers that likely hold the prompt's start.
 
     Rendezvous hashing over the prompt's start names the same few servers
-    on every host without any message. A popular start would overload
-    them, so one is passed over once its load exceeds the mean by a
-    quarter and has no free slot; then two random choices spread the
-    rest, which keeps hosts with the same old reports from all picking
-    the same server.
+    on every host without any message. One of them that has no free slot
+    is passed over: waiting there costs more than reading the prompt
+    elsewhere. Random choices spread what is passed over, which keeps
+    hosts with the same old reports from all picking the same server.
     """
-    ranked = rank(request.prefix, servers)
-    mean = sum(relative_load(server, now) for server in servers)
-    bound = BOUND * mean / len(servers)
-    for server in ranked[:AFFINE_SERVERS]:
-        load = relative_load(server, now)
-        if load < 1.0 or load <= bound:
+    for server in rank(request.prefix, servers)[:AFFINE_SERVERS]:
+        if relative_load(server, now) <= 1.0:
             return server
-    return two_choices(request, servers, now, rng)
+    free = [s for s in servers if relative_load(s, now) <= 1.0]
+    return two_choices(request, free or servers, now, rng)
 
 
 def rank(prefix, servers):
--- a/src/hyssopspring/core/exceptions.py
+++ b/src/hyssopspring/core/exceptions.py
@@ -33,10 +33,6 @@
     """The host list or the directory did not answer."""
 
 
-class LoopStallError(HyssopError):
-    """The event loop stood still for longer than allowed."""
-
-
 def ensure(condition, text):
     """Assert an invariant also when Python runs optimised.
 
--- a/src/hyssopspring/core/placement.py
+++ b/src/hyssopspring/core/placement.py
@@ -1,6 +1,6 @@
 """The choice among data centres: at home, or away and at what price."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .configuration import Weights
 from .requests import Priority
@@ -46,21 +46,37 @@
         region: Region of this host.
         summaries: `CentreSummary` by data centre.
         forwarded: Requests that this host has in progress there.
+        sent: Requests sent there since the newest summary, whose load
+            already counts those that were sent before.
     """
 
     region: str
     summaries: dict[str, CentreSummary] = field(default_factory=dict)
     forwarded: dict[str, int] = field(default_factory=dict)
+    sent: dict[str, int] = field(default_factory=dict)
 
     def take(self, summary):
         """Note a summary, unless a newer one is known."""
         known = self.summaries.get(summary.data_centre)
         if known is None or known.at <= summary.at:
             self.summaries[summary.data_centre] = summary
+            self.sent[summary.data_centre] = 0
+
+    def refresh(self, data_centre, target, load, now):
+        """Take over the load that rode on an answer from there.
+
+        Summaries grow rarer as the fleet grows. Answers bring fresh news
+        from just those centres that requests are sent to.
+        """
+        known = self.summaries.get(data_centre)
+        if known is not None:
+            targets = {**known.targets, target: load}
+            self.take(replace(known, targets=targets, at=now))
 
     def begin(self, data_centre):
         """Count a request that is forwarded to *data_centre*."""
         self.forwarded[data_centre] = self.forwarded.get(data_centre, 0) + 1
+        self.sent[data_centre] = self.sent.get(data_centre, 0) + 1
 
     def finish(self, data_centre):
         """Count a forwarded request that has ended."""
@@ -77,7 +93,7 @@
         free = slots - load
         if free <= 0:
             return 0.0
-        used = self.forwarded.get(summary.data_centre, 0)
+        used = self.sent.get(summary.data_centre, 0)
         return max(1.0, free / summary.listeners) - used
 
 
--- a/src/hyssopspring/core/plans.py
+++ b/src/hyssopspring/core/plans.py
@@ -11,6 +11,7 @@
 from .servers import Server
 
 LEAST_TIME = 0.005
+LONGEST_RETRY_AFTER = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +91,24 @@
         step = self.find_step(now)
         if step is NOTHING:
             return Finish(self.conclude(Reason.NO_SERVER))
+        if isinstance(step, Serve) and not self.outcomes:
+            return self.admit(step, now)
         return step
 
+    def admit(self, step, now):
+        """Return *step*, or the refusal of what would come too late.
+
+        A request that is queued beyond its deadline takes a place from
+        those that could still be answered; under overload all come too
+        late then. Only the queue counts, not how long an answer took
+        before: with no request let through, that would never change.
+        """
+        late = step.server.queue_wait(now) - (self.request.deadline - now)
+        if late <= 0:
+            return step
+        wait = min(max(1.0, late), LONGEST_RETRY_AFTER)
+        return Finish(NotRun(Reason.OVERLOADED, wait))
+
     def record(self, outcome):
         """Note the outcome of the step that `next` gave last."""
         self.outcomes.append(outcome)
--- a/src/hyssopspring/core/servers.py
+++ b/src/hyssopspring/core/servers.py
@@ -117,9 +117,12 @@
 
     def wait(self, now):
         """Estimate the seconds to the first token for one more request."""
+        return self.first_token + self.queue_wait(now)
+
+    def queue_wait(self, now):
+        """Estimate the seconds that one more request would be queued."""
         ahead = self.load(now) - self.slots + 1
-        queued = max(0.0, ahead) / self.slots
-        return self.first_token * (1.0 + queued)
+        return self.first_token * max(0.0, ahead) / self.slots
 
 
 @dataclass(slots=True)
@@ -213,19 +216,24 @@
             now: Time on the host's clock, in seconds.
             failed: Whether the server is to blame for a failure.
             first_token: Seconds to the first byte, if it came.
+
+        Returns:
+            Whether the server is now tried last, and was not before.
         """
         server = self.servers.get(name)
         if server is None:
-            return
+            return False
         server.in_flight = max(0, server.in_flight - 1)
         if first_token is not NOTHING:
             server.first_token += 0.2 * (first_token - server.first_token)
         if not failed:
             server.failures = 0
-            return
+            return False
+        news = server.paused_until <= now
         server.failures += 1
         pause = FAILURE_PAUSE * 2 ** (server.failures - 1)
         server.paused_until = now + min(pause, LONGEST_FAILURE_PAUSE)
+        return news
 
     def serving(self, target, now):
         """Return the servers that may get new work for *target*.
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -37,6 +37,7 @@
 
 
 LOAD_DECODER = msgspec.json.Decoder(ReportedLoad)
+CENTRE_LOAD_DECODER = msgspec.json.Decoder(tuple[int, float, float])
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,18 +143,23 @@
         began = state.clock.seconds()
         outcome = NOTHING
         try:
-            outcome = await self.send(request, call, sink, entry.name)
+            outcome = await self.send(
+                request,
+                call,
+                sink,
+                lambda data: self.take_load(entry.name, data),
+            )
         finally:
             self.finish_serve(entry.name, outcome, sink, began)
         return outcome
 
-    async def send(self, request, call, sink, server):
+    async def send(self, request, call, sink, loaded):
         """Send *call* and wait for its outcome, unless it is given up."""
         work = self.client.send(
             call,
             sink,
             deadline=request.deadline,
-            loaded=lambda data: self.take_load(server, data),
+            loaded=loaded,
         )
         self.active[request.id] = work
         try:
@@ -168,7 +174,13 @@
         first = NOTHING
         if sink.first_at is not NOTHING:
             first = sink.first_at - began
-        self.state.table.finish(name, now, failed=failed, first_token=first)
+        paused = self.state.table.finish(
+            name, now, failed=failed, first_token=first
+        )
+        if paused:
+            self.state.timeline.note(
+                EventKind.SERVER_PAUSED, server=name, reason=outcome.reason
+            )
         if outcome == NotRun(Reason.LEAVING):
             self.state.table.mark_leaving(name)
 
@@ -181,9 +193,13 @@
             data_centre=step.summary.data_centre,
         )
         call = forward_call(request, message, step, state, self.signer)
+
+        def loaded(data):
+            self.take_centre_load(step, data)
+
         state.centres.begin(step.summary.data_centre)
         try:
-            return await self.send(request, call, sink, "")
+            return await self.send(request, call, sink, loaded)
         finally:
             state.centres.finish(step.summary.data_centre)
 
@@ -197,6 +213,19 @@
             server, reported_load(load, self.state.clock.seconds())
         )
 
+    def take_centre_load(self, step, data):
+        """Take over another data centre's load from its answer."""
+        try:
+            load = CENTRE_LOAD_DECODER.decode(data)
+        except msgspec.DecodeError:
+            return
+        self.state.centres.refresh(
+            step.summary.data_centre,
+            step.target,
+            load,
+            self.state.clock.seconds(),
+        )
+
     def abandon(self, identifier):
         """Give up the request since its caller has gone."""
         work = self.active.pop(identifier, NOTHING)
--- a/src/hyssopspring/net/forwarding.py
+++ b/src/hyssopspring/net/forwarding.py
@@ -3,6 +3,8 @@
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 
+import msgspec
+
 from ..core.events import EventKind
 from ..core.exceptions import ProtocolError
 from ..core.forwarding import refuse_forwarded
@@ -102,6 +104,7 @@
             [
                 (b"hyssop-outcome", b"answered"),
                 (b"x-request-id", head.id.encode()),
+                (b"x-load", self.load_of(head)),
             ],
         )
         request = forwarded_request(head, self.state)
@@ -122,6 +125,12 @@
         )
         await self.carry_out(http_request, request, message, sink)
 
+    def load_of(self, head):
+        """Return slots, load and wait of the target, for the sender."""
+        target = Target(TargetKind(head.kind), head.target)
+        totals = self.state.table.summary(self.state.clock.seconds())
+        return msgspec.json.encode(totals.get(target, (0, 0.0, 0.0)))
+
     async def carry_out(self, http_request, request, message, sink):
         """Dispatch the request and send its outcome back."""
         gone = http_request.notifyFinish()
--- a/src/hyssopspring/net/serving.py
+++ b/src/hyssopspring/net/serving.py
@@ -6,6 +6,7 @@
 from twisted.web import http, resource, server
 
 from ..core.exceptions import HyssopError, ProtocolError
+from ..core.outcomes import Reason
 
 LONGEST_REQUEST = 4 * 1024 * 1024
 IDLE_TIMEOUT = 30.0
@@ -65,9 +66,14 @@
         super().__init__(root, timeout=IDLE_TIMEOUT, reactor=reactor)
         self.requestFactory = LimitedRequest
         self.longest = longest
-        self.too_long = (
-            b'{"error":{"message":"the body is too long",'
-            b'"type":"not_run","code":"body_too_large"}}'
+        self.too_long = msgspec.json.encode(
+            {
+                "error": {
+                    "message": "the body is too long",
+                    "type": "not_run",
+                    "code": Reason.BODY_TOO_LARGE,
+                }
+            }
         )
         self.displayTracebacks = False
 
@@ -140,7 +146,12 @@
                 return await self.call(handler, request)
         if known:
             return respond_error(
-                request, 405, "wrong_method", "the method is not allowed"
+                request,
+                405,
+                Reason.WRONG_METHOD,
+                "the method is not allowed",
+                kind="not_run",
+                headers=[("hyssop-outcome", "not-run")],
             )
         return respond_error(request, 404, "not_found", "no such path")
 
--- a/src/hyssopspring_fakes/engine.py
+++ b/src/hyssopspring_fakes/engine.py
@@ -20,8 +20,6 @@
 
 from .running import run_site
 
-PREFIX_CHARACTERS = 256
-
 
 @dataclass
 class EngineModel:
@@ -33,6 +31,7 @@
         decode: Seconds between two tokens.
         cached: Prompt starts that the cache holds.
         tokens: Tokens of an answer that asks for no number.
+        prefix: Characters of a prompt's start that the cache spares.
     """
 
     slots: int = 8
@@ -40,6 +39,7 @@
     decode: float = 0.002
     cached: int = 64
     tokens: int = 16
+    prefix: int = 256
 
 
 @dataclass
@@ -163,10 +163,11 @@
         """Read the prompt, then make tokens."""
         self.running[job.id] = job
         prompt = prompt_text(job.body)
-        start = hash_text(prompt[:PREFIX_CHARACTERS])
+        size = self.model.prefix
+        start = hash_text(prompt[:size])
         length = len(prompt)
         if start in self.prefixes:
-            length = max(0, length - PREFIX_CHARACTERS)
+            length = max(0, length - size)
         self.prefixes[start] = True
         self.prefixes.move_to_end(start)
         while len(self.prefixes) > self.model.cached:
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -188,6 +188,47 @@
         assert "me" not in path and len(path) <= 1
 
 
+def test_request_that_would_come_too_late_is_refused_at_once():
+    """A queue longer than the deadline refuses, and an empty one admits.
+
+    A user would see nothing answered in time under overload: each
+    request waits in a queue until its deadline is over, and runs then.
+    """
+    table = make_table([400])
+    server = table.servers["s0"]
+    server.first_token = 2.0
+    request = Request(
+        id="r",
+        workspace="w",
+        target=MODEL,
+        residency=frozenset(REGIONS),
+        home="dar",
+        deadline=10.0,
+    )
+    configuration = Configuration(
+        regions={region: Region() for region in REGIONS},
+        workspaces={"w": Workspace(home="dar")},
+        models={"m": Offer()},
+    )
+
+    def first_step():
+        return Plan(
+            request,
+            configuration=configuration,
+            table=table,
+            centres=CentreTable("dar"),
+            budget=RetryBudget(),
+            rng=random.Random(1),
+        ).next(0.0)
+
+    refused = first_step()
+    assert refused.outcome.reason is Reason.OVERLOADED
+    assert refused.outcome.retry_after > 1.0
+    server.report = NOTHING
+    server.first_token = 60.0
+    assert isinstance(first_step(), Serve)
+
+
 def test_retries_stay_a_share_of_the_traffic():
     """When all attempts fail, the load grows by a fifth and not threefold.
 
