Pace claim writes by shard, so that none waits past its time

One pacer served all shards of a host; those that waited overtook each other, and a group could miss its 1.5 s. Ruled out: a longer wait for claims (hides it); a queue of shards before the one pacer (needs the fleet's split of shards over hosts, which changes with each host that comes or goes).

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	$(BIN)/ruff check --fix src tests examples benchmarks
 
 bench: $(VENV)/.ready
+	$(BIN)/python benchmarks/changes.py
 	$(BIN)/python benchmarks/throughput.py
 
 capacity: $(VENV)/.ready
--- a/src/hyssopspring/core/claims.py
+++ b/src/hyssopspring/core/claims.py
@@ -14,10 +14,10 @@
 from .exceptions import ProtocolError, ensure
 from .sentinels import NOTHING
 
-SHARDS = 64
+SHARDS = 32
 DIGEST_SIZE = 16
 SEGMENT_RECORDS = 400
-RETENTION = 6 * 3600.0
+RETENTION = 3 * 3600.0
 
 
 class Mark(enum.IntEnum):
--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -10,6 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from ..core.claims import (
+    SHARDS,
     Mark,
     Record,
     Verdict,
@@ -39,7 +40,7 @@
 OWNER_WITHIN = 0.6
 ORPHAN_AFTER = 4.0
 FLEET_WRITES_PER_SECOND = 200.0
-WRITE_BURST = 5.0
+WRITE_BURST = 2.0
 RETRY_AFTER = 2.0
 
 REFUSALS = {
@@ -91,14 +92,11 @@
         self.agent = agent
         self.signer = signer
         self.wall = wall
-        self.pacer = Pacer(FLEET_WRITES_PER_SECOND, WRITE_BURST)
         self.logs = {}
         self.health = Health()
 
     def tick(self):
-        """Adapt this host's share of the writes to the fleet's size."""
-        hosts = len(self.peers.entries) + 1
-        self.pacer.rate = FLEET_WRITES_PER_SECOND / hosts
+        """Look whether the service is back, once it was down."""
         if self.health.down:
             defer.ensureDeferred(self.probe())
 
@@ -182,7 +180,7 @@
                 shard,
                 self.state.clock,
                 wall=self.wall,
-                pacer=self.pacer,
+                pacer=Pacer(FLEET_WRITES_PER_SECOND / SHARDS, WRITE_BURST),
                 timeline=self.state.timeline,
                 health=self.health,
             )
--- a/src/hyssopspring/platform/claimlogs.py
+++ b/src/hyssopspring/platform/claimlogs.py
@@ -58,7 +58,7 @@
         shard: Number of the shard.
         clock: The runtime's clock.
         wall: Callable that returns the wall clock in seconds.
-        pacer: `Pacer` over all writes of this host.
+        pacer: `Pacer` of the shard's writes.
         timeline: The `Timeline`.
         health: `Health` of the service, over all logs of the host.
         retention: Seconds for which records are kept.
@@ -238,10 +238,12 @@
         return group
 
     async def wait_turn(self):
-        """Wait until this host may write again.
+        """Wait until the shard may be written again.
 
-        The budget keeps all hosts together below the rate that the
-        service takes, also when all of them come back after an outage.
+        The budget keeps all shards together below the rate that the
+        service takes, also when all hosts come back after an outage. It
+        is the shard's own: with one for all shards of a host, those that
+        wait would overtake each other, and some never get their turn.
         """
         while not self.pacer.take(self.clock.seconds()):
             pause = self.pacer.wait(self.clock.seconds())
