--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -421,12 +421,16 @@
         """Count the end of an attempt at its server."""
         world = self.world
         world.in_flight[name] -= 1
-        wait = NOTHING if first is NOTHING else first - began
+        wait = making = NOTHING
+        if first is not NOTHING:
+            wait = first - began
+            making = world.clock.seconds() - first
         world.tables[region].finish(
             name,
             world.clock.seconds(),
             failed=not isinstance(outcome, Answered),
             first_token=wait,
+            making=making,
         )
         if name not in world.engines:
             return
@@ -612,9 +616,10 @@
 @click.command()
 @click.option("--seconds", default=60.0, show_default=True)
 @click.option("--seed", default=1, show_default=True)
+@click.option("--policy", "chosen", help="Run only this policy.")
 @click.option("--scenario", "only", help="Run only this scenario.")
 @click.option("--plot", type=click.Path(), help="Draw into this PNG file.")
-def main(seconds, seed, only, plot):
+def main(seconds, seed, chosen, only, plot):
     """Print a table of all policies in all scenarios."""
     found = {}
     for title, scenario in SCENARIOS.items():
@@ -622,6 +627,8 @@
             continue
         print(f"{title} (seconds; p50 p95 p99 of quick first tokens)")
         for name in POLICIES:
+            if chosen and name != chosen:
+                continue
             row = run(name, scenario, seconds, seed)
             found[title, name] = row
             shown = "  ".join(f"{k} {v:.3f}" for k, v in row.items())
--- a/src/hyssopspring/core/placement.py
+++ b/src/hyssopspring/core/placement.py
@@ -10,7 +10,6 @@
 AWAY_PENALTY = 0.5
 COLD_PREFILL = 0.3
 HYSTERESIS = 0.1
-BOUND_RESERVE = 0.1
 STALE_PENALTY = 30.0
 FULL_PENALTY = 5.0
 
@@ -133,7 +132,7 @@
     if centres.region in allowed and servers:
         wait = min(server.wait(now) for server in servers)
         score = weigh(request, weights, centres.region, wait, 0.0)
-        if is_full_for(allowed == {request.home}, servers, now):
+        if is_full(servers, now):
             score += FULL_PENALTY
         options.append(Option(score))
     for summary in centres.summaries.values():
@@ -206,18 +205,6 @@
     return known.get(there, 100.0) / 1000
 
 
-def is_full_for(bound, servers, now):
-    """Whether *servers* have no free slot for a request.
-
-    The last tenth is kept for requests that may go nowhere else; the
-    others leave a little earlier and find a slot elsewhere.
-
-    Args:
-        bound: Whether the request is bound to its home.
-        servers: Servers of the own data centre.
-        now: Time on the host's clock, in seconds.
-    """
-    slots = sum(server.slots for server in servers)
-    load = sum(min(server.load(now), server.slots) for server in servers)
-    reserve = 0.0 if bound else BOUND_RESERVE * slots
-    return slots - load <= reserve
+def is_full(servers, now):
+    """Whether none of *servers* has a free slot."""
+    return all(server.load(now) >= server.slots for server in servers)
--- a/src/hyssopspring/core/servers.py
+++ b/src/hyssopspring/core/servers.py
@@ -9,6 +9,9 @@
 FAILURE_PAUSE = 1.0
 LONGEST_FAILURE_PAUSE = 30.0
 DEFAULT_SLOTS = 8
+FALLING = 0.3
+RISING = 0.03
+MAKING = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,7 +71,10 @@
         left_incarnation: Incarnation that said it leaves, or `NOTHING`.
         failures: Failed attempts in a row.
         paused_until: Time until which it is tried last.
-        first_token: Moving average of seconds to the first byte.
+        first_token: Seconds to the first byte when nothing is queued;
+            a moving average that falls fast and rises slowly, so that
+            times in the queue, which are estimated apart, hardly count.
+        making: Moving average of seconds from first to last byte.
     """
 
     entry: ServerEntry
@@ -79,6 +85,7 @@
     failures: int = 0
     paused_until: float = 0.0
     first_token: float = 0.0
+    making: float = 0.0
 
     @property
     def leaving(self):
@@ -100,6 +107,16 @@
             return DEFAULT_SLOTS
         return max(1, self.report.slots)
 
+    def note_times(self, first_token, making):
+        """Take over the times of one answer."""
+        gap = first_token - self.first_token
+        if self.first_token:
+            self.first_token += gap * (FALLING if gap < 0 else RISING)
+        else:
+            self.first_token = first_token
+        if making is not NOTHING:
+            self.making += MAKING * (making - self.making)
+
     def load(self, now):
         """Estimate the requests that the server has at *now*.
 
@@ -122,7 +139,8 @@
     def queue_wait(self, now):
         """Estimate the seconds that one more request would be queued."""
         ahead = self.load(now) - self.slots + 1
-        return self.first_token * max(0.0, ahead) / self.slots
+        held = self.first_token + self.making
+        return held * max(0.0, ahead) / self.slots
 
 
 @dataclass(slots=True)
@@ -208,7 +226,9 @@
         server.in_flight += 1
         server.sent_since_report += 1
 
-    def finish(self, name, now, *, failed, first_token=NOTHING):
+    def finish(
+        self, name, now, *, failed, first_token=NOTHING, making=NOTHING
+    ):
         """Count an attempt that has ended.
 
         Args:
@@ -216,6 +236,7 @@
             now: Time on the host's clock, in seconds.
             failed: Whether the server is to blame for a failure.
             first_token: Seconds to the first byte, if it came.
+            making: Seconds from first to last byte, if it came.
 
         Returns:
             Whether the server is now tried last, and was not before.
@@ -225,7 +246,7 @@
             return False
         server.in_flight = max(0, server.in_flight - 1)
         if first_token is not NOTHING:
-            server.first_token += 0.2 * (first_token - server.first_token)
+            server.note_times(first_token, making)
         if not failed:
             server.failures = 0
             return False
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -171,11 +171,12 @@
         """Count the end of an attempt at a backend server."""
         now = self.state.clock.seconds()
         failed = getattr(outcome, "reason", NOTHING) in BLAMED
-        first = NOTHING
+        first = making = NOTHING
         if sink.first_at is not NOTHING:
             first = sink.first_at - began
+            making = now - sink.first_at
         paused = self.state.table.finish(
-            name, now, failed=failed, first_token=first
+            name, now, failed=failed, first_token=first, making=making
         )
         if paused:
             self.state.timeline.note(
