Take no word of hosts that may be cut off together as contact

Cause, found by 3,000 random histories of edits and cuts: two hosts of two regions, both cut off and both behind, heard each other, took that for contact, and used a right that was withdrawn without them. A further look at the argument showed a second gap: confirmations were only checked at the end of the hold, so a host could have heard an old word just before. Ruled out: word of the platform alone (an outage would confine all hosts); word of all data centres (any one that is down would confine all). Before: E AssertionError: mwanza-0 uses a withdrawn right state.cut('dar-0'), edit(residency [dar, arusha]), cut('mwanza-0'), advance(4.0) After: a host trusts its configuration while the platform was read lately by it or a neighbour, or while it hears every neighbour and none is ahead; confirmations must hold throughout. Hosts that are confined say so in the time line (E104, E105) and in their status.

--- a/src/hyssopspring/config/accepting.py
+++ b/src/hyssopspring/config/accepting.py
@@ -26,7 +26,7 @@
     withdraw,
 )
 
-CONFIRM_WITHIN = RESTRICTION_HOLD + 0.3
+CONFIRM_WITHIN = 1.2
 CONFIRM_POLL = 0.1
 RETRY_PAUSE = 0.05
 EVALUATE_EVERY = 2.0
@@ -194,18 +194,23 @@
         A host that has not heard of a restriction goes on using the
         right. Only when each has confirmed that it enforces the stricter
         of both is the restriction in force everywhere, and only then is
-        the operator told so. It is held for as long as a host that is
-        cut off, and therefore not listed, takes to notice that itself.
+        the operator told so. All must go on confirming for as long as a
+        host that is cut off, and therefore not listed, takes to notice
+        that itself.
         """
-        began = self.clock.seconds()
-        hold = began + RESTRICTION_HOLD
-        give_up = began + CONFIRM_WITHIN
+        give_up = self.clock.seconds() + CONFIRM_WITHIN
+        since = NOTHING
         while True:
             unheard = await self.unheard(held.accepted)
-            if not unheard and self.clock.seconds() >= hold:
+            now = self.clock.seconds()
+            if unheard:
+                since = NOTHING
+            elif since is NOTHING:
+                since = now
+            if since is not NOTHING and now - since >= RESTRICTION_HOLD:
                 await self.swap(held, confirm(held.accepted))
                 return
-            if unheard and self.clock.seconds() >= give_up:
+            if unheard and now >= give_up:
                 self.timeline.note(
                     EventKind.CONFIG_REFUSED, unheard=",".join(unheard)
                 )
--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -14,6 +14,8 @@
     STOPPING = (101, "planned stop began")
     STOPPED = (102, "planned stop ended, nothing was cut")
     LOOP_STALL = (103, "event loop stood still")
+    CONFINED = (104, "host serves only workspaces at home in its region")
+    UNCONFINED = (105, "host trusts its configuration again")
     REQUEST = (200, "request admitted")
     ATTEMPT = (201, "attempt sent to a backend server")
     FORWARD = (202, "attempt forwarded to another data centre")
--- a/src/hyssopspring/core/membership.py
+++ b/src/hyssopspring/core/membership.py
@@ -6,6 +6,7 @@
 
 HEARTBEAT_EVERY = 1.0
 SUSPECT_AFTER = 3.0
+NEIGHBOUR_SILENCE = 1.5
 WATCHERS = 2
 
 
@@ -143,6 +144,23 @@
             return False
         return not state.leaving
 
+    def neighbours_agree(self, now, generation):
+        """Whether each neighbour was just heard, and none is ahead.
+
+        Args:
+            now: Time on the host's clock, in seconds.
+            generation: Generation in force on this host.
+        """
+        for host in self.entries:
+            if not self.is_local(host):
+                continue
+            state = self.states.get(host)
+            if state is None or now - state.heard_at > NEIGHBOUR_SILENCE:
+                return False
+            if state.generation > generation:
+                return False
+        return True
+
     def control_addresses(self):
         """Return the addresses to connect to for control messages.
 
--- a/src/hyssopspring/core/trust.py
+++ b/src/hyssopspring/core/trust.py
@@ -21,15 +21,25 @@
     """Tell whether rights may have been withdrawn unheard.
 
     A restriction comes into force once all hosts that the platform lists
-    have confirmed it. A host that was frozen, or that nobody could
-    reach, may have been left out of that list. It would go on using a
-    right that is gone. So such a host serves only the workspaces that
-    are at home in its region, until it is in contact again: with the
-    platform, with another data centre, or with a neighbour that is. A
-    restriction is held back for as long as this takes to notice.
+    have confirmed it, at least one in each data centre concerned, and
+    have held to it for a while. A host that was frozen, or that nobody
+    could reach, may have been left out. It would go on using a right
+    that is gone. It is sure not to have been left out if
+
+    - the platform was read just now, by itself or by a neighbour; or
+    - it has just heard every neighbour, and none is ahead: one of them
+      would have had to confirm.
+
+    Otherwise it serves only the workspaces at home in its region. Word
+    of other data centres is no proof, since those who speak may be cut
+    off together with it. While the platform is down for all, the second
+    rule keeps everything going.
 
     Args:
         now: Time on the host's clock, in seconds.
+
+    Attributes:
+        neighbours: Called with the time; whether the second rule holds.
     """
 
     def __init__(self, now):
@@ -37,7 +47,7 @@
         self.heard_at = now
         self.direct_at = now
         self.thawed_at = now
-        self.has_peers = False
+        self.neighbours = alone
         self.frozen = False
 
     def wake(self, now):
@@ -48,12 +58,12 @@
         self.awake_at = now
 
     def hear_direct(self, now):
-        """Note word of the platform or of another data centre."""
+        """Note word of the platform."""
         self.direct_at = now
         self.heard_at = now
 
     def hear_neighbour(self, now):
-        """Note word of a neighbour that is in contact."""
+        """Note word of a neighbour that has just read the platform."""
         self.heard_at = now
 
     def verify(self, asked_at):
@@ -67,7 +77,7 @@
             self.frozen = False
 
     def in_contact(self, now):
-        """Whether this host itself is in contact."""
+        """Whether this host itself has just read the platform."""
         return now - self.direct_at <= DIRECT_LIFE
 
     def level(self, now):
@@ -79,10 +89,11 @@
         self.wake(now)
         if self.frozen:
             return Level.HOME_ONLY
-        silent = now - self.heard_at > LONGEST_SILENCE
-        if silent and self.has_peers:
-            return Level.HOME_ONLY
-        return Level.FULL
+        if now - self.heard_at <= LONGEST_SILENCE:
+            return Level.FULL
+        if self.neighbours(now):
+            return Level.FULL
+        return Level.HOME_ONLY
 
     def permitted(self, residency, home, region, now):
         """Return what is left of a request's residency.
@@ -102,3 +113,8 @@
         if home != region:
             return NOTHING
         return residency & {region}
+
+
+def alone(now):
+    """Stand for the neighbours of a host that has none."""
+    return True
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -14,7 +14,7 @@
 from .core.placement import CentreTable
 from .core.sentinels import NOTHING
 from .core.servers import ServerTable
-from .core.trust import Trust
+from .core.trust import Level, Trust
 from .logs import EventLogger, start_logging
 from .metrics import EventCounter, make_metrics
 from .net.backends import BackendClient
@@ -80,6 +80,8 @@
         self.ports = []
         self.loops = []
         self.stall = 0.0
+        self.trust_level = Level.FULL
+        self.publish_due = 0.0
         self.stall_expected = NOTHING
 
     def make_state(self, seed):
@@ -174,6 +176,10 @@
             forward_address=self.settings.forward,
             newer=self.config.newer,
         )
+        self.state.keeper.applied = lambda _: self.membership.announce()
+        self.state.trust.neighbours = lambda now: self.peers.neighbours_agree(
+            now, self.state.keeper.generation
+        )
 
     def note_refused(self, why):
         """Put a dropped message on the time line."""
@@ -228,20 +234,31 @@
 
     def tick(self):
         """Do the periodic work of a heartbeat interval."""
-        self.state.trust.has_peers = bool(self.peers.entries)
         self.follower.tick()
         self.config.tick()
         self.membership.tick()
         self.claims.tick()
         self.limits.tick()
+        self.note_trust()
         self.publish()
 
+    def note_trust(self):
+        """Put a change of the trust in the configuration on record."""
+        level = self.state.trust.level(self.reactor.seconds())
+        if level is self.trust_level:
+            return
+        self.trust_level = level
+        kind = EventKind.CONFINED
+        if level is Level.FULL:
+            kind = EventKind.UNCONFINED
+        self.timeline.note(kind)
+
     def publish(self):
         """Keep the directory entry current."""
         if self.drain.leaving or not self.state.keeper.generation:
             return
         now = self.reactor.seconds()
-        if now < getattr(self, "publish_due", 0.0):
+        if now < self.publish_due:
             return
         self.publish_due = now + HOSTS_TIME_TO_LIVE
         entry = {
@@ -324,6 +341,7 @@
                 for name, summary in self.state.centres.summaries.items()
             },
             stall_ms=round(self.stall * 1000, 1),
+            trust=self.state.trust.level(now).value,
         )
 
     async def stop(self):
--- a/src/hyssopspring/net/control.py
+++ b/src/hyssopspring/net/control.py
@@ -36,6 +36,7 @@
         servers: Load by backend server; -1 for one that is leaving.
         centres: Age in seconds of each other data centre's summary.
         stall_ms: Longest time that its loop stood still lately.
+        trust: ``full``, or ``home only`` if it is confined.
     """
 
     host: str
@@ -48,6 +49,7 @@
     servers: dict[str, float]
     centres: dict[str, float]
     stall_ms: float
+    trust: str
 
 
 class ControlPages:
--- a/src/hyssopspring/net/membership.py
+++ b/src/hyssopspring/net/membership.py
@@ -81,6 +81,11 @@
             self.send_summary(now)
         return self.poll_servers(now)
 
+    def announce(self):
+        """Tell the others at once of a new configuration."""
+        self.summary_due = 0.0
+        self.send_heartbeat()
+
     def send_heartbeat(self):
         """Tell the hosts of this data centre how things stand."""
         now = self.state.clock.seconds()
@@ -188,14 +193,12 @@
             self.take_heartbeat(message, now)
 
     def note_contact(self, message, now):
-        """Note what a message proves on contact with the others.
+        """Note a neighbour's word that it has just read the platform.
 
         A message of a newer configuration proves nothing until that is
         fetched, since it may withdraw a right.
         """
-        if message.data_centre != self.state.data_centre:
-            self.state.trust.hear_direct(now)
-        elif isinstance(message, Heartbeat) and message.contact:
+        if isinstance(message, Heartbeat) and message.contact:
             self.state.trust.hear_neighbour(now)
 
     def take_heartbeat(self, message, now):
--- a/src/hyssopspring/net/messages.py
+++ b/src/hyssopspring/net/messages.py
@@ -66,8 +66,7 @@
         counter: Hybrid logical time, other part.
         generation: Configuration in force there.
         leaving: Whether the host takes no new work.
-        contact: Whether the host is in contact with the platform or
-            with another data centre.
+        contact: Whether the host has just read the platform.
         servers: Load of the backend servers that it polls.
         departing: Backend servers that it has evidence of leaving.
         usage: `Usage` of each workspace that asked it lately.
