Split long functions and set up time lines in one place

Cause: read as a newcomer, three functions did four things each, gateway and administration set up logs and metrics twice, and a replaced host in the limit runs went on working after its end, which a longer run found: E assert 21 <= 20, after restart(host=1) and delay(0.02, host=0) Ruled out as a fault of the product: the requests that ran on were those of the replaced host, whose client still got answers in the test. What: resolve, swap and forward_call split; observing.py; the replaced host gets no more answers.

--- a/src/hyssopspring/admin.py
+++ b/src/hyssopspring/admin.py
@@ -1,20 +1,19 @@
 """The administration: composition root of ``hyssop-admin``."""
 
-import random
 import time
 
 from twisted.internet import defer, task
 
 from .config.accepting import EVALUATE_EVERY, Acceptor
-from .core.events import EventKind, HybridClock, Timeline
+from .core.events import EventKind
 from .core.sentinels import NOTHING
-from .logs import EventLogger, start_logging
-from .metrics import EventCounter, make_metrics
+from .logs import start_logging
 from .net.administration import AdminApi
 from .net.clients import make_agent
 from .net.control import PageReader
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
+from .observing import log_failure, make_rng, make_timeline
 from .platform import etcd  # noqa: F401 - registers itself
 from .platform.hosts import HostListClient
 from .platform.keyvalues import find_key_value
@@ -36,25 +35,19 @@
     def __init__(self, settings, reactor, *, wall, seed=NOTHING):
         self.settings = settings
         self.reactor = reactor
-        metrics = make_metrics(settings.statsd, settings.host)
-        self.timeline = Timeline(
-            settings.host,
-            HybridClock(wall),
-            listeners=[
-                EventLogger(settings.host, settings.log),
-                EventCounter(metrics),
-            ],
-        )
-        rng = random.SystemRandom()
-        if seed is not NOTHING:
-            rng = random.Random(seed)
+        self.timeline = make_timeline(settings, wall)
         self.agent = make_agent(reactor)
         scheme, _, address = settings.platform.partition("+")
         self.store = find_key_value(scheme)(address, self.agent, reactor)
         hosts = HostListClient(settings.host_list, self.agent, reactor)
         pages = PageReader(self.agent, reactor, Signer(settings.peer_secret))
         self.acceptor = Acceptor(
-            self.store, hosts, pages, reactor, self.timeline, rng
+            self.store,
+            hosts,
+            pages,
+            reactor,
+            self.timeline,
+            make_rng(seed),
         )
         self.api = AdminApi(
             self.acceptor,
@@ -83,9 +76,7 @@
 
     def note_failure(self, reason):
         """Write the trace of a handler that raised."""
-        EventLogger(self.settings.host, "DEBUG").log.error(
-            "{}", reason.getTraceback()
-        )
+        log_failure(self.settings.host, reason)
 
     async def stop(self):
         """Stop; what is half done, another administration finishes."""
--- a/src/hyssopspring/core/shares.py
+++ b/src/hyssopspring/core/shares.py
@@ -36,6 +36,10 @@
     until: int
 
 
+NO_HOLDING = Holding(0, 0, 0)
+"""Stands for a host that holds nothing."""
+
+
 class Ledger(msgspec.Struct, frozen=True, array_like=True):
     """All holdings of some workspaces.
 
@@ -110,7 +114,7 @@
             for name, held in holdings.get(workspace, {}).items()
             if held.until + SKEW > wall
         }
-        held = before.pop(host, Holding(0, 0, 0))
+        held = before.pop(host, NO_HOLDING)
         wishes = {name: other.wanted for name, other in before.items()}
         fair = fair_units({**wishes, host: wanted}, host)
         free = WHOLE - sum(other.units for other in before.values())
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -1,6 +1,5 @@
 """The gateway: composition root and command of ``hyssop-gateway``."""
 
-import random
 import uuid
 
 from twisted.internet import defer, task
@@ -8,15 +7,14 @@
 
 from .core.accepted import GenerationKeeper
 from .core.budgets import RetryBudget
-from .core.events import EventKind, HybridClock, Timeline
+from .core.events import EventKind
 from .core.exceptions import PlatformError
 from .core.membership import HEARTBEAT_EVERY, PeerEntry, PeerTable
 from .core.placement import CentreTable
 from .core.sentinels import NOTHING
 from .core.servers import ServerTable
 from .core.trust import Level, Trust
-from .logs import EventLogger, start_logging
-from .metrics import EventCounter, make_metrics
+from .logs import start_logging
 from .net.backends import BackendClient
 from .net.bus import Bus
 from .net.callers import CallerApi
@@ -31,6 +29,7 @@
 from .net.membership import Membership
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
+from .observing import log_failure, make_rng, make_timeline
 from .platform import etcd  # noqa: F401 - registers itself
 from .platform.following import ConfigFollower, HostFollower
 from .platform.hosts import HostListClient
@@ -59,15 +58,7 @@
         self.reactor = reactor
         self.wall = wall
         self.incarnation = uuid.uuid4().hex[:12]
-        self.metrics = make_metrics(settings.statsd, settings.host)
-        self.timeline = Timeline(
-            settings.host,
-            HybridClock(wall),
-            listeners=[
-                EventLogger(settings.host, settings.log),
-                EventCounter(self.metrics),
-            ],
-        )
+        self.timeline = make_timeline(settings, wall)
         self.drain = Drain()
         self.signer = Signer(settings.peer_secret)
         self.pooled = make_agent(reactor)
@@ -87,9 +78,6 @@
     def make_state(self, seed):
         """Return the `HostState`."""
         settings = self.settings
-        rng = random.SystemRandom()
-        if seed is not NOTHING:
-            rng = random.Random(seed)
         return HostState(
             host=settings.host,
             region=settings.region,
@@ -100,7 +88,7 @@
             centres=CentreTable(settings.region),
             keeper=GenerationKeeper(),
             budget=RetryBudget(),
-            rng=rng,
+            rng=make_rng(seed),
             policy=settings.policy,
             trust=Trust(self.reactor.seconds()),
         )
@@ -210,9 +198,7 @@
 
     def note_failure(self, reason):
         """Write the trace of a handler that raised."""
-        EventLogger(self.settings.host, "DEBUG").log.error(
-            "{}", reason.getTraceback()
-        )
+        log_failure(self.settings.host, reason)
 
     def repeat(self, interval, work):
         """Call *work* every *interval* seconds, now first."""
--- a/src/hyssopspring/net/callers.py
+++ b/src/hyssopspring/net/callers.py
@@ -242,11 +242,36 @@
         Raises:
             Refused: Nothing may serve it, or a header is wrong.
         """
-        configuration = self.state.keeper.enforced
         if self.drain.refusing:
             raise Refused(Reason.LEAVING)
+        configuration = self.state.keeper.enforced
         rights = configuration.workspaces[workspace]
         offer = configuration.offer(target)
+        most = min(rights.deadline_ms, offer.deadline_ms)
+        seconds = read_deadline(http_request, most)
+        return Request(
+            id=identifier,
+            workspace=workspace,
+            target=target,
+            residency=self.resolve_residency(http_request, workspace, target),
+            home=rights.home,
+            deadline=self.state.clock.seconds() + seconds,
+            priority=read_priority(http_request),
+            repeatable=self.may_repeat(http_request, workspace, target),
+            key=read_key(http_request),
+            prefix=prefix,
+            attempts=min(rights.attempts, offer.attempts),
+            fallbacks=configuration.fallbacks(target),
+            stream=stream,
+        )
+
+    def resolve_residency(self, http_request, workspace, target):
+        """Return the regions that may serve the request.
+
+        Raises:
+            Refused: There is none, or this host must not decide.
+        """
+        configuration = self.state.keeper.enforced
         residency = configuration.permitted(workspace, target)
         wanted = header(http_request, "hyssop-residency")
         if wanted:
@@ -254,7 +279,7 @@
             residency &= frozenset(named)
         residency = self.state.trust.permitted(
             residency,
-            rights.home,
+            configuration.workspaces[workspace].home,
             self.state.region,
             self.state.clock.seconds(),
         )
@@ -262,28 +287,16 @@
             raise Refused(Reason.UNVERIFIED)
         if not residency:
             raise Refused(Reason.RESIDENCY)
-        fallbacks = configuration.fallbacks(target)
-        repeatable = rights.repeatable and offer.repeatable
-        for fallback in fallbacks:
-            repeatable &= configuration.offer(fallback).repeatable
+        return residency
+
+    def may_repeat(self, http_request, workspace, target):
+        """Whether all who have a say let the request run twice."""
         if header(http_request, "hyssop-repeatable").lower() == "no":
-            repeatable = False
-        most = min(rights.deadline_ms, offer.deadline_ms)
-        return Request(
-            id=identifier,
-            workspace=workspace,
-            target=target,
-            residency=residency,
-            home=rights.home,
-            deadline=self.state.clock.seconds()
-            + read_deadline(http_request, most),
-            priority=read_priority(http_request),
-            repeatable=repeatable,
-            key=read_key(http_request),
-            prefix=prefix,
-            attempts=min(rights.attempts, offer.attempts),
-            fallbacks=fallbacks,
-            stream=stream,
+            return False
+        configuration = self.state.keeper.enforced
+        targets = (target, *configuration.fallbacks(target))
+        return configuration.workspaces[workspace].repeatable and all(
+            configuration.offer(one).repeatable for one in targets
         )
 
 
--- a/src/hyssopspring/net/forwarding.py
+++ b/src/hyssopspring/net/forwarding.py
@@ -31,9 +31,29 @@
         state: The `HostState`.
         signer: The `Signer`.
     """
-    attempt = f"{request.id}-{step.number}"
-    head = ForwardedHead(
-        id=attempt,
+    head = ENCODER.encode(make_head(request, message, step, state))
+    body = message.body_for(step.target, request.target)
+    signature = signer.sign(head, body)
+    return Call(
+        id=f"{request.id}-{step.number}",
+        method=b"POST",
+        url=f"http://{step.address}{FORWARD_PATH}".encode(),
+        headers=(
+            (b"content-type", message.content_type),
+            (HEAD, b64encode(head)),
+            (SIGNATURE, b64encode(signature)),
+        ),
+        body=body,
+        stream=request.stream,
+        repeatable=request.repeatable,
+        refusal=read_outcome,
+    )
+
+
+def make_head(request, message, step, state):
+    """Return the `ForwardedHead` of a request for another host."""
+    return ForwardedHead(
+        id=f"{request.id}-{step.number}",
         attempt=step.number,
         path=[*request.path, state.host],
         workspace=request.workspace,
@@ -51,23 +71,6 @@
         method=message.method.decode(),
         resource=message.resource.decode("latin-1"),
     )
-    encoded = ENCODER.encode(head)
-    body = message.body_for(step.target, request.target)
-    signature = signer.sign(encoded, body)
-    return Call(
-        id=attempt,
-        method=b"POST",
-        url=f"http://{step.address}{FORWARD_PATH}".encode(),
-        headers=(
-            (b"content-type", message.content_type),
-            (HEAD, b64encode(encoded)),
-            (SIGNATURE, b64encode(signature)),
-        ),
-        body=body,
-        stream=request.stream,
-        repeatable=request.repeatable,
-        refusal=read_outcome,
-    )
 
 
 class ForwardedApi:
--- a/src/hyssopspring/net/limiting.py
+++ b/src/hyssopspring/net/limiting.py
@@ -11,6 +11,7 @@
 from ..core.shares import (
     HOME_FLOOR,
     LEDGERS,
+    NO_HOLDING,
     WHOLE,
     Ledger,
     Usage,
@@ -184,40 +185,46 @@
         """
         key = f"{SHARES_PREFIX}{number}"
         entry = await self.store.get(key)
-        before = Ledger()
-        revision = 0
+        before, revision = Ledger(), 0
         if entry is not NOTHING:
-            before = decode_ledger(entry.value)
-            revision = entry.revision
-        mine = {
-            workspace: usage
-            for workspace, usage in self.usages.items()
-            if ledger_of(workspace) == number
-        }
-        wants = {
-            workspace: self.wants(workspace, usage)
-            for workspace, usage in mine.items()
-        }
-        after = settle(before, self.state.host, wants, self.wall())
-        held = {
-            workspace: after.holdings[workspace].get(self.state.host)
-            for workspace in wants
-        }
-        for workspace, usage in mine.items():
-            units = held[workspace].units if held[workspace] else 0
-            usage.units = min(usage.units, units)
+            before, revision = decode_ledger(entry.value), entry.revision
+        after = settle(
+            before, self.state.host, self.all_wants(number), self.wall()
+        )
+        held = self.own_holdings(number, after)
+        for workspace, holding in held.items():
+            usage = self.usages[workspace]
+            usage.units = min(usage.units, holding.units)
         if after == before:
             return True
         result = await self.store.swap(key, encode_ledger(after), revision)
         if not isinstance(result, Applied):
             return False
-        for workspace, usage in mine.items():
-            if held[workspace] is not None:
-                usage.units = held[workspace].units
-                usage.until = held[workspace].until
+        for workspace, holding in held.items():
+            usage = self.usages[workspace]
+            usage.units = holding.units
+            usage.until = holding.until
         self.state.timeline.note(EventKind.SHARES_CHANGED, ledger=number)
         return True
 
+    def all_wants(self, number):
+        """Return the `Want` by workspace for one ledger."""
+        return {
+            workspace: self.wants(workspace, usage)
+            for workspace, usage in self.usages.items()
+            if ledger_of(workspace) == number
+        }
+
+    def own_holdings(self, number, ledger):
+        """Return this host's `Holding` by workspace in one ledger."""
+        return {
+            workspace: ledger.holdings[workspace].get(
+                self.state.host, NO_HOLDING
+            )
+            for workspace in self.usages
+            if ledger_of(workspace) == number
+        }
+
     def wants(self, workspace, usage):
         """Return the `Want` of this host for a workspace."""
         limits = self.limits(workspace)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -53,9 +53,11 @@
     def start(self, host):
         """Start a host that remembers nothing.
 
-        What an earlier one had in progress ends with it, as engines stop
-        work for a connection that is gone.
+        An earlier one gets no more answers, and what it had in progress
+        ends with it, as engines stop work for a connection that is gone.
         """
+        if host in self.clients:
+            self.clients[host].paused = True
         self.running[host] = 0
         self.boots[host] += 1
         client = MemoryKeyValue(self.store, self.clock)
