Regain trust after a cut only by a configuration that is surely new

Cause, found by walking through the argument: a host whose links heal reads the host list first and took that for contact, while its own configuration still was the one from before the cut; and a configuration that the service answers from the past would have done as well. Ruled out: a verified read by every host (each one writes the value back, which wakes all watches); only the two watchers of a centre do. Times of contact count from when the question was asked, not from the answer. A host in doubt asks its neighbours and eight others instead of all. Conclusion: continuity of contact is what a host may rely on.

--- a/src/hyssopspring/core/membership.py
+++ b/src/hyssopspring/core/membership.py
@@ -8,6 +8,7 @@
 SUSPECT_AFTER = 3.0
 NEIGHBOUR_SILENCE = 1.5
 WATCHERS = 2
+FAR_SOURCES = 8
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -144,6 +145,16 @@
             return False
         return not state.leaving
 
+    def sources(self):
+        """Return the hosts to ask when the own configuration is in doubt.
+
+        All neighbours, and a few hosts elsewhere, the same ones each
+        time; to ask all would multiply with the fleet after an outage.
+        """
+        local = [host for host in self.entries if self.is_local(host)]
+        others = [host for host in self.entries if not self.is_local(host)]
+        return local + order(self.host, others)[:FAR_SOURCES]
+
     def neighbours_agree(self, now, generation):
         """Whether each neighbour was just heard, and none is ahead.
 
--- a/src/hyssopspring/core/trust.py
+++ b/src/hyssopspring/core/trust.py
@@ -57,10 +57,20 @@
             self.thawed_at = now
         self.awake_at = now
 
-    def hear_direct(self, now):
-        """Note word of the platform."""
-        self.direct_at = now
-        self.heard_at = now
+    def hear_direct(self, asked_at, now, *, verified=False):
+        """Note word of the platform.
+
+        Args:
+            asked_at: When it was asked for; the answer is no newer.
+            now: Time on the host's clock, in seconds.
+            verified: Whether it was the configuration, and surely the
+                newest. After a gap in the contact nothing less will do:
+                a restriction may have come into force in the meantime.
+        """
+        if not verified and self.level(now) is not Level.FULL:
+            return
+        self.direct_at = max(self.direct_at, asked_at)
+        self.heard_at = max(self.heard_at, asked_at)
 
     def hear_neighbour(self, now):
         """Note word of a neighbour that has just read the platform."""
--- a/src/hyssopspring/platform/following.py
+++ b/src/hyssopspring/platform/following.py
@@ -7,9 +7,11 @@
 from ..core.exceptions import KeyValueError, PlatformError, ProtocolError
 from ..core.membership import PeerEntry
 from ..core.sentinels import NOTHING
+from ..core.trust import Level
 from .keyvalues import Applied, NotApplied
 
 CONFIG_POLL = 5.0
+UNSURE_POLL = 1.0
 HOSTS_POLL = 1.0
 IDLE_HOSTS_POLL = 10.0
 
@@ -46,17 +48,17 @@
         """Do what is due."""
         now = self.state.clock.seconds()
         keeper = self.state.keeper
-        unsure = not keeper.generation or self.state.trust.frozen
+        unsure = self.is_unsure()
         if unsure:
-            for host in list(self.peers.entries):
+            for host in self.peers.sources():
                 self.fetch(host)
         watching = self.peers.watches(now)
         if watching and self.watch is NOTHING:
             self.watch = self.store.watch(ACCEPTED_KEY, self.changed)
         if not watching and self.watch is not NOTHING:
             self.stop()
-        if (watching or unsure) and now >= self.read_due:
-            self.read_due = now + CONFIG_POLL
+        if (watching or not keeper.generation) and now >= self.read_due:
+            self.read_due = now + (UNSURE_POLL if unsure else CONFIG_POLL)
             self.changed()
 
     def stop(self):
@@ -73,12 +75,13 @@
         self.reading = True
         defer.ensureDeferred(self.read()).addBoth(self.finished)
 
-    def finished(self, _):
+    def finished(self, result):
         """Read once more if something changed meanwhile."""
         self.reading = False
         if self.again:
             self.again = False
             self.changed()
+        return result
 
     async def read(self):
         """Read the accepted configuration from the platform."""
@@ -92,20 +95,33 @@
         self.note_platform(down=False)
         if entry is NOTHING:
             return
-        trust = self.state.trust
-        if not self.state.keeper.generation or trust.frozen:
+        unsure = self.is_unsure()
+        if unsure:
             entry = await self.verify(entry)
         if entry is not NOTHING:
             self.take(entry.value, "platform")
+            self.note_contact(asked_at, verified=unsure)
+
+    def is_unsure(self):
+        """Whether only a configuration that is surely the newest helps."""
+        level = self.state.trust.level(self.state.clock.seconds())
+        return not self.state.keeper.generation or level is not Level.FULL
+
+    def note_contact(self, asked_at, *, verified):
+        """Note that the platform gave its configuration."""
+        trust = self.state.trust
+        if verified:
             trust.verify(asked_at)
+        now = self.state.clock.seconds()
+        trust.hear_direct(asked_at, now, verified=verified)
 
     async def verify(self, entry):
         """Return what the platform holds now, or `NOTHING`.
 
         A host that has just started remembers no generation, and one
-        that was frozen an old one, so neither could tell an answer from
-        the past. Writing back the same value
-        succeeds only if it is the newest; the refusal names that.
+        that was frozen or cut off an old one, so none could tell an
+        answer from the past. Writing back the same value succeeds only
+        if it is the newest; the refusal names that.
         """
         result = await self.store.swap(
             ACCEPTED_KEY, entry.value, entry.revision
@@ -118,8 +134,6 @@
 
     def note_platform(self, *, down, why=""):
         """Put a change of the platform's state on the time line."""
-        if not down:
-            self.state.trust.hear_direct(self.state.clock.seconds())
         if down == self.down:
             return
         self.down = down
@@ -163,7 +177,12 @@
             return
         self.fetching.add(host)
         work = defer.ensureDeferred(self.fetch_from(entry))
-        work.addBoth(lambda _: self.fetching.discard(host))
+        work.addBoth(self.fetched, host)
+
+    def fetched(self, result, host):
+        """Allow the next fetch from *host*."""
+        self.fetching.discard(host)
+        return result
 
     async def fetch_from(self, entry):
         """Read another host's configuration and offer it."""
@@ -215,12 +234,14 @@
 
     async def read(self):
         """Read the list and take it over."""
+        asked_at = self.state.clock.seconds()
         try:
             listed = await self.hosts.read()
         except PlatformError:
             return
         self.complete = True
-        self.state.trust.hear_direct(self.state.clock.seconds())
+        now = self.state.clock.seconds()
+        self.state.trust.hear_direct(asked_at, now)
         self.take(listed)
 
     def take(self, listed):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,13 @@
 """Fixtures that all tests share."""
 
+from io import BytesIO
+
 import msgspec
 import pytest
 import pytest_twisted
 from hypothesis import settings
 from twisted.internet import reactor
+from twisted.web.client import FileBodyProducer
 from twisted.web.http_headers import Headers
 
 from hyssopspring.net.clients import read_body
@@ -13,6 +16,7 @@
 KEY = "test-key"
 
 settings.register_profile("ci", derandomize=True, deadline=None)
+settings.register_profile("soak", derandomize=False, deadline=None)
 settings.load_profile("ci")
 
 
@@ -33,10 +37,6 @@
         sent = {b"authorization": [b"Bearer " + KEY.encode()]}
         for name, value in headers.items():
             sent[name.replace("_", "-").encode()] = [value.encode()]
-        from io import BytesIO
-
-        from twisted.web.client import FileBodyProducer
-
         return self.fleet.agent.request(
             method,
             f"http://{address}{path}".encode(),
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -213,6 +213,8 @@
         now = self.clock.seconds()
         trust = host.state.trust
         trust.wake(now)
+        if not host.cut and not self.store.faults.down:
+            trust.hear_direct(now, now)
         for other in self.hosts.values():
             if other is host or not self.reaches(other.name, host.name):
                 continue
@@ -570,6 +572,30 @@
     assert fleet.truth().files["20-team.yaml"].verdict is Verdict.ACCEPTED
 
 
+def test_host_list_alone_does_not_restore_rights():
+    """A host that is back from a cut asks for the configuration first.
+
+    A user's data would be served in an excluded region: the host's links
+    heal, it reads the host list and takes that for contact, and its
+    configuration is still the one from before the cut.
+    """
+    fleet = Fleet(lag=0.0)
+    fleet.put("10-base.yaml", BASE)
+    fleet.advance(5)
+    fleet.set_cut("arusha-1", True)
+    fleet.advance(4)
+    fleet.put("20-team.yaml", "workspaces: {w: {residency: [dar]}}")
+    fleet.advance(6)
+    host = fleet.hosts["arusha-1"]
+    now = fleet.clock.seconds()
+    host.state.trust.hear_direct(now, now)
+    fleet.check_rights()
+    fleet.set_cut("arusha-1", False)
+    fleet.store.faults.stale = 3
+    fleet.advance(6)
+    assert_that(host.state.keeper.generation, Equals(fleet.truth().generation))
+
+
 def levels(fleet):
     """Return the trust level of each host."""
     now = fleet.clock.seconds()
@@ -643,11 +669,11 @@
     """
     trust = Trust(0.0)
     everywhere = frozenset(REGIONS)
-    trust.hear_direct(1.0)
+    trust.hear_direct(1.0, 1.0)
     trust.wake(1.0)
     assert trust.permitted(everywhere, "dar", "arusha", 1.1) == everywhere
     assert trust.permitted(everywhere, "dar", "arusha", 9.0) is NOTHING
-    trust.hear_direct(9.1)
+    trust.hear_direct(9.1, 9.1, verified=True)
     trust.verify(1.0)
     assert trust.permitted(everywhere, "dar", "arusha", 9.2) is NOTHING
     assert trust.permitted(everywhere, "arusha", "arusha", 9.2) == {"arusha"}
