Choose each attempt by the rights of its own moment

Cause, found by reading the dispatcher: a plan kept the configuration that it began with. A request that was in progress when a restriction came into force was retried by the right that was gone, and its forwarded head named the old residency. Ruled out: to end such requests (they may still be served at home).

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -440,8 +440,6 @@
     def ended(self, region, name, outcome):
         """Note the outcome and go on if there is none yet."""
         if self.plan is not NOTHING:
-            if region != self.asked.home:
-                self.world.centres[self.asked.home].finish(region)
             self.plan.record(outcome)
         if isinstance(outcome, Answered):
             self.asked.done = True
--- a/src/hyssopspring/core/placement.py
+++ b/src/hyssopspring/core/placement.py
@@ -7,11 +7,22 @@
 from .sentinels import NOTHING
 
 MISSED_SUMMARIES = 4
+"""Summaries that may be missing before the last one counts as old."""
+
 AWAY_PENALTY = 0.5
+"""Seconds that a workspace with full weight gives to stay at home."""
+
 COLD_PREFILL = 0.3
+"""Seconds to read a prompt that is not in the cache, about."""
+
 HYSTERESIS = 0.1
-STALE_PENALTY = 30.0
+"""Seconds by which another region must be better."""
+
 FULL_PENALTY = 5.0
+"""Seconds that count for a centre without a free slot."""
+
+STALE_PENALTY = 30.0
+"""Seconds that count for a centre that has fallen silent."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -45,14 +56,12 @@
     Attributes:
         region: Region of this host.
         summaries: `CentreSummary` by data centre.
-        forwarded: Requests that this host has in progress there.
         sent: Requests sent there since the newest summary, whose load
             already counts those that were sent before.
     """
 
     region: str
     summaries: dict[str, CentreSummary] = field(default_factory=dict)
-    forwarded: dict[str, int] = field(default_factory=dict)
     sent: dict[str, int] = field(default_factory=dict)
 
     def take(self, summary):
@@ -75,13 +84,8 @@
 
     def begin(self, data_centre):
         """Count a request that is forwarded to *data_centre*."""
-        self.forwarded[data_centre] = self.forwarded.get(data_centre, 0) + 1
         self.sent[data_centre] = self.sent.get(data_centre, 0) + 1
 
-    def finish(self, data_centre):
-        """Count a forwarded request that has ended."""
-        self.forwarded[data_centre] -= 1
-
     def spare(self, summary, target):
         """Return the free slots there that this host may still use.
 
--- a/src/hyssopspring/net/bus.py
+++ b/src/hyssopspring/net/bus.py
@@ -7,7 +7,7 @@
 
 from ..core.exceptions import ProtocolError
 from ..core.sentinels import NOTHING
-from .messages import ENCODER, Heartbeat, Signer, decode_message
+from .messages import ENCODER, Signer, decode_message
 
 QUEUE = 1000
 DRAIN_AT_ONCE = 200
@@ -168,6 +168,3 @@
             self.refused(str(error))
             return
         self.received(message)
-
-
-__all__ = ["SUMMARY_TOPIC", "Bus", "Heartbeat", "beat_topic"]
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -111,16 +111,37 @@
             policy=state.policy,
         )
         while True:
+            self.renew_rights(plan)
             step = plan.next(state.clock.seconds())
             if isinstance(step, Finish):
                 return step.outcome
-            outcome = await self.attempt(request, message, sink, step)
+            outcome = await self.attempt(plan.request, message, sink, step)
             if not isinstance(outcome, Answered):
                 self.note_failure(request, step, outcome)
             if sink.started and not isinstance(outcome, Answered):
                 return Unknown(outcome.reason)
             plan.record(outcome)
 
+    def renew_rights(self, plan):
+        """Let the next attempt go by the rights of this moment.
+
+        A request may run for long. A right that was withdrawn meanwhile,
+        or that this host must not use while it is confined, would come
+        back with each retry if the plan kept what it began with.
+        """
+        state = self.state
+        request = plan.request
+        residency = state.trust.permitted(
+            request.residency,
+            request.home,
+            state.region,
+            state.clock.seconds(),
+        )
+        if residency is NOTHING:
+            residency = frozenset()
+        plan.configuration = state.keeper.enforced
+        plan.request = replace(request, residency=residency)
+
     async def attempt(self, request, message, sink, step):
         """Carry out one step and return its outcome."""
         ensure(not sink.started, "an attempt after an answer has begun")
@@ -199,10 +220,7 @@
             self.take_centre_load(step, data)
 
         state.centres.begin(step.summary.data_centre)
-        try:
-            return await self.send(request, call, sink, loaded)
-        finally:
-            state.centres.finish(step.summary.data_centre)
+        return await self.send(request, call, sink, loaded)
 
     def take_load(self, server, data):
         """Take over a load report that rode on an answer."""
--- a/src/hyssopspring/net/membership.py
+++ b/src/hyssopspring/net/membership.py
@@ -65,7 +65,6 @@
         self.sequence = 0
         self.summary_due = 0.0
         self.polls = 0
-        self.extras = []
 
     def start(self):
         """Subscribe to what this host needs to hear."""
@@ -212,8 +211,6 @@
             if server is not None and not server.leaving:
                 self.note_leaving(name, message.host)
                 self.state.table.mark_leaving(name)
-        for extra in self.extras:
-            extra(message, now)
 
     def take_load(self, name, report):
         """Take over one load report."""
--- a/src/hyssopspring/net/messages.py
+++ b/src/hyssopspring/net/messages.py
@@ -37,20 +37,6 @@
     wait: float
 
 
-class Usage(msgspec.Struct, frozen=True, array_like=True):
-    """What a host let through for one workspace, and turned away.
-
-    Attributes:
-        workspace: The workspace.
-        demand: Requests a second asked for lately.
-        active: Requests in progress.
-    """
-
-    workspace: str
-    demand: float
-    active: int
-
-
 class Heartbeat(
     msgspec.Struct, frozen=True, tag="beat", kw_only=True, omit_defaults=True
 ):
@@ -69,7 +55,6 @@
         contact: Whether the host has just read the platform.
         servers: Load of the backend servers that it polls.
         departing: Backend servers that it has evidence of leaving.
-        usage: `Usage` of each workspace that asked it lately.
     """
 
     version: int = VERSION
@@ -84,7 +69,6 @@
     contact: bool = False
     servers: list[ServerLoad] = []
     departing: list[str] = []
-    usage: list[Usage] = []
 
 
 class Summary(
@@ -106,7 +90,6 @@
         listeners: Hosts that share what is spare.
         gateways: Addresses for forwarded requests.
         targets: `TargetLoad` of each target.
-        usage: `Usage` of each workspace, over the data centre.
     """
 
     version: int = VERSION
@@ -122,7 +105,6 @@
     listeners: int = 1
     gateways: list[str] = []
     targets: list[TargetLoad] = []
-    usage: list[Usage] = []
 
 
 class ForwardedHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hyssopspring/net/serving.py
+++ b/src/hyssopspring/net/serving.py
@@ -3,7 +3,7 @@
 import msgspec
 from twisted.internet import defer
 from twisted.python import failure
-from twisted.web import http, resource, server
+from twisted.web import resource, server
 
 from ..core.exceptions import HyssopError, ProtocolError
 from ..core.outcomes import Reason
@@ -215,16 +215,3 @@
     if isinstance(value, bytes):
         return value.decode("utf-8", "replace")
     return value
-
-
-__all__ = [
-    "CoroutineResource",
-    "LimitedSite",
-    "Router",
-    "header",
-    "http",
-    "read_json",
-    "respond",
-    "respond_error",
-    "respond_json",
-]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -8,6 +8,7 @@
 from twisted.internet import defer
 from twisted.web.client import ResponseFailed
 
+from hyssopspring.config.acceptance import Judge, RawFile
 from hyssopspring.core.trust import LONGEST_SILENCE
 from hyssopspring.net.forwarding import FORWARD_PATH
 from hyssopspring_fakes.fleet import Shape
@@ -167,6 +168,36 @@
     assert_that(ran(fleet), HasLength(0))
 
 
+@pytest_twisted.ensureDeferred
+async def test_retry_goes_by_the_configuration_of_its_own_time(fleet, caller):
+    """A retry does not use a right that went while the request ran.
+
+    A user's data would be served abroad: its request is in progress when
+    the restriction comes into force, its first attempt fails, and the
+    next one is chosen by the configuration of the start.
+    """
+    set_faults(fleet, "dar", garbage=True)
+    sender = fleet.gateways["dar-0"].state.keeper
+    receiver = fleet.gateways["arusha-0"].state.keeper
+    receiver.offer = lambda accepted: False
+    work = defer.ensureDeferred(caller.complete("dar-0", max_tokens=300))
+    engine = fleet.engines["dar-engine-0"]
+    await fleet.until(lambda: engine.running)
+    text = "workspaces: {quotes: {residency: [dar]}}\n"
+    accepted = sender.accepted
+    folder = {
+        name: RawFile(state.content, state.revision)
+        for name, state in accepted.files.items()
+    }
+    revision = accepted.folder_revision + 1
+    folder["20-team.yaml"] = RawFile(text, revision)
+    judged = Judge(accepted).judge(folder, revision)
+    assert sender.offer(judged.accepted)
+    status, headers, _ = await work
+    assert_that(status, Equals(502))
+    assert_that(ran(fleet, "arusha"), HasLength(0))
+
+
 @pytest_twisted.ensureDeferred
 async def test_forged_forward_is_refused(fleet, caller):
     """Nobody without the hosts' secret can forward a request."""
