--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -223,3 +223,37 @@
     assert_that(table.serving(MODEL, 0.0), Equals([]))
     take("two", 1, False)
     assert_that(len(table.serving(MODEL, 0.0)), Equals(1))
+
+
+def test_late_load_report_does_not_replace_a_newer_one():
+    """A report that was overtaken brings no load back that has passed.
+
+    Users would wait at a full server while others are idle: an old
+    report says that it is idle, and arrives after the one that says full.
+    """
+    table = ServerTable("c")
+    table.replace(
+        [
+            ServerEntry(
+                name="s",
+                address="a",
+                region="r",
+                data_centre="c",
+                targets=frozenset({MODEL}),
+            )
+        ]
+    )
+    for sequence, running in ((2, 9), (1, 0)):
+        table.take_report(
+            "s",
+            LoadReport(
+                incarnation=1,
+                sequence=sequence,
+                running=running,
+                waiting=0,
+                slots=4,
+                leaving=False,
+                at=0.0,
+            ),
+        )
+    assert_that(table.servers["s"].load(0.0), Equals(9.0))
