Move the key-value clients and what is kept there to stores/

The folder platform/ is to hold nothing but translation. The modules in it decided (claim logs, following of the configuration and the host list), so they stand in a package of the product's own now. No behaviour changes.

--- a/src/hyssopspring/admin.py
+++ b/src/hyssopspring/admin.py
@@ -14,10 +14,10 @@
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
 from .observing import log_failure, make_rng, make_timeline
-from .platform import etcd  # noqa: F401 - registers itself
-from .platform.hosts import HostListClient
-from .platform.keyvalues import find_key_value
 from .settings import AdminSettings, settings_command, split_address
+from .stores import etcd  # noqa: F401 - registers itself
+from .stores.hosts import HostListClient
+from .stores.keyvalues import find_key_value
 
 LONGEST_FILE = 256 * 1024
 
--- a/src/hyssopspring/config/accepting.py
+++ b/src/hyssopspring/config/accepting.py
@@ -16,7 +16,7 @@
 from ..core.exceptions import KeyValueError, PlatformError
 from ..core.sentinels import NOTHING
 from ..core.trust import RESTRICTION_HOLD
-from ..platform.keyvalues import Applied
+from ..stores.keyvalues import Applied
 from .acceptance import (
     Judge,
     RawFile,
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -30,11 +30,11 @@
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
 from .observing import log_failure, make_rng, make_timeline
-from .platform import etcd  # noqa: F401 - registers itself
-from .platform.following import ConfigFollower, HostFollower
-from .platform.hosts import HostListClient
-from .platform.keyvalues import find_key_value
 from .settings import GatewaySettings, settings_command, split_address
+from .stores import etcd  # noqa: F401 - registers itself
+from .stores.following import ConfigFollower, HostFollower
+from .stores.hosts import HostListClient
+from .stores.keyvalues import find_key_value
 
 STALL_EVERY = 0.1
 STALL_REPORT = 0.25
--- a/src/hyssopspring/net/administration.py
+++ b/src/hyssopspring/net/administration.py
@@ -13,7 +13,7 @@
 from ..core.accepted import FOLDER_PREFIX, Verdict
 from ..core.exceptions import KeyValueError, PlatformError
 from ..core.sentinels import NOTHING
-from ..platform.keyvalues import Applied, WriteUnknown
+from ..stores.keyvalues import Applied, WriteUnknown
 from .openapi import OPENAPI
 from .serving import header, respond_error, respond_json
 
--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -29,7 +29,7 @@
 )
 from ..core.pacing import Pacer
 from ..core.sentinels import NOTHING
-from ..platform.claimlogs import CLAIMS_PREFIX, MARK_LIFE, ClaimLog
+from ..stores.claimlogs import CLAIMS_PREFIX, MARK_LIFE, ClaimLog
 from .clients import fetch
 from .control import SIGNATURE
 from .serving import header, respond, respond_error
--- a/src/hyssopspring/net/limiting.py
+++ b/src/hyssopspring/net/limiting.py
@@ -21,7 +21,7 @@
     ledger_of,
     settle,
 )
-from ..platform.keyvalues import Applied
+from ..stores.keyvalues import Applied
 
 SHARES_PREFIX = "/hyssop/shares/"
 FLEET_WRITES_PER_SECOND = 100.0
--- a/src/hyssopspring/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of what the platform gives."""
--- /dev/null
+++ b/src/hyssopspring/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of key-value services, and what is kept in them."""
--- a/src/hyssopspring_fakes/memory.py
+++ b/src/hyssopspring_fakes/memory.py
@@ -4,7 +4,7 @@
 
 from hyssopspring.core.exceptions import KeyValueError
 from hyssopspring.core.sentinels import NOTHING
-from hyssopspring.platform.keyvalues import (
+from hyssopspring.stores.keyvalues import (
     Applied,
     Entry,
     Listing,
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -36,8 +36,8 @@
 from hyssopspring.core.requests import Target, TargetKind
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.core.trust import Level, Trust
-from hyssopspring.platform.following import ConfigFollower
-from hyssopspring.platform.hosts import HostList, HostRow
+from hyssopspring.stores.following import ConfigFollower
+from hyssopspring.stores.hosts import HostList, HostRow
 from hyssopspring_fakes.memory import MemoryKeyValue
 from hyssopspring_fakes.stores import Store
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -20,7 +20,7 @@
 from hyssopspring.core.events import HybridClock, Timeline
 from hyssopspring.core.health import Health
 from hyssopspring.core.pacing import Pacer
-from hyssopspring.platform.claimlogs import ClaimLog
+from hyssopspring.stores.claimlogs import ClaimLog
 from hyssopspring_fakes.memory import MemoryKeyValue
 from hyssopspring_fakes.stores import Store
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -7,8 +7,8 @@
 from twisted.internet.task import Clock
 
 from hyssopspring.core.exceptions import KeyValueError
-from hyssopspring.platform.etcd import EtcdKeyValue
-from hyssopspring.platform.keyvalues import WriteUnknown
+from hyssopspring.stores.etcd import EtcdKeyValue
+from hyssopspring.stores.keyvalues import WriteUnknown
 
 
 class SilentAgent:
