--- /dev/null
+++ b/src/hyssopspring/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: sockets, timers and wiring round `traffic`."""
--- /dev/null
+++ b/src/hyssopspring/entry/asking.py
@@ -0,0 +1,332 @@
+"""Have requests placed by the host that places for the region."""
+
+from dataclasses import dataclass, replace
+
+from twisted.internet import defer
+
+from ..core.events import EventKind
+from ..core.sentinels import NOTHING
+from ..traffic.evidence import Finding
+from ..traffic.placing import Ask, Away, Placed, Refused
+from ..traffic.servers import Usability
+from ..traffic.work import Demand
+from .messages import (
+    AskMessage,
+    EndMessage,
+    GrantMessage,
+    OpenTicket,
+    RefusalMessage,
+    StartMessage,
+)
+
+__all__ = ["Asking"]
+
+ANSWER_WITHIN = 0.08
+"""Seconds in which a placing host must answer; a round trip within the
+region takes 1 ms, the rest is for a busy processor."""
+
+ASKED_HOSTS = 2
+"""Hosts that are asked one after the other before this one decides."""
+
+COLD_GRANT_LIFE = 0.25
+"""Seconds for which the placement at a cold server may be used. A host
+that was suspended in between would send what the count has forgotten."""
+
+
+@dataclass(slots=True, eq=False)
+class OpenAsk:
+    """A question that waits for its answer.
+
+    Attributes:
+        ask: The `Ask`.
+        done: Deferred of the answer.
+        asked_at: Time by the clock that counts suspension.
+        timer: Pending call that gives up, or `NOTHING`.
+    """
+
+    ask: Ask
+    done: object
+    asked_at: float
+    timer: object = NOTHING
+
+
+@dataclass(slots=True, eq=False)
+class OpenWork:
+    """A request of this host in progress.
+
+    Attributes:
+        placed: The `Placed`.
+        demand: Its `Demand`.
+        placer: Name of the host that placed it.
+        started: Whether its first event has come.
+    """
+
+    placed: Placed
+    demand: Demand
+    placer: str
+    started: bool = False
+
+
+class Asking:
+    """Ask, answer asks of others, and keep who placed what current.
+
+    Args:
+        members: The `Members`.
+        placer: This host's `Placer`.
+        registry: The `Registry`.
+        datagrams: The `Datagrams`.
+        clock: The runtime's clock.
+        boot_clock: Callable that returns the seconds of a clock that also
+            counts while the host is suspended.
+        timeline: The `Timeline`.
+    """
+
+    def __init__(
+        self,
+        members,
+        placer,
+        registry,
+        datagrams,
+        clock,
+        boot_clock,
+        timeline,
+    ):
+        self.members = members
+        self.placer = placer
+        self.registry = registry
+        self.datagrams = datagrams
+        self.clock = clock
+        self.boot_clock = boot_clock
+        self.timeline = timeline
+        self.number = 0
+        self.asks = {}
+        self.work = {}
+
+    @property
+    def host(self):
+        """Name of this host."""
+        return self.members.own.name
+
+    async def place(self, ask):
+        """Return the number and the decision for a request.
+
+        Args:
+            ask: The `Ask`; its host and number are set here.
+        """
+        self.number += 1
+        number = self.number
+        ask = replace(ask, host=self.host, number=number)
+        now = self.clock.seconds()
+        for member in self.members.placers(now)[:ASKED_HOSTS]:
+            if member is self.members.own:
+                return number, self.decide_here(ask, cold_allowed=True)
+            decision = await self.ask_other(member, ask)
+            if self.is_usable(decision):
+                self.keep(number, ask, decision, member.name)
+                return number, decision
+        return number, self.decide_here(ask, cold_allowed=False)
+
+    def decide_here(self, ask, *, cold_allowed):
+        """Decide by this host's own knowledge."""
+        decision = self.placer.place(
+            ask, self.clock.seconds(), cold_allowed=cold_allowed
+        )
+        self.keep(ask.number, ask, decision, self.host)
+        return decision
+
+    def keep(self, number, ask, decision, placer):
+        """Remember a placed request until its end."""
+        if isinstance(decision, Placed):
+            self.work[number] = OpenWork(decision, ask.demand, placer)
+
+    def is_usable(self, decision):
+        """Whether a decision of another host may be used.
+
+        The other host may lag behind this one: a server of which this
+        host has heard that it leaves gets nothing, whoever placed it.
+        """
+        if decision is NOTHING:
+            return False
+        if not isinstance(decision, Placed):
+            return True
+        usability = self.registry.usability(
+            decision.server_id, self.clock.seconds()
+        )
+        return usability is not Usability.LEAVING
+
+    def ask_other(self, member, ask):
+        """Ask another host; return a deferred of the decision.
+
+        It is `NOTHING` if no answer came in time.
+        """
+        done = defer.Deferred()
+        waiting = OpenAsk(ask, done, self.boot_clock())
+        waiting.timer = self.clock.callLater(
+            ANSWER_WITHIN, self.give_up, ask.number
+        )
+        self.asks[ask.number] = waiting
+        self.datagrams.send(ask_message(ask), member.control)
+        return done
+
+    def give_up(self, number):
+        """Go on without an answer."""
+        waiting = self.asks.pop(number, None)
+        if waiting is not None:
+            waiting.timer = NOTHING
+            waiting.done.callback(NOTHING)
+
+    def take_answer(self, message):
+        """Take the answer of a placing host."""
+        waiting = self.asks.pop(message.number, None)
+        if waiting is None:
+            return
+        if waiting.timer is not NOTHING:
+            waiting.timer.cancel()
+        decision = decision_of(message)
+        age = self.boot_clock() - waiting.asked_at
+        cold = isinstance(decision, Placed) and decision.cold
+        if cold and age > COLD_GRANT_LIFE:
+            decision = NOTHING
+        waiting.done.callback(decision)
+
+    def answer(self, message, member):
+        """Place a request of another host and tell it."""
+        ask = ask_of(message)
+        settled = self.members.placers(self.clock.seconds())
+        first = settled[0] is self.members.own
+        decision = self.placer.place(
+            ask, self.clock.seconds(), cold_allowed=first
+        )
+        self.datagrams.send(
+            answer_message(ask.number, decision), member.control
+        )
+
+    def note_start(self, number, seconds):
+        """Tell that the first event of a request has come."""
+        work = self.work.get(number)
+        if work is None:
+            return
+        work.started = True
+        self.placer.note_start(
+            self.host, number, seconds, self.clock.seconds()
+        )
+        self.tell(work.placer, StartMessage(self.host, number, seconds))
+
+    def note_end(self, number, finding):
+        """Tell that an attempt has ended."""
+        work = self.work.pop(number, None)
+        if work is None:
+            return
+        server_id = work.placed.server_id
+        self.take_end(self.host, number, server_id, finding)
+        message = EndMessage(self.host, number, server_id, int(finding))
+        self.tell(work.placer, message)
+
+    def take_end(self, host, number, server_id, finding):
+        """Take account of the end of an attempt of any host."""
+        suspected = self.placer.note_end(
+            host, number, server_id, finding, self.clock.seconds()
+        )
+        if suspected:
+            self.timeline.note(
+                EventKind.SERVER_PAUSED,
+                server=server_id,
+                reason=Finding(finding).name.lower(),
+                told_by=host,
+            )
+
+    def tell(self, name, message):
+        """Send *message* to the host that placed a request."""
+        if name == self.host:
+            return
+        member = self.members.others.get(name)
+        if member is not None:
+            self.datagrams.send(message, member.control)
+
+    def open_tickets(self):
+        """Return an `OpenTicket` for each request in progress."""
+        return [
+            OpenTicket(
+                number,
+                work.placed.server_id,
+                0 if work.started else work.demand.tokens_in,
+                work.demand.tokens_in + work.demand.tokens_out,
+                work.demand.tokens_out,
+                work.placed.urgency,
+                work.started,
+            )
+            for number, work in self.work.items()
+        ]
+
+
+def ask_message(ask):
+    """Return the message of an `Ask`."""
+    demand = ask.demand
+    return AskMessage(
+        ask.host,
+        ask.number,
+        ask.service,
+        list(demand.parts),
+        demand.tokens_in,
+        demand.tokens_out,
+        round(ask.time_left, 4),
+        round(ask.patience, 4),
+        ask.priority,
+        list(ask.excluded),
+        sorted(ask.regions),
+        ask.may_leave,
+    )
+
+
+def ask_of(message):
+    """Return the `Ask` of a message."""
+    return Ask(
+        host=message.host,
+        number=message.number,
+        service=message.service,
+        demand=Demand(
+            parts=tuple(message.parts),
+            tokens_in=message.tokens_in,
+            tokens_out=message.tokens_out,
+        ),
+        time_left=message.time_left,
+        patience=message.patience,
+        priority=message.priority,
+        excluded=tuple(message.excluded),
+        regions=frozenset(message.regions),
+        may_leave=message.may_leave,
+    )
+
+
+def answer_message(number, decision):
+    """Return the message of a decision."""
+    if isinstance(decision, Refused):
+        return RefusalMessage(number, decision.retry_after, decision.predicted)
+    if isinstance(decision, Away):
+        return GrantMessage(
+            number, "", "", 5, decision.predicted, False, decision.region
+        )
+    return GrantMessage(
+        number,
+        decision.server_id,
+        decision.address,
+        decision.urgency,
+        decision.predicted,
+        decision.cold,
+        "",
+    )
+
+
+def decision_of(message):
+    """Return the decision of a message."""
+    if isinstance(message, RefusalMessage):
+        return Refused(message.retry_after, message.predicted)
+    if message.region:
+        return Away(message.region, message.predicted)
+    return Placed(
+        message.server_id,
+        message.address,
+        message.urgency,
+        message.predicted,
+        message.cold,
+    )
--- /dev/null
+++ b/src/hyssopspring/entry/callers.py
@@ -0,0 +1,97 @@
+"""The listener for callers."""
+
+from ..core.sentinels import NOTHING
+from .exchanges import Exchange
+from .web import respond_refusal
+
+__all__ = ["CallerApi"]
+
+NO_CONFIGURATION_RETRY = 0.5
+"""Seconds after which to come back to a host that is starting."""
+
+STOPPING_RETRY = 0.05
+"""Seconds after which to come back when this host stops; another host can
+take the request at once."""
+
+STREAM_SHARE = 0.3
+"""Part of the time to stop in which new streams are still taken: a stream
+that begins later may not end in time."""
+
+PLAIN_SHARE = 0.8
+"""Part of the time to stop in which other requests are taken."""
+
+STALE_CONTACT = 4.0
+"""Seconds without the store after which an unknown route may just not be
+known here yet."""
+
+
+class CallerApi:
+    """Serve callers.
+
+    Args:
+        state: The `EntryState`.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.exchanges = set()
+        self.counts = {}
+
+    def handle(self, request):
+        """Serve one whole request."""
+        configuration = self.state.keeper.current
+        if configuration is NOTHING:
+            self.refuse(
+                request, "no configuration yet", NO_CONFIGURATION_RETRY
+            )
+            return
+        route = self.find_route(configuration, request)
+        if route is NOTHING:
+            self.refuse_unknown(request)
+            return
+        if self.too_late(route):
+            self.refuse(request, "this host is stopping", STOPPING_RETRY)
+            return
+        facts = self.state.codec.read_caller(request.requestHeaders)
+        exchange = Exchange(
+            self.state, request, route, facts, self.exchanges.discard
+        )
+        self.exchanges.add(exchange)
+        exchange.start()
+
+    def find_route(self, configuration, request):
+        """Return the `Route` of a request, or `NOTHING`."""
+        hosts = request.requestHeaders.getRawHeaders(b"host", [b""])
+        host = hosts[0].decode("latin-1").partition(":")[0].lower()
+        path = request.path.decode("latin-1")
+        return configuration.find_route(host, path)
+
+    def refuse_unknown(self, request):
+        """Answer that there is no such route, if this host can tell."""
+        if self.state.contact.age > STALE_CONTACT:
+            self.refuse(request, "the route is not known here", 0.5)
+            return
+        self.count("no_route")
+        respond_refusal(request, 404, "no such route")
+
+    def too_late(self, route):
+        """Whether this host stops too soon to finish the request."""
+        share = STREAM_SHARE if route.stream else PLAIN_SHARE
+        limit = self.state.settings.stop_seconds * share
+        return self.state.stopping_for > limit
+
+    def refuse(self, request, text, retry_after):
+        """Answer that the request was not run."""
+        self.count("refused")
+        headers = [(b"retry-after", b"%.3f" % retry_after)]
+        respond_refusal(request, 503, text, headers)
+
+    def count(self, name):
+        """Count one event of the listener."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def check(self):
+        """Look after the requests in progress."""
+        now = self.state.clock.seconds()
+        for exchange in list(self.exchanges):
+            exchange.check(now)
--- /dev/null
+++ b/src/hyssopspring/entry/datagrams.py
@@ -0,0 +1,48 @@
+"""Datagrams between hosts over UDP."""
+
+from twisted.internet import protocol
+
+from ..core.exceptions import ProtocolError
+from ..settings import split_address
+from .messages import decode_message, encode_message
+
+__all__ = ["Datagrams"]
+
+LONGEST = 60_000
+"""Bytes of the longest datagram that is sent; a larger one is no UDP."""
+
+
+class Datagrams(protocol.DatagramProtocol):
+    """Send and receive the messages of `messages`.
+
+    Args:
+        received: Called with each message and its sender's IP address.
+        refused: Called with the reason when a datagram is no message.
+    """
+
+    def __init__(self, received, refused):
+        self.received = received
+        self.refused = refused
+        self.sent = 0
+        self.bytes_sent = 0
+
+    def datagramReceived(self, datagram, addr):
+        """Hand one message over; a bad one harms no other."""
+        try:
+            message = decode_message(datagram)
+        except ProtocolError as problem:
+            self.refused(str(problem))
+            return
+        self.received(message, addr[0])
+
+    def send(self, message, address):
+        """Send *message* to ``ip:port``; it may be lost on its way."""
+        data = encode_message(message)
+        if self.transport is None or len(data) > LONGEST:
+            return
+        self.sent += 1
+        self.bytes_sent += len(data)
+        try:
+            self.transport.write(data, split_address(address))
+        except OSError as problem:
+            self.refused(f"send to {address}: {problem}")
--- /dev/null
+++ b/src/hyssopspring/entry/exchanges.py
@@ -0,0 +1,497 @@
+"""A caller's request from its arrival to its final answer."""
+
+from twisted.internet import defer
+
+from ..core.events import EventKind
+from ..core.outcomes import Answered, NotRun, Reason
+from ..core.sentinels import NOTHING
+from ..traffic.evidence import Finding
+from ..traffic.placing import Ask, Away, Placed
+from .attempts import Attempt, Sending
+from .connections import Lane
+from .relaying import (
+    ORDER_HEADER,
+    RelayOrder,
+    encode_order,
+    read_relay_head,
+)
+from .web import AnswerSink, respond_refusal
+
+__all__ = ["Exchange"]
+
+MOST_TRIES = 5
+"""Placements of one request, those included that never reached a server;
+more would only follow a failing region round."""
+
+STREAM_PATIENCE = 2.0
+STREAM_PATIENCE_OBJECTIVES = 4.0
+"""Callers give a stream up after a gap of two seconds or four times its
+objective; a later first event reaches nobody."""
+
+PATIENCE_SHARE = 0.85
+"""Part of that time within which a first event must be predicted."""
+
+SILENT_SECONDS = 0.9
+SILENT_FACTOR = 3.0
+"""A server that has not begun after three times the predicted time, and
+this long at least, is taken as silent if the request may be repeated."""
+
+SILENT_GAP = 1.0
+"""Seconds without an event of a running stream after which another server
+goes on with it, if it may be resumed. Engines pause for under 0.3 s."""
+
+LEAST_TIME = 0.03
+"""Seconds before a request's end in which no new attempt is begun."""
+
+PEER_IDLE = 6.0
+"""Seconds for which an idle connection to another host is kept; the other
+side closes it after several times that."""
+
+CONNECT_RETRY_AFTER = 0.4
+"""Seconds after which to come back when no server could be reached; a
+registry or a connection is current again by then."""
+
+EVENT_ID = b"id:"
+
+
+class Exchange:
+    """One request of a caller.
+
+    Args:
+        state: The `EntryState`.
+        request: The `WebRequest`.
+        route: Its `Route`.
+        facts: Its `CallerFacts`.
+        ended: Called with this exchange at its end.
+    """
+
+    def __init__(self, state, request, route, facts, ended):
+        self.state = state
+        self.request = request
+        self.route = route
+        self.facts = facts
+        self.ended = ended
+        self.id = facts.id.decode("latin-1")
+        self.service = route.service_for(self.id)
+        self.sink = AnswerSink(request, state.clock)
+        self.arrived = state.clock.seconds()
+        allowed = route.timeout
+        if facts.deadline is not NOTHING:
+            allowed = min(allowed, facts.deadline)
+        self.give_up_at = self.arrived + allowed
+        self.attempt = NOTHING
+        self.attempt_began = 0.0
+        self.last_data = 0.0
+        self.predicted = 0.0
+        self.excluded = []
+        self.tried_hosts = set()
+        self.arrivals = 0
+        self.runs = 0
+        self.tries = 0
+        self.may_leave = True
+        self.refused = False
+        self.retry_paid = False
+        self.kept = NOTHING
+        self.last_event = facts.last_event
+        self.first_at = NOTHING
+        self.over = False
+
+    def start(self):
+        """Begin; the answer ends it."""
+        gone = self.request.notifyFinish()
+        gone.addErrback(self.caller_gone)
+        work = defer.ensureDeferred(self.run())
+        work.addErrback(self.crashed)
+
+    def crashed(self, failure):
+        """Write an unexpected error to the log, and cut the answer."""
+        self.state.timeline.note(
+            EventKind.UNEXPECTED,
+            request=self.id,
+            error=failure.getTraceback(),
+        )
+        if not self.sink.finished:
+            self.sink.abort()
+        self.close()
+
+    def close(self):
+        """Note the end once."""
+        if not self.over:
+            self.over = True
+            self.ended(self)
+
+    def caller_gone(self, reason):
+        """Stop all work for a caller that has gone."""
+        if self.attempt is not NOTHING:
+            self.attempt.abandon(Reason.CALLER_GONE)
+
+    @property
+    def time_left(self):
+        """Seconds until the request is given up."""
+        return self.give_up_at - self.state.clock.seconds()
+
+    async def run(self):
+        """Try until there is a final outcome, and deliver it."""
+        now = self.state.clock.seconds()
+        self.state.retries.note_request(self.service, now)
+        outcome = NOTHING
+        while True:
+            outcome = await self.next_try()
+            if self.sink.gone or not self.goes_on(outcome):
+                break
+        self.conclude(outcome)
+        self.close()
+
+    async def next_try(self):
+        """Place the request, make an attempt, return its outcome."""
+        self.tries += 1
+        number, decision = await self.state.asking.place(self.ask())
+        if self.sink.gone or self.time_left < LEAST_TIME:
+            self.state.asking.note_end(number, Finding.CANCELLED)
+            return NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER)
+        if isinstance(decision, Placed):
+            return await self.try_server(number, decision)
+        if isinstance(decision, Away):
+            return await self.try_region(decision)
+        self.refused = True
+        self.note_refusal(decision)
+        return NotRun(Reason.OVERLOADED, decision.retry_after)
+
+    def note_refusal(self, refused):
+        """Put a refusal and its grounds on the time line."""
+        self.state.timeline.note(
+            EventKind.NOT_RUN,
+            request=self.id,
+            reason=Reason.OVERLOADED,
+            route=self.route.name,
+            predicted=round(refused.predicted, 3),
+            retry_after=round(refused.retry_after, 3),
+            excluded=len(self.excluded),
+        )
+
+    def ask(self):
+        """Return the `Ask` of this moment."""
+        waited = self.state.clock.seconds() - self.arrived
+        patience = self.time_left
+        if self.route.stream:
+            longest = max(
+                STREAM_PATIENCE,
+                STREAM_PATIENCE_OBJECTIVES * self.route.objective,
+            )
+            patience = min(patience, longest * PATIENCE_SHARE - waited)
+        return Ask(
+            host="",
+            number=0,
+            service=self.service,
+            demand=self.facts.demand,
+            time_left=max(0.0, self.route.objective - waited),
+            patience=max(0.0, patience),
+            priority=self.route.priority,
+            excluded=tuple(self.excluded),
+            regions=self.route.homes,
+            may_leave=self.may_leave,
+        )
+
+    async def try_server(self, number, placed):
+        """Make an attempt at a server of this region."""
+        self.state.timeline.note(
+            EventKind.PLACED,
+            request=self.id,
+            server=placed.server_id,
+            predicted=round(placed.predicted, 3),
+            urgency=placed.urgency,
+        )
+        headers = self.state.codec.server_headers(
+            self.request.requestHeaders,
+            time_left=self.time_left,
+            server_id=placed.server_id,
+            urgency=self.urgency(placed),
+            last_event=self.last_event,
+        )
+        began = self.state.clock.seconds()
+        self.attempt = Attempt(
+            self.state.connections,
+            Lane(placed.server_id, placed.address),
+            self.sending(headers),
+            self.state.codec.read_head,
+            self.state.clock,
+            opened=self.open_stream,
+            started=lambda: self.started(number, began),
+        )
+        outcome = await self.carry(placed.predicted)
+        self.state.asking.note_end(number, self.attempt.finding)
+        if not isinstance(outcome, Answered) or outcome.status >= 500:
+            self.excluded.append(placed.server_id)
+        if self.attempt.finding is Finding.UNREACHED:
+            self.state.connections.forget(placed.server_id)
+        return outcome
+
+    def urgency(self, placed):
+        """Return the urgency for an engine, or `NOTHING`."""
+        return placed.urgency if self.facts.demand.tokens_in else NOTHING
+
+    def started(self, number, began):
+        """Note when the answer began."""
+        now = self.state.clock.seconds()
+        if self.first_at is NOTHING:
+            self.first_at = now
+        self.state.asking.note_start(number, now - began)
+
+    async def try_region(self, away):
+        """Make an attempt through a host of another region."""
+        member = self.choose_host(away.region)
+        if member is NOTHING:
+            self.may_leave = False
+            return NotRun(Reason.CONNECT, CONNECT_RETRY_AFTER)
+        self.tried_hosts.add(member.name)
+        self.state.timeline.note(
+            EventKind.SENT_AWAY,
+            request=self.id,
+            region=away.region,
+            peer=member.name,
+            predicted=round(away.predicted, 3),
+        )
+        headers = self.state.codec.passed_on(self.request.requestHeaders)
+        headers.setRawHeaders(ORDER_HEADER, [encode_order(self.order())])
+        self.attempt = Attempt(
+            self.state.connections,
+            Lane(member.name, member.relay, True, PEER_IDLE),
+            self.sending(headers, kept=True),
+            lambda status, found: read_relay_head(
+                self.state.codec, status, found
+            ),
+            self.state.clock,
+            opened=self.open_stream,
+            started=self.relay_started,
+        )
+        outcome = await self.carry(away.predicted)
+        answer = self.attempt.answer
+        if answer is not NOTHING and answer.head.server_id:
+            self.excluded.append(answer.head.server_id)
+        if isinstance(outcome, NotRun):
+            self.may_leave = False
+        if self.attempt.finding is Finding.UNREACHED:
+            self.state.connections.forget(member.name)
+        return outcome
+
+    def relay_started(self):
+        """Note when an answer from another region began."""
+        if self.first_at is NOTHING:
+            self.first_at = self.state.clock.seconds()
+
+    def choose_host(self, region):
+        """Return a host of *region* that has not failed us yet."""
+        now = self.state.clock.seconds()
+        hosts = [
+            member
+            for member in self.state.members.live(now, region=region)
+            if member.version and member.name not in self.tried_hosts
+        ]
+        if not hosts:
+            return NOTHING
+        weights = [member.capacity for member in hosts]
+        return self.state.rng.choices(hosts, weights)[0]
+
+    def order(self):
+        """Return the `RelayOrder` of this moment."""
+        ask = self.ask()
+        return RelayOrder(
+            self.route.name,
+            self.service,
+            self.route.stream,
+            self.route.repeatable,
+            round(self.time_left, 4),
+            round(ask.time_left, 4),
+            round(ask.patience, 4),
+            self.route.priority,
+            list(self.excluded),
+            self.last_event.decode("latin-1"),
+        )
+
+    def sending(self, headers, *, kept=False):
+        """Return the `Sending` of an attempt."""
+        self.request.content.seek(0)
+        return Sending(
+            id=self.facts.id,
+            method=self.request.method,
+            uri=self.request.uri,
+            headers=headers,
+            body=self.request.content.read(),
+            stream=self.route.stream,
+            repeatable=kept or self.route.repeatable,
+        )
+
+    async def carry(self, predicted):
+        """Run the attempt and count what it did."""
+        self.predicted = predicted
+        self.attempt_began = self.state.clock.seconds()
+        self.last_data = self.attempt_began
+        outcome = await self.attempt.run()
+        if self.attempt.sent:
+            self.arrivals += 1
+        if not isinstance(outcome, NotRun):
+            self.runs += 1
+        if not isinstance(outcome, Answered):
+            self.state.timeline.note(
+                EventKind.ATTEMPT_ENDED,
+                request=self.id,
+                at=self.attempt.lane.key,
+                outcome=type(outcome).__name__,
+                reason=outcome.reason,
+                events=self.attempt.events,
+                cause=self.attempt.cause,
+            )
+        return outcome
+
+    def open_stream(self, answer, response):
+        """Begin the caller's stream; return what takes whole events.
+
+        A stream that another server goes on with keeps its first head.
+        """
+        if not self.sink.started:
+            self.sink.start(answer.status, answer.headers)
+        self.sink.pausing(response._transport)
+        return self.take_events
+
+    def take_events(self, events):
+        """Pass events on and remember the last one's identifier."""
+        self.last_data = self.state.clock.seconds()
+        found = last_event_id(events)
+        if found:
+            self.last_event = found
+        self.sink.write(events)
+
+    def goes_on(self, outcome):
+        """Whether another attempt is to follow *outcome*."""
+        if self.final(outcome) or self.tries >= MOST_TRIES:
+            return False
+        if self.time_left < LEAST_TIME * 2:
+            return False
+        if self.arrivals == 0 or self.retry_paid:
+            self.retry_paid = False
+            return True
+        return self.pay_retry()
+
+    def final(self, outcome):
+        """Whether nothing better than *outcome* can follow."""
+        if isinstance(outcome, Answered):
+            if outcome.status < 500 or not self.may_run_again():
+                return True
+            self.kept = self.attempt.answer
+            return False
+        if isinstance(outcome, NotRun):
+            return self.refused
+        if outcome.reason in (Reason.DEADLINE, Reason.CALLER_GONE):
+            return True
+        return not self.may_run_again()
+
+    def may_run_again(self):
+        """Whether the request may run at one more server."""
+        if not self.route.repeatable or self.runs >= self.route.max_attempts:
+            return False
+        return not self.sink.started or self.route.resumable
+
+    def pay_retry(self):
+        """Take a repeat from the budget; return whether there was one."""
+        now = self.state.clock.seconds()
+        hosts = len(self.state.members.live(now))
+        return self.state.retries.spend(self.service, now, hosts)
+
+    def check(self, now):
+        """Give up what has run out of time, or a server that is silent."""
+        if self.over:
+            return
+        if now >= self.give_up_at:
+            self.expire()
+            return
+        if self.attempt is NOTHING or self.attempt.abandon_reason:
+            return
+        if not self.route.repeatable or self.retry_paid:
+            return
+        if self.runs + 1 > self.route.max_attempts - 1:
+            return
+        if now - self.last_data > self.silence_limit() and self.pay_retry():
+            self.retry_paid = True
+            self.attempt.abandon(Reason.CONNECTION_LOST)
+
+    def silence_limit(self):
+        """Return the seconds after which a server counts as silent."""
+        if self.attempt.events:
+            return SILENT_GAP
+        return max(SILENT_SECONDS, SILENT_FACTOR * self.predicted)
+
+    def expire(self):
+        """End the request at the time that the operator allows."""
+        if self.attempt is not NOTHING and self.attempt.sent:
+            self.attempt.abandon(Reason.DEADLINE)
+            return
+        if not self.sink.started and not self.sink.finished:
+            self.fail(NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER))
+            self.close()
+
+    def conclude(self, outcome):
+        """Deliver the final outcome."""
+        if self.sink.finished or self.sink.gone:
+            self.note_end("gone")
+            return
+        if isinstance(outcome, Answered):
+            self.deliver(outcome)
+            return
+        if self.sink.started:
+            self.note_end(f"cut: {outcome.reason}")
+            self.sink.abort()
+            return
+        if self.kept is not NOTHING:
+            self.deliver_whole(self.kept)
+            return
+        self.fail(outcome)
+
+    def deliver(self, outcome):
+        """End a stream, or send a whole answer."""
+        if self.sink.started and self.attempt.answer is NOTHING:
+            self.sink.finish()
+            self.note_end("answered", outcome.status)
+        elif self.sink.started:
+            self.note_end("cut: the server that went on failed")
+            self.sink.abort()
+        else:
+            self.deliver_whole(self.attempt.answer)
+
+    def deliver_whole(self, answer):
+        """Send a whole answer of a server."""
+        self.sink.whole(answer.status, answer.headers, answer.body)
+        self.note_end("answered", answer.status)
+
+    def note_end(self, how, status=0):
+        """Put the end of the request on the time line."""
+        now = self.state.clock.seconds()
+        first = self.first_at if self.first_at is not NOTHING else now
+        self.state.timeline.note(
+            EventKind.ANSWERED if status else EventKind.UNKNOWN,
+            request=self.id,
+            how=how,
+            status=status,
+            first_ms=int((first - self.arrived) * 1000),
+            ms=int((now - self.arrived) * 1000),
+            tries=self.tries,
+        )
+
+    def fail(self, outcome):
+        """Tell the caller that there is no answer, at once."""
+        if isinstance(outcome, NotRun) and self.runs == 0:
+            headers = [(b"retry-after", b"%.3f" % outcome.retry_after)]
+            respond_refusal(self.request, 503, str(outcome.reason), headers)
+        else:
+            status = 504 if outcome.reason is Reason.DEADLINE else 502
+            respond_refusal(self.request, status, str(outcome.reason))
+        self.sink.finished = True
+        self.note_end(f"{type(outcome).__name__}: {outcome.reason}")
+
+
+def last_event_id(events):
+    """Return the identifier of the last event that has one, or b""."""
+    start = events.rfind(b"\n" + EVENT_ID) + 1
+    if not events.startswith(EVENT_ID, start):
+        return b""
+    end = events.find(b"\n", start)
+    return events[start + len(EVENT_ID) : end].strip()
--- /dev/null
+++ b/src/hyssopspring/entry/fetching.py
@@ -0,0 +1,74 @@
+"""Small calls whose whole answer is wanted: store and other hosts."""
+
+from twisted.internet import defer
+from twisted.web._newclient import Request as ClientRequest
+from twisted.web.http_headers import Headers
+
+from ..core.exceptions import NoAnswerError
+from ..net.clients import BodyReader
+from .attempts import WholeBody
+
+__all__ = ["fetch"]
+
+LONGEST_ANSWER = 8 * 1024 * 1024
+
+
+async def fetch(connections, lane, method, uri, host, body, *, timeout, clock):
+    """Send one call and return status and body of the answer.
+
+    Args:
+        connections: The `Connections`.
+        lane: The `Lane`.
+        method: HTTP method.
+        uri: Path and query.
+        host: Value of the Host header.
+        body: The body, maybe empty.
+        timeout: Most seconds for all of it.
+        clock: The runtime's clock.
+
+    Raises:
+        NoAnswerError: No whole answer came in time.
+    """
+    call = _Call(connections, lane, method, uri, host, body)
+    work = defer.ensureDeferred(call.run())
+    work.addTimeout(timeout, clock)
+    try:
+        return await work
+    except Exception as problem:
+        call.drop()
+        raise NoAnswerError(repr(problem)) from problem
+
+
+class _Call:
+    """One call in progress."""
+
+    def __init__(self, connections, lane, method, uri, host, body):
+        self.connections = connections
+        self.lane = lane
+        self.method = method
+        self.uri = uri
+        self.host = host
+        self.body = body
+        self.connection = None
+
+    async def run(self):
+        """Send the call and read the whole answer."""
+        self.connection = await self.connections.open(self.lane, kept=True)
+        headers = Headers({b"host": [self.host]})
+        producer = None
+        if self.body:
+            headers.setRawHeaders(b"content-type", [b"application/json"])
+            producer = WholeBody(self.body)
+        response = await self.connection.request(
+            ClientRequest(
+                self.method, self.uri, headers, producer, persistent=True
+            )
+        )
+        reader = BodyReader(LONGEST_ANSWER)
+        response.deliverBody(reader)
+        return response.code, await reader.done
+
+    def drop(self):
+        """Close the connection of a call that failed."""
+        if self.connection is not None:
+            self.connection.transport.abortConnection()
--- /dev/null
+++ b/src/hyssopspring/entry/following.py
@@ -0,0 +1,439 @@
+"""Keep configuration, servers and hosts current from the store."""
+
+import msgspec
+from twisted.internet import defer
+
+from ..core.events import EventKind
+from ..core.exceptions import KeyValueError, NoAnswerError, ProtocolError
+from ..core.sentinels import NOTHING
+from ..stores.keyvalues import Applied, Entry
+from ..traffic.members import Member
+from .connections import Lane
+from .fetching import fetch
+from .mirrors import Follower, Mirror
+
+__all__ = ["Following", "MEMBERS_PREFIX"]
+
+MEMBERS_PREFIX = "hyssop/hosts/"
+
+LEASE_SECONDS = 9.0
+"""Seconds after which the store forgets a host that is gone."""
+
+RENEW_EVERY = 2.5
+"""Seconds between renewals; each is also the proof of contact with the
+store, so it is several times as often as the lease needs."""
+
+PEER_TIMEOUT = 0.8
+"""Seconds for another host's copy of the store."""
+
+PEER_PAUSE = 0.3
+"""Seconds between two reads of other hosts' copies. It is also the time
+that this host's own watch gets to bring what a neighbour has already."""
+
+PEER_IDLE = 6.0
+
+
+class StoredItem(msgspec.Struct, array_like=True, frozen=True):
+    """One item in a copy of the store that hosts pass on.
+
+    Attributes:
+        key: The key.
+        value: The value.
+        revision: Revision of its last change.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class Snapshot(msgspec.Struct, array_like=True, frozen=True):
+    """A host's copy of the store.
+
+    Attributes:
+        revision: Newest revision that it reflects.
+        operator: Items that operators have written.
+        servers: Entries of backend servers.
+        hosts: Entries of hosts.
+    """
+
+    revision: int
+    operator: list[StoredItem]
+    servers: list[StoredItem]
+    hosts: list[StoredItem]
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """What a host writes of itself into the store.
+
+    Attributes:
+        host: Its name.
+        region: Its region.
+        data_centre: Its data centre.
+        front: Address for callers.
+        control: Address for datagrams.
+        relay: Address for forwarded requests.
+        capacity: Processor share.
+        incarnation: Number of its start.
+    """
+
+    host: str
+    region: str
+    data_centre: str
+    front: str
+    control: str
+    relay: str
+    capacity: float
+    incarnation: int
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
+_HOST = msgspec.json.Decoder(HostEntry)
+
+
+class Following:
+    """Follow the store, and other hosts while it cannot be read.
+
+    Args:
+        state: The `EntryState`.
+        store: The client of the store.
+        layout: Prefixes and decoders of what others write there; offers
+            ``OPERATOR_PREFIX``, ``SERVERS_PREFIX``, ``CONFIGURATION_KEY``,
+            ``decode_configuration``, ``evacuated_data_centre``,
+            ``decode_server`` and ``server_id``.
+        applied: Called when the configuration has changed.
+    """
+
+    def __init__(self, state, store, layout, applied):
+        self.state = state
+        self.store = store
+        self.layout = layout
+        self.applied = applied
+        self.evacuated = set()
+        self.lease = NOTHING
+        self.renew_due = 0.0
+        self.renewing = False
+        self.fetching = False
+        self.fetch_due = 0.0
+        self.operator = Mirror(self.operator_wrote, self.operator_removed)
+        self.servers = Mirror(self.server_wrote, self.server_removed)
+        self.hosts = Mirror(self.host_wrote, self.host_removed)
+        self.followers = [
+            self.follower(layout.OPERATOR_PREFIX, self.operator),
+            self.follower(layout.SERVERS_PREFIX, self.servers),
+        ]
+
+    def follower(self, prefix, mirror):
+        """Return the `Follower` of one prefix."""
+        return Follower(
+            self.store,
+            prefix,
+            mirror,
+            self.state.contact,
+            self.state.clock,
+            self.state.rng,
+        )
+
+    def start(self):
+        """Begin to follow."""
+        for follower in self.followers:
+            follower.start().addErrback(self.crashed)
+        self.spawn(self.read_hosts())
+        self.spawn(self.ask_seeds())
+
+    def stop(self):
+        """End following."""
+        for follower in self.followers:
+            follower.stop()
+
+    def spawn(self, coroutine):
+        """Run a coroutine whose unexpected failure is logged."""
+        defer.ensureDeferred(coroutine).addErrback(self.crashed)
+
+    def crashed(self, failure):
+        """Write an unexpected failure to the log."""
+        if failure.check(defer.CancelledError):
+            return
+        self.state.timeline.note(
+            EventKind.UNEXPECTED, error=failure.getTraceback()
+        )
+
+    def operator_wrote(self, entry):
+        """Take over what an operator has written."""
+        if entry.key == self.layout.CONFIGURATION_KEY:
+            self.take_configuration(entry)
+            return
+        place = self.layout.evacuated_data_centre(entry.key)
+        if place is not NOTHING:
+            self.evacuated.add(place)
+            self.evacuate()
+
+    def operator_removed(self, key, outage):
+        """Take account of what an operator has removed."""
+        place = self.layout.evacuated_data_centre(key)
+        if place is not NOTHING:
+            self.evacuated.discard(place)
+            self.evacuate()
+
+    def evacuate(self):
+        """Put the evacuated data centres in force."""
+        self.state.timeline.note(
+            EventKind.EVACUATED, data_centres=sorted(self.evacuated)
+        )
+        self.state.registry.evacuate(
+            self.evacuated, self.state.clock.seconds(), self.cold_seconds
+        )
+
+    def cold_seconds(self, service):
+        """Return for how long the servers of a service start cold."""
+        current = self.state.keeper.current
+        if current is NOTHING:
+            return 0.0
+        return current.service(service).cold_seconds
+
+    def take_configuration(self, entry):
+        """Put a configuration in force if it is newer."""
+        try:
+            configuration = self.layout.decode_configuration(entry.value)
+        except ProtocolError as problem:
+            self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
+            return
+        if not self.state.keeper.offer(configuration):
+            self.state.timeline.note(
+                EventKind.CONFIG_STALE, version=configuration.version
+            )
+            return
+        self.state.members.own.version = configuration.version
+        self.state.timeline.note(
+            EventKind.CONFIG_APPLIED,
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+        self.applied()
+
+    def server_wrote(self, entry):
+        """Take over the entry of a server."""
+        try:
+            server = self.layout.decode_server(entry.key, entry.value)
+        except ProtocolError as problem:
+            self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
+            return
+        known = self.state.registry.servers.get(server.id)
+        was_leaving = known is not None and known.entry.leaving
+        fresh = self.state.registry.put(server, self.state.clock.seconds())
+        if fresh:
+            self.note_server(EventKind.SERVER_ADDED, server)
+        if server.leaving and not was_leaving:
+            self.note_server(EventKind.SERVER_LEAVING, server)
+        if server.cold_left > 0:
+            self.note_server(EventKind.SERVER_COLD, server)
+
+    def note_server(self, kind, server):
+        """Put a change of a server on the time line."""
+        self.state.timeline.note(
+            kind,
+            server=server.id,
+            service=server.service,
+            data_centre=server.data_centre,
+            cold_left=server.cold_left,
+        )
+
+    def server_removed(self, key, outage):
+        """Take account of an entry that is gone."""
+        server_id = self.layout.server_id(key)
+        self.state.registry.remove(
+            server_id, self.state.clock.seconds(), outage=outage
+        )
+        self.state.timeline.note(
+            EventKind.SERVER_GONE, server=server_id, outage=outage
+        )
+        if server_id not in self.state.registry.servers:
+            self.state.connections.forget(server_id)
+
+    def host_wrote(self, entry):
+        """Take over the entry of a host."""
+        try:
+            row = _HOST.decode(entry.value)
+        except msgspec.DecodeError as problem:
+            self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
+            return
+        self.state.members.learn(
+            Member(
+                name=row.host,
+                region=row.region,
+                data_centre=row.data_centre,
+                front=row.front,
+                control=row.control,
+                relay=row.relay,
+                capacity=row.capacity,
+                incarnation=row.incarnation,
+            )
+        )
+
+    def host_removed(self, key, outage):
+        """Do nothing: heartbeats tell which hosts live."""
+
+    async def read_hosts(self):
+        """Read the hosts that are in the store."""
+        try:
+            listing = await self.store.list(MEMBERS_PREFIX)
+        except KeyValueError as problem:
+            self.state.contact.failed(problem)
+            return
+        self.state.contact.heard()
+        self.hosts.replace(listing.entries, listing.revision)
+
+    def tick(self):
+        """Do the periodic work."""
+        now = self.state.clock.seconds()
+        own = self.state.members.own
+        own.contact_age = self.state.contact.age
+        own.revision = max(self.operator.newest, self.servers.newest)
+        for server_id in self.state.registry.expire(now):
+            self.state.timeline.note(EventKind.SERVER_GONE, server=server_id)
+            self.state.connections.forget(server_id)
+        if now >= self.renew_due and not self.renewing:
+            self.renewing = True
+            self.renew_due = now + RENEW_EVERY
+            self.spawn(self.renew())
+
+    async def renew(self):
+        """Keep this host's entry in the store."""
+        try:
+            await self.renew_lease()
+            self.state.contact.heard()
+        except KeyValueError as problem:
+            self.state.contact.failed(problem)
+        finally:
+            self.renewing = False
+
+    async def renew_lease(self):
+        """Renew the lease, or write the entry under a new one."""
+        if self.lease is not NOTHING:
+            if await self.store.renew_lease(self.lease):
+                return
+            self.lease = NOTHING
+        if self.state.members.own.leaving:
+            return
+        lease = await self.store.grant_lease(LEASE_SECONDS)
+        own = self.state.members.own
+        value = msgspec.json.encode(host_entry(own))
+        key = MEMBERS_PREFIX + own.name
+        result = await self.store.put(key, value, lease)
+        if isinstance(result, Applied):
+            self.lease = lease
+            await self.read_hosts()
+
+    async def leave(self):
+        """Remove this host's entry from the store."""
+        if self.lease is NOTHING:
+            return
+        lease, self.lease = self.lease, NOTHING
+        try:
+            await self.store.end_lease(lease)
+        except KeyValueError as problem:
+            self.state.contact.failed(problem)
+
+    def snapshot(self):
+        """Return the bytes of this host's copy of the store."""
+        own = self.state.members.own
+        hosts = [
+            StoredItem(
+                MEMBERS_PREFIX + member.name,
+                msgspec.json.encode(host_entry(member)),
+                1,
+            )
+            for member in (*self.state.members.others.values(), own)
+        ]
+        return _ENCODER.encode(
+            Snapshot(
+                own.revision, items(self.operator), items(self.servers), hosts
+            )
+        )
+
+    def neighbour_is_newer(self, member):
+        """Read a neighbour's copy if this host's stays behind it.
+
+        A watch that fell silent, or a store that turns this host away,
+        would leave it with an old configuration.
+        """
+        now = self.state.clock.seconds()
+        if self.fetching or member.region != self.state.members.own.region:
+            return
+        if self.fetch_due == 0.0 or now - self.fetch_due > 1.0:
+            self.fetch_due = now + PEER_PAUSE
+            return
+        if now < self.fetch_due:
+            return
+        self.fetch_due = 0.0
+        self.fetching = True
+        self.spawn(self.read_host(member.relay))
+
+    async def ask_seeds(self):
+        """Read a seed's copy of the store, for a start without it."""
+        own = self.state.settings.control
+        for address in self.state.settings.seeds:
+            if address != own:
+                await self.read_host(address)
+
+    async def read_host(self, address):
+        """Read another host's copy of the store."""
+        try:
+            status, data = await fetch(
+                self.state.connections,
+                Lane(f"state {address}", address, True, PEER_IDLE),
+                b"GET",
+                b"/state",
+                address.encode(),
+                b"",
+                timeout=PEER_TIMEOUT,
+                clock=self.state.clock,
+            )
+            snapshot = _SNAPSHOT.decode(data) if status == 200 else NOTHING
+        except (NoAnswerError, msgspec.DecodeError) as problem:
+            self.state.timeline.note(
+                EventKind.PEER_UNREAD, peer=address, why=problem
+            )
+            return
+        finally:
+            self.fetching = False
+        if snapshot is not NOTHING:
+            self.take_snapshot(snapshot)
+
+    def take_snapshot(self, snapshot):
+        """Take over another host's copy if it is newer."""
+        for row in snapshot.hosts:
+            self.host_wrote(Entry(row.key, row.value, row.revision))
+        own = max(self.operator.newest, self.servers.newest)
+        if snapshot.revision <= own or not snapshot.operator:
+            return
+        self.operator.replace(entries(snapshot.operator), 0)
+        self.servers.replace(entries(snapshot.servers), snapshot.revision)
+
+
+def host_entry(member):
+    """Return the `HostEntry` of a `Member`."""
+    return HostEntry(
+        member.name,
+        member.region,
+        member.data_centre,
+        member.front,
+        member.control,
+        member.relay,
+        member.capacity,
+        member.incarnation,
+    )
+
+
+def items(mirror):
+    """Return a `StoredItem` for each entry of a `Mirror`."""
+    return [
+        StoredItem(entry.key, entry.value, entry.revision)
+        for entry in mirror.entries.values()
+    ]
+
+
+def entries(rows):
+    """Return an `Entry` for each `StoredItem`."""
+    return [Entry(row.key, row.value, row.revision) for row in rows]
--- /dev/null
+++ b/src/hyssopspring/entry/membership.py
@@ -0,0 +1,258 @@
+"""Heartbeats and load reports between hosts."""
+
+from ..core.events import EventKind
+from ..core.sentinels import NOTHING
+from ..traffic.evidence import Finding
+from ..traffic.members import Member
+from ..traffic.placing import RegionLoad
+from ..traffic.work import Ticket
+from .messages import (
+    AskMessage,
+    EndMessage,
+    GrantMessage,
+    Heartbeat,
+    RefusalMessage,
+    ServiceLoad,
+    StartMessage,
+    Summary,
+)
+
+__all__ = ["Membership"]
+
+HEARTBEAT_EVERY = 0.5
+"""Seconds between heartbeats to the hosts of the region."""
+
+FAR_SECONDS_PER_HOST = 0.012
+"""Seconds between heartbeats to other regions, for each host that hears
+them, so that their number a second does not grow with the hosts."""
+
+SUMMARY_EVERY = 0.2
+"""Seconds between load reports to other regions; loads change within the
+time of a few requests."""
+
+INFORMED_HOSTS = 2
+"""Hosts of a region that hear of work in progress and of other regions'
+loads: the one that places, and the one that would take over."""
+
+UNCONFIRMED = 0.7
+"""Seconds after which a placed request that its host does not name any
+more is taken as ended."""
+
+FORGET_AFTER = 30.0
+"""Seconds without a word after which a host is forgotten."""
+
+
+class Membership:
+    """Exchange control messages with the other hosts.
+
+    Args:
+        members: The `Members`.
+        asking: The `Asking`.
+        placer: The `Placer`.
+        datagrams: The `Datagrams`.
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+        changed: Called with a `Member` that has newer state than this
+            host.
+    """
+
+    def __init__(
+        self, members, asking, placer, datagrams, clock, timeline, changed
+    ):
+        self.members = members
+        self.asking = asking
+        self.placer = placer
+        self.datagrams = datagrams
+        self.clock = clock
+        self.timeline = timeline
+        self.changed = changed
+        self.far_due = 0.0
+        self.was_live = set()
+        self.handlers = {
+            Heartbeat: self.take_heartbeat,
+            AskMessage: self.take_ask,
+            GrantMessage: self.take_answer,
+            RefusalMessage: self.take_answer,
+            StartMessage: self.take_start,
+            EndMessage: self.take_end,
+            Summary: self.take_summary,
+        }
+
+    def receive(self, message, ip):
+        """Take one message of another host."""
+        self.handlers[type(message)](message)
+
+    def beat(self):
+        """Send heartbeats and notice hosts that have gone."""
+        now = self.clock.seconds()
+        far = now >= self.far_due
+        if far:
+            count = max(1, len(self.members.others))
+            period = max(HEARTBEAT_EVERY, FAR_SECONDS_PER_HOST * count)
+            self.far_due = now + period - 0.01
+        plain = self.heartbeat(NOTHING)
+        full = self.heartbeat(self.asking.open_tickets())
+        informed = self.informed(self.members.own.region)
+        for member in self.members.others.values():
+            if member.region == self.members.own.region:
+                told = full if member.name in informed else plain
+                self.datagrams.send(told, member.control)
+            elif far:
+                self.datagrams.send(plain, member.control)
+        self.notice_gone(now)
+
+    def heartbeat(self, tickets):
+        """Return the heartbeat of this moment."""
+        own = self.members.own
+        return Heartbeat(
+            own.name,
+            own.incarnation,
+            own.region,
+            own.data_centre,
+            own.front,
+            own.control,
+            own.relay,
+            own.capacity,
+            round(own.up_seconds, 1),
+            own.leaving,
+            round(min(own.contact_age, 1e6), 1),
+            own.version,
+            own.revision,
+            None if tickets is NOTHING else tickets,
+        )
+
+    def informed(self, region):
+        """Return the names of the hosts of a region that place."""
+        now = self.clock.seconds()
+        if region == self.members.own.region:
+            ranked = self.members.placers(now)
+        else:
+            ranked = self.members.ranked(now, region)
+        return [member.name for member in ranked[:INFORMED_HOSTS]]
+
+    def notice_gone(self, now):
+        """Forget the work of hosts that fell silent."""
+        live = {member.name for member in self.members.live(now)}
+        for name in self.was_live - live:
+            self.placer.forget_host(name)
+            self.timeline.note(EventKind.PEER_GONE, peer=name)
+        for name in live - self.was_live:
+            self.timeline.note(EventKind.PEER_SEEN, peer=name)
+        self.was_live = live
+        self.members.forget_silent(now, FORGET_AFTER)
+
+    def summarize(self):
+        """Tell the other regions this one's load, if this host places."""
+        now = self.clock.seconds()
+        self.placer.sweep(now)
+        if self.members.placers(now)[0] is not self.members.own:
+            return
+        loads = {
+            service: ServiceLoad(load.servers, round(load.wait, 4), load.room)
+            for service, load in self.placer.summarize(now).items()
+        }
+        message = Summary(self.members.own.region, loads)
+        regions = {member.region for member in self.members.others.values()}
+        for region in regions - {self.members.own.region}:
+            for name in self.informed(region):
+                member = self.members.others[name]
+                self.datagrams.send(message, member.control)
+
+    def take_heartbeat(self, message):
+        """Note that a host is up, and what it has."""
+        member = self.members.others.get(message.host)
+        if member is None or message.incarnation > member.incarnation:
+            self.members.learn(member_of(message))
+            self.placer.forget_host(message.host)
+            member = self.members.others.get(message.host)
+        if member is None or message.incarnation < member.incarnation:
+            return
+        now = self.clock.seconds()
+        member.heard_at = now
+        member.leaving = message.leaving
+        member.up_seconds = message.up_seconds
+        member.contact_age = message.contact_age
+        member.version = message.version
+        member.revision = message.revision
+        own = self.members.own
+        if message.version > own.version or message.revision > own.revision:
+            self.changed(member)
+        if message.tickets is not None:
+            self.take_tickets(message, now)
+
+    def take_tickets(self, message, now):
+        """Make the work of a host agree with what it says."""
+        numbers = {ticket.number for ticket in message.tickets}
+        self.placer.keep_only(
+            message.host, numbers, now, older_than=UNCONFIRMED
+        )
+        for row in message.tickets:
+            self.placer.adopt(ticket_of(message.host, row, now), now)
+
+    def take_ask(self, message):
+        """Place a request of another host."""
+        member = self.members.others.get(message.host)
+        if member is not None:
+            self.asking.answer(message, member)
+
+    def take_answer(self, message):
+        """Take the decision of a placing host."""
+        self.asking.take_answer(message)
+
+    def take_start(self, message):
+        """Note the first event of another host's request."""
+        self.placer.note_start(
+            message.host,
+            message.number,
+            message.seconds,
+            self.clock.seconds(),
+        )
+
+    def take_end(self, message):
+        """Note the end of another host's attempt."""
+        self.asking.take_end(
+            message.host,
+            message.number,
+            message.server_id,
+            Finding(message.finding),
+        )
+
+    def take_summary(self, message):
+        """Take over another region's load."""
+        now = self.clock.seconds()
+        self.placer.take_load(
+            message.region,
+            {
+                service: RegionLoad(load.servers, load.wait, load.room, now)
+                for service, load in message.loads.items()
+            },
+        )
+
+
+def member_of(message):
+    """Return the `Member` that a heartbeat describes."""
+    return Member(
+        name=message.host,
+        region=message.region,
+        data_centre=message.data_centre,
+        front=message.front,
+        control=message.control,
+        relay=message.relay,
+        capacity=message.capacity,
+        incarnation=message.incarnation,
+    )
+
+
+def ticket_of(host, row, now):
+    """Return the `Ticket` of a row in a heartbeat."""
+    return Ticket(
+        host=host,
+        number=row.number,
+        server_id=row.server_id,
+        placed_at=now,
+        fresh_tokens=row.fresh_tokens,
+        tokens=row.tokens,
+        tokens_out=row.tokens_out,
+        urgency=row.urgency,
+        started=row.started,
+    )
--- /dev/null
+++ b/src/hyssopspring/entry/messages.py
@@ -0,0 +1,234 @@
+"""Datagrams between hosts, and how they are encoded.
+
+Each message stands for itself: it may be lost, doubled, late or out of
+order. Times in them are durations, as clocks differ between hosts.
+"""
+
+import msgspec
+
+from ..core.exceptions import ProtocolError
+
+__all__ = [
+    "AskMessage",
+    "EndMessage",
+    "GrantMessage",
+    "Heartbeat",
+    "RefusalMessage",
+    "StartMessage",
+    "Summary",
+    "decode_message",
+    "encode_message",
+]
+
+
+class AskMessage(msgspec.Struct, array_like=True, tag="a", frozen=True):
+    """Ask a host to place a request.
+
+    Attributes:
+        host: Host that carries it out.
+        number: The host's number for it.
+        service: Service that it needs.
+        parts: Identifier and tokens of each part of the prompt.
+        tokens_in: Tokens of the prompt.
+        tokens_out: Tokens of the answer.
+        time_left: Seconds in which it would meet its objective.
+        patience: Seconds in which an answer is of use.
+        priority: Rank among the routes of the service.
+        excluded: Servers that it must not go to.
+        regions: Regions that may serve it; empty for all.
+        may_leave: Whether it may be sent to another region.
+    """
+
+    host: str
+    number: int
+    service: str
+    parts: list[tuple[str, int]]
+    tokens_in: int
+    tokens_out: int
+    time_left: float
+    patience: float
+    priority: int
+    excluded: list[str]
+    regions: list[str]
+    may_leave: bool
+
+
+class GrantMessage(msgspec.Struct, array_like=True, tag="g", frozen=True):
+    """Answer an ask with a server or a region.
+
+    Attributes:
+        number: The asking host's number.
+        server_id: The server, or an empty string.
+        address: Its address.
+        urgency: Rank for the server.
+        predicted: Seconds to the answer or first event.
+        cold: Whether the grant must be used at once.
+        region: Region to send it to, or an empty string.
+    """
+
+    number: int
+    server_id: str
+    address: str
+    urgency: int
+    predicted: float
+    cold: bool
+    region: str
+
+
+class RefusalMessage(msgspec.Struct, array_like=True, tag="r", frozen=True):
+    """Answer an ask with a refusal.
+
+    Attributes:
+        number: The asking host's number.
+        retry_after: Seconds after which there should be room.
+        predicted: Seconds to an answer if it were admitted.
+    """
+
+    number: int
+    retry_after: float
+    predicted: float
+
+
+class StartMessage(msgspec.Struct, array_like=True, tag="s", frozen=True):
+    """Tell the placing host that the first event has come.
+
+    Attributes:
+        host: Host that carries the request out.
+        number: Its number.
+        seconds: Seconds since it was sent.
+    """
+
+    host: str
+    number: int
+    seconds: float
+
+
+class EndMessage(msgspec.Struct, array_like=True, tag="e", frozen=True):
+    """Tell the placing host that an attempt has ended.
+
+    Attributes:
+        host: Host that carried it out.
+        number: Its number.
+        server_id: The server.
+        finding: Number of the `Finding`.
+    """
+
+    host: str
+    number: int
+    server_id: str
+    finding: int
+
+
+class OpenTicket(msgspec.Struct, array_like=True, frozen=True):
+    """A request in progress, as a heartbeat names it.
+
+    Attributes:
+        number: The host's number for it.
+        server_id: Its server.
+        fresh_tokens: Tokens to be read.
+        tokens: Memory that it takes.
+        tokens_out: Tokens that it will make.
+        urgency: Its rank.
+        started: Whether its first event has come.
+    """
+
+    number: int
+    server_id: str
+    fresh_tokens: int
+    tokens: int
+    tokens_out: int
+    urgency: int
+    started: bool
+
+
+class Heartbeat(msgspec.Struct, array_like=True, tag="h", frozen=True):
+    """Tell that a host is up, and what it has.
+
+    Attributes:
+        host: Its name.
+        incarnation: Number of its start.
+        region: Its region.
+        data_centre: Its data centre.
+        front: Address for callers.
+        control: Address for datagrams.
+        relay: Address for forwarded requests.
+        capacity: Processor share.
+        up_seconds: Seconds since its start.
+        leaving: Whether it is about to stop.
+        contact_age: Seconds since it heard the store.
+        version: Version of its configuration.
+        revision: Revision of the store that it has seen.
+        tickets: Its requests in progress, or None if they are not told.
+    """
+
+    host: str
+    incarnation: int
+    region: str
+    data_centre: str
+    front: str
+    control: str
+    relay: str
+    capacity: float
+    up_seconds: float
+    leaving: bool
+    contact_age: float
+    version: int
+    revision: int
+    tickets: list[OpenTicket] | None = None
+
+
+class ServiceLoad(msgspec.Struct, array_like=True, frozen=True):
+    """Load of one service in a region.
+
+    Attributes:
+        servers: Servers that take requests.
+        wait: Seconds that a new request would wait at the best.
+        room: Requests that could start at once.
+    """
+
+    servers: int
+    wait: float
+    room: int
+
+
+class Summary(msgspec.Struct, array_like=True, tag="l", frozen=True):
+    """Load of a region, from the host that places there.
+
+    Attributes:
+        region: The region.
+        loads: `ServiceLoad` by service.
+    """
+
+    region: str
+    loads: dict[str, ServiceLoad]
+
+
+Message = (
+    AskMessage
+    | GrantMessage
+    | RefusalMessage
+    | StartMessage
+    | EndMessage
+    | Heartbeat
+    | Summary
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message):
+    """Return the bytes of a datagram."""
+    return _ENCODER.encode(message)
+
+
+def decode_message(data):
+    """Return the message of a datagram.
+
+    Raises:
+        ProtocolError: It is none.
+    """
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        raise ProtocolError(f"datagram: {problem}") from None
--- /dev/null
+++ b/src/hyssopspring/entry/mirrors.py
@@ -0,0 +1,254 @@
+"""A copy of part of the store, and the loop that keeps it current."""
+
+from dataclasses import dataclass
+
+from twisted.internet import defer, task
+
+from ..core.events import EventKind
+from ..core.exceptions import KeyValueError
+from ..core.sentinels import NOTHING
+
+__all__ = [
+    "Changes",
+    "Contact",
+    "Follower",
+    "HistoryLostError",
+    "Mirror",
+    "Removal",
+]
+
+WATCH_SECONDS = 12.0
+"""Seconds for which a watch waits; a call is paid for each, and a silent
+connection shows by its own probes well before."""
+
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 0.8
+"""Bounds of the pause after a failed call, in seconds: at most one call a
+second from each host while the store is away."""
+
+LOST_AFTER = 0.6
+"""Seconds of failing calls after which the store counts as away."""
+
+RETURN_SECONDS = 2.2
+"""Seconds after the store's return in which lapsed registrations may
+still come back."""
+
+
+class HistoryLostError(KeyValueError):
+    """The store has dropped the history that a watch asked for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """A key that was removed.
+
+    Attributes:
+        key: The key.
+        revision: Revision of the store at its removal.
+    """
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What has changed since a revision.
+
+    Attributes:
+        entries: `Entry` of each key that was written.
+        removals: `Removal` of each key that was removed.
+        revision: Revision from which to go on.
+    """
+
+    entries: tuple = ()
+    removals: tuple = ()
+    revision: int = 0
+
+
+class Mirror:
+    """A copy of all keys below a prefix.
+
+    Args:
+        written: Called with each `Entry` that is new to the copy.
+        removed: Called with each key that is gone, and whether it went
+            while the store was away.
+    """
+
+    def __init__(self, written, removed):
+        self.entries = {}
+        self.written = written
+        self.removed = removed
+        self.newest = 0
+        self.known = False
+
+    def replace(self, entries, newest, *, outage=False):
+        """Take over a whole listing.
+
+        Args:
+            entries: Each `Entry`.
+            newest: Revision that the listing reflects.
+            outage: Whether the store has just come back.
+        """
+        listed = {entry.key for entry in entries}
+        for key in [key for key in self.entries if key not in listed]:
+            del self.entries[key]
+            self.removed(key, outage)
+        for entry in entries:
+            self.put(entry)
+        self.newest = max(self.newest, newest)
+        self.known = True
+
+    def apply(self, changes, *, outage=False):
+        """Take over what has changed."""
+        rows = [(entry.revision, entry) for entry in changes.entries]
+        rows += [(removal.revision, removal) for removal in changes.removals]
+        for revision, row in sorted(rows, key=lambda pair: pair[0]):
+            self.newest = max(self.newest, revision)
+            if isinstance(row, Removal):
+                self.drop(row, outage)
+            else:
+                self.put(row)
+
+    def put(self, entry):
+        """Take over one entry unless it is older than the known one."""
+        known = self.entries.get(entry.key)
+        if known is not None and known.revision >= entry.revision:
+            return
+        self.entries[entry.key] = entry
+        self.newest = max(self.newest, entry.revision)
+        self.written(entry)
+
+    def drop(self, removal, outage):
+        """Remove one key unless it was written again since."""
+        known = self.entries.get(removal.key)
+        if known is not None and known.revision < removal.revision:
+            del self.entries[removal.key]
+            self.removed(removal.key, outage)
+
+
+class Contact:
+    """When the store was last heard, and since when it is away.
+
+    Args:
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+    """
+
+    def __init__(self, clock, timeline):
+        self.clock = clock
+        self.timeline = timeline
+        self.heard_at = NOTHING
+        self.failing_since = NOTHING
+        self.back_at = NOTHING
+        self.away = False
+
+    def heard(self):
+        """Note an answer of the store."""
+        now = self.clock.seconds()
+        self.heard_at = now
+        self.failing_since = NOTHING
+        if self.away:
+            self.away = False
+            self.back_at = now
+            self.timeline.note(EventKind.PLATFORM_BACK)
+
+    def failed(self, why):
+        """Note a call without an answer."""
+        now = self.clock.seconds()
+        if self.failing_since is NOTHING:
+            self.failing_since = now
+        if now - self.failing_since >= LOST_AFTER and not self.away:
+            self.away = True
+            self.timeline.note(EventKind.PLATFORM_DOWN, why=why)
+
+    @property
+    def age(self):
+        """Seconds since the store was heard."""
+        if self.heard_at is NOTHING:
+            return 1e6
+        return self.clock.seconds() - self.heard_at
+
+    @property
+    def returning(self):
+        """Whether the store is away or has come back a moment ago."""
+        if self.away or self.failing_since is not NOTHING:
+            return True
+        if self.back_at is NOTHING:
+            return False
+        return self.clock.seconds() - self.back_at < RETURN_SECONDS
+
+
+class Follower:
+    """Keep a `Mirror` of one prefix current.
+
+    Args:
+        store: The client of the store.
+        prefix: The prefix.
+        mirror: The `Mirror`.
+        contact: The `Contact`.
+        clock: The runtime's clock.
+        rng: Random number generator.
+    """
+
+    def __init__(self, store, prefix, mirror, contact, clock, rng):
+        self.store = store
+        self.prefix = prefix
+        self.mirror = mirror
+        self.contact = contact
+        self.clock = clock
+        self.rng = rng
+        self.after = NOTHING
+        self.pause = FIRST_PAUSE
+        self.running = True
+        self.work = NOTHING
+
+    def start(self):
+        """Begin to follow; return a deferred that fires on a stop."""
+        self.work = defer.ensureDeferred(self.run())
+        return self.work
+
+    def stop(self):
+        """End following."""
+        self.running = False
+        if self.work is not NOTHING:
+            self.work.addErrback(lambda _: None)
+            self.work.cancel()
+
+    async def run(self):
+        """List, then watch, and begin anew when history is lost."""
+        while self.running:
+            try:
+                await self.step()
+                self.pause = FIRST_PAUSE
+            except HistoryLostError:
+                self.contact.heard()
+                self.after = NOTHING
+            except KeyValueError as problem:
+                self.contact.failed(problem)
+                await self.wait()
+
+    async def step(self):
+        """Make one call and take over its answer."""
+        if self.after is NOTHING:
+            outage = self.contact.returning
+            listing = await self.store.list(self.prefix)
+            self.contact.heard()
+            self.mirror.replace(
+                listing.entries, 0, outage=outage and self.mirror.known
+            )
+            self.after = listing.revision
+            return
+        changes = await self.store.watch(
+            self.prefix, self.after, WATCH_SECONDS
+        )
+        outage = self.contact.returning
+        self.contact.heard()
+        self.mirror.apply(changes, outage=outage)
+        self.after = max(self.after, changes.revision)
+
+    def wait(self):
+        """Wait before the next try, longer each time, never in step."""
+        pause = self.pause * (0.5 + self.rng.random())
+        self.pause = min(LONGEST_PAUSE, self.pause * 2)
+        return task.deferLater(self.clock, pause)
--- /dev/null
+++ b/src/hyssopspring/entry/process.py
@@ -0,0 +1,373 @@
+"""The entry program: composition root and command of ``hyssop-entry``."""
+
+import os
+import random
+import signal
+import sys
+import time
+
+import click
+from twisted.internet import defer, task
+from twisted.python.failure import Failure
+
+from ..core.events import EventKind, HybridClock, Timeline
+from ..core.exceptions import SettingsError
+from ..platform import headers, layout
+from ..platform.pages import DirectoryPages
+from ..platform.settings import PATH_VARIABLE, read_settings
+from ..platform.store import PlatformStore
+from ..settings import EXIT_BAD_SETTINGS, split_address
+from ..traffic.members import Member, Members
+from ..traffic.placing import Placer
+from ..traffic.retries import RetryWindow
+from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
+from ..traffic.servers import Registry
+from .asking import Asking
+from .callers import CallerApi
+from .connections import Connections
+from .datagrams import Datagrams
+from .following import Following
+from .lines import LineWriter
+from .membership import HEARTBEAT_EVERY, SUMMARY_EVERY, Membership
+from .mirrors import Contact
+from .relaying import RelayApi
+from .state import EntryState
+from .web import WebFactory
+
+__all__ = ["EntryProcess", "main"]
+
+CHECK_EVERY = 0.1
+"""Seconds between looks at requests in progress; a request is answered
+at most this much after its time."""
+
+FLUSH_EVERY = 0.25
+"""Seconds between writes of log lines."""
+
+PEER_IDLE_SECONDS = 30.0
+"""Seconds for which a connection of another host may idle; the other side
+stops using it much sooner."""
+
+CLOSE_IDLE_AFTER = 0.35
+"""Part of the time to stop after which idle connections of callers are
+closed; by then they have heard that this host leaves."""
+
+FINISH_MARGIN = 0.35
+"""Seconds before the end of the time to stop at which the process ends."""
+
+BACKLOG = 512
+
+
+class EntryProcess:
+    """All parts of one entry process, wired.
+
+    Args:
+        settings: The `EntrySettings`.
+        reactor: The reactor.
+        wall: Callable that returns the wall clock in seconds.
+        boot_clock: Callable that returns the seconds of a clock that also
+            counts while the host is suspended.
+        rng: Random number generator.
+        write: Called with bytes of log lines.
+    """
+
+    def __init__(self, settings, reactor, *, wall, boot_clock, rng, write):
+        self.settings = settings
+        self.reactor = reactor
+        self.rng = rng
+        self.began = reactor.seconds()
+        self.lines = LineWriter(reactor, write)
+        self.timeline = Timeline(
+            settings.host, HybridClock(wall), listeners=[self.lines]
+        )
+        self.ports = []
+        self.factories = []
+        self.loops = []
+        self.make_traffic(boot_clock, wall)
+        self.make_services()
+
+    def make_traffic(self, boot_clock, wall):
+        """Make what decides, and the state that all parts share."""
+        settings = self.settings
+        self.keeper = ConfigurationKeeper()
+        self.registry = Registry(settings.regions)
+        self.members = Members(own_member(settings, int(wall() * 1000)))
+        self.placer = Placer(
+            settings.region,
+            self.registry,
+            self.service,
+            self.cold_bound,
+            self.rng,
+        )
+        self.datagrams = Datagrams(
+            lambda message, ip: self.membership.receive(message, ip),
+            lambda why: self.timeline.note(EventKind.PEER_REFUSED, why=why),
+        )
+        self.asking = Asking(
+            self.members,
+            self.placer,
+            self.registry,
+            self.datagrams,
+            self.reactor,
+            boot_clock,
+            self.timeline,
+        )
+        self.state = EntryState(
+            settings=settings,
+            clock=self.reactor,
+            timeline=self.timeline,
+            rng=self.rng,
+            keeper=self.keeper,
+            registry=self.registry,
+            members=self.members,
+            asking=self.asking,
+            connections=Connections(self.reactor),
+            contact=Contact(self.reactor, self.timeline),
+            retries=RetryWindow(
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window,
+            ),
+            codec=headers,
+        )
+
+    def make_services(self):
+        """Make what talks to the store, to hosts and to callers."""
+        store = PlatformStore(
+            self.settings.store, self.state.connections, self.reactor
+        )
+        self.following = Following(
+            self.state, store, layout, lambda: self.membership.beat()
+        )
+        self.membership = Membership(
+            self.members,
+            self.asking,
+            self.placer,
+            self.datagrams,
+            self.reactor,
+            self.timeline,
+            self.following.neighbour_is_newer,
+        )
+        self.callers = CallerApi(self.state)
+        self.relay = RelayApi(self.state, self.following.snapshot)
+        self.pages = DirectoryPages(self.hosts_for, self.is_ready)
+
+    def service(self, name):
+        """Return the `Service` of *name* in the configuration in force."""
+        if not self.keeper.current:
+            return Service(name=name)
+        return self.keeper.current.service(name)
+
+    def cold_bound(self, service):
+        """Return the requests that a cold server stands in a second."""
+        factor = service.cold_rate * self.settings.cold_factor
+        return factor + self.settings.cold_extra
+
+    def limits(self):
+        """Return the `RequestLimits` in force."""
+        if not self.keeper.current:
+            return RequestLimits()
+        return self.keeper.current.limits
+
+    def start(self):
+        """Listen, and begin all periodic work."""
+        settings = self.settings
+        own = self.members.own
+        self.listen(settings.front, self.callers.handle)
+        for address in {settings.ready, settings.directory} - {""}:
+            self.listen(address, self.pages.handle)
+        self.listen(own.relay, self.relay.handle, idle=PEER_IDLE_SECONDS)
+        if settings.control:
+            self.listen(settings.control, self.relay.handle)
+        ip, port = split_address(own.control)
+        self.reactor.listenUDP(port, self.datagrams, interface=ip)
+        self.following.start()
+        self.repeat(HEARTBEAT_EVERY, self.beat)
+        self.repeat(SUMMARY_EVERY, self.membership.summarize)
+        self.repeat(CHECK_EVERY, self.callers.check)
+        self.repeat(FLUSH_EVERY, self.lines.flush)
+        self.timeline.note(
+            EventKind.STARTED,
+            incarnation=own.incarnation,
+            region=settings.region,
+            data_centre=settings.data_centre,
+        )
+
+    def listen(self, address, handle, *, idle=0.0):
+        """Serve *handle* at *address*."""
+        factory = WebFactory(
+            handle,
+            self.reactor,
+            idle_seconds=lambda: idle or self.limits().idle_seconds,
+            longest_body=lambda: self.limits().body_bytes,
+        )
+        ip, port = split_address(address)
+        self.factories.append(factory)
+        self.ports.append(
+            self.reactor.listenTCP(
+                port, factory, backlog=BACKLOG, interface=ip
+            )
+        )
+
+    def repeat(self, interval, work):
+        """Call *work* every *interval* seconds, now first."""
+        loop = task.LoopingCall(self.guarded, work)
+        loop.clock = self.reactor
+        loop.start(interval)
+        self.loops.append(loop)
+
+    def guarded(self, work):
+        """Call *work*; a failure must not end the periodic work."""
+        try:
+            work()
+        except Exception:  # noqa: BLE001 - all are written to the log
+            self.timeline.note(
+                EventKind.UNEXPECTED, error=Failure().getTraceback()
+            )
+
+    def beat(self):
+        """Do the work of a heartbeat interval."""
+        self.members.own.up_seconds = self.reactor.seconds() - self.began
+        self.following.tick()
+        self.membership.beat()
+
+    def is_ready(self):
+        """Whether this host takes requests."""
+        return bool(self.keeper.current) and not self.members.own.leaving
+
+    def hosts_for(self, region, data_centre):
+        """Return the addresses that callers of a region should use.
+
+        Hosts of the caller's region come first, and the others only if it
+        has none: a request body must not go to a region that is neither
+        the caller's nor allowed to serve it.
+        """
+        now = self.reactor.seconds()
+        live = [
+            member
+            for member in self.members.live(now)
+            if member.version or member is self.members.own
+        ]
+        near = [member for member in live if member.region == region]
+        return [member.front for member in near or live]
+
+    async def stop(self):
+        """Stop gracefully: no request in progress is cut.
+
+        At once the host counts as leaving; it goes on serving those who
+        still hold its address, refuses what could not end in time, and
+        closes when nothing is left or the time is over.
+        """
+        if self.members.own.leaving:
+            return
+        self.state.stopping_since = self.reactor.seconds()
+        self.members.own.leaving = True
+        self.timeline.note(
+            EventKind.STOPPING, active=len(self.callers.exchanges)
+        )
+        self.membership.beat()
+        self.following.spawn(self.following.leave())
+        for factory in self.factories:
+            factory.closing = True
+        total = self.settings.stop_seconds
+        await self.sleep(total * CLOSE_IDLE_AFTER)
+        while self.state.stopping_for < total - FINISH_MARGIN:
+            self.factories[0].close_idle()
+            await self.sleep(CHECK_EVERY)
+        self.timeline.note(
+            EventKind.STOPPED, active=len(self.callers.exchanges)
+        )
+        self.lines.flush()
+
+    def sleep(self, seconds):
+        """Return a deferred that fires after *seconds*."""
+        return task.deferLater(self.reactor, seconds)
+
+    def reload(self):
+        """Note that the settings file has changed.
+
+        All that is read from it is fixed for the life of a process.
+        """
+        self.timeline.note(EventKind.RELOADED)
+
+
+def own_member(settings, incarnation):
+    """Return the `Member` of this host."""
+    first, last = settings.ports
+    return Member(
+        name=settings.host,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        front=settings.front,
+        control=f"{settings.address}:{first}",
+        relay=f"{settings.address}:{last}",
+        capacity=settings.capacity,
+        incarnation=incarnation,
+    )
+
+
+def boot_seconds():
+    """Return the seconds of the clock that counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def write_standard_output(data):
+    """Write log lines; return the bytes that were taken."""
+    return os.write(sys.stdout.fileno(), data)
+
+
+def run(settings):
+    """Run an entry process until it is told to stop."""
+    from twisted.internet import reactor
+
+    os.set_blocking(sys.stdout.fileno(), False)
+    process = EntryProcess(
+        settings,
+        reactor,
+        wall=time.time,
+        boot_clock=boot_seconds,
+        rng=random.Random(),
+        write=write_standard_output,
+    )
+    process.start()
+
+    def stop(number, frame):
+        reactor.callFromThread(begin_stop)
+
+    def begin_stop():
+        work = defer.ensureDeferred(process.stop())
+        work.addBoth(lambda _: reactor.stop())
+
+    def reload(number, frame):
+        reactor.callFromThread(process.reload)
+
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGINT, stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
+    reactor.run()
+
+
+@click.command("hyssop-entry")
+@click.option(
+    "--settings",
+    "path",
+    default=lambda: os.environ.get(PATH_VARIABLE, ""),
+    metavar="FILE",
+    help=f"Settings file of the platform; else ${PATH_VARIABLE}.",
+)
+@click.option("--check", is_flag=True, help="Check the file and stop.")
+@click.version_option(package_name="hyssopspring")
+def main(path, check):
+    """Run an entry process on the users' platform."""
+    try:
+        settings = read_settings(path)
+    except SettingsError as problem:
+        click.echo(str(problem), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"{path}: in order")
+        return
+    run(settings)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/hyssopspring/entry/requests.py
@@ -0,0 +1,25 @@
+"""What an entry process knows of a caller's request."""
+
+from dataclasses import dataclass
+
+from ..core.sentinels import NOTHING
+from ..traffic.work import Demand
+
+__all__ = ["CallerFacts"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallerFacts:
+    """What a caller states of its request.
+
+    Attributes:
+        id: Identifier of this try of the caller, as bytes.
+        deadline: Seconds that the caller will wait, or `NOTHING`.
+        demand: The `Demand` on an engine.
+        last_event: Event after which a stream goes on, or b"".
+    """
+
+    id: bytes
+    deadline: object = NOTHING
+    demand: Demand = Demand()
+    last_event: bytes = b""
--- /dev/null
+++ b/src/hyssopspring/entry/settings.py
@@ -0,0 +1,79 @@
+"""Settings of an entry process, whatever file they come from."""
+
+from dataclasses import dataclass, field
+
+from ..core.exceptions import SettingsError
+
+__all__ = ["EntrySettings", "check_settings"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntrySettings:
+    """What an entry process must know at its start.
+
+    Attributes:
+        host: Name of the host.
+        address: Its IP address.
+        data_centre: Its data centre.
+        region: Its region.
+        regions: Region by data centre, for all data centres.
+        front: Address for callers, as ``ip:port``.
+        ready: Address of the readiness page.
+        directory: Address of the directory page.
+        control: Address of the page for hosts that know no other, or "".
+        ports: First and last port for traffic between hosts.
+        seeds: Control addresses of hosts that may be up.
+        store: Address of the platform's store.
+        capacity: Share of a core, to weigh what the host can carry.
+        retry_ratio: Repeats allowed for each request.
+        retry_extra: Repeats allowed besides, over all hosts.
+        retry_window: Seconds over which repeats are counted.
+        cold_factor: Factor on the rate of a cold server.
+        cold_extra: Requests allowed besides in a second.
+        stop_seconds: Seconds from the signal to stop to the end.
+        least_lease: Shortest lease that the store gives, in seconds.
+    """
+
+    host: str
+    address: str
+    data_centre: str
+    region: str
+    regions: dict = field(default_factory=dict)
+    front: str
+    ready: str = ""
+    directory: str = ""
+    control: str = ""
+    ports: tuple[int, int]
+    seeds: tuple[str, ...] = ()
+    store: str
+    capacity: float = 1.0
+    retry_ratio: float = 0.2
+    retry_extra: float = 10.0
+    retry_window: float = 10.0
+    cold_factor: float = 1.0
+    cold_extra: float = 0.0
+    stop_seconds: float = 8.0
+    least_lease: float = 1.0
+
+
+def check_settings(settings):
+    """Check what would only show later, under traffic.
+
+    Raises:
+        SettingsError: A value is out of range; the text names it.
+    """
+    first, last = settings.ports
+    if not 0 < first < last <= 65535:
+        raise SettingsError(
+            f"ports: expected two ports in rising order, got {first},{last}"
+        )
+    if settings.stop_seconds <= 1:
+        raise SettingsError(
+            "stop_seconds: expected more than 1 second, got "
+            f"{settings.stop_seconds}"
+        )
+    if settings.capacity <= 0:
+        raise SettingsError(
+            f"capacity: expected a positive share, got {settings.capacity}"
+        )
+    return settings
--- /dev/null
+++ b/src/hyssopspring/entry/web.py
@@ -0,0 +1,203 @@
+"""HTTP service on `twisted.web`: listeners, requests and their answers."""
+
+import weakref
+
+import msgspec
+from twisted.web import http
+
+from ..core.sentinels import NOTHING
+
+__all__ = ["AnswerSink", "WebFactory", "WebRequest", "respond_refusal"]
+
+ABORT_AFTER = 2.0
+"""Seconds after an idle timeout in which a connection must close."""
+
+
+class WebRequest(http.Request):
+    """A request whose body is bounded and handed over when it is whole."""
+
+    _parsePOSTFormSubmission = False
+    too_long = False
+
+    def gotLength(self, length):
+        """Note a body whose announced length is too great."""
+        if length is not None and length > self.channel.site.longest_body():
+            self.too_long = True
+        super().gotLength(length)
+
+    def handleContentChunk(self, data):
+        """Drop what exceeds the longest body, so that memory is bounded."""
+        if self.too_long:
+            return
+        if self.content.tell() + len(data) > self.channel.site.longest_body():
+            self.too_long = True
+            return
+        super().handleContentChunk(data)
+
+    def process(self):
+        """Hand the whole request to the site's handler."""
+        site = self.channel.site
+        if site.closing:
+            self.close_after()
+        if self.too_long:
+            self.close_after()
+            respond_refusal(self, 413, "the body is too long")
+            return
+        site.handle(self)
+
+    def close_after(self):
+        """Close the connection after this answer, and say so."""
+        self.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        self.channel.persistent = False
+
+    @property
+    def peer_ip(self):
+        """IP address of the other side."""
+        return self.getClientAddress().host
+
+
+class WebFactory(http.HTTPFactory):
+    """Serve one listener.
+
+    Args:
+        handle: Called with each `WebRequest`.
+        reactor: The reactor.
+        idle_seconds: Called for the longest time without a request.
+        longest_body: Called for the bytes of the longest body.
+    """
+
+    noisy = False
+
+    def __init__(self, handle, reactor, *, idle_seconds, longest_body):
+        super().__init__(reactor=reactor)
+        self.handle = handle
+        self.idle_seconds = idle_seconds
+        self.longest_body = longest_body
+        self.closing = False
+        self.channels = weakref.WeakSet()
+
+    def buildProtocol(self, addr):
+        """Return the protocol of a new connection."""
+        self.timeOut = self.idle_seconds()
+        wrapper = super().buildProtocol(addr)
+        wrapper.requestFactory = WebRequest
+        wrapper.site = self
+        wrapper._channel.abortTimeout = ABORT_AFTER
+        self.channels.add(wrapper._channel)
+        return wrapper
+
+    def startFactory(self):
+        """Write no access log; the time line holds what matters."""
+
+    def stopFactory(self):
+        """Do nothing; there is no access log."""
+
+    def log(self, request):
+        """Write no access log."""
+
+    def close_idle(self):
+        """Close the connections that carry no request now."""
+        for channel in list(self.channels):
+            if not channel.requests and channel.transport is not None:
+                channel.transport.loseConnection()
+
+
+class AnswerSink:
+    """Write one answer.
+
+    Args:
+        request: The `WebRequest`.
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, request, clock):
+        self.request = request
+        self.clock = clock
+        self.started = False
+        self.finished = False
+        self.bytes = 0
+        self.producer = NOTHING
+
+    @property
+    def gone(self):
+        """Whether the other side has closed the connection."""
+        return self.request._disconnected
+
+    def start(self, status, headers, length=NOTHING):
+        """Send the head of an answer.
+
+        Args:
+            status: HTTP status.
+            headers: Names and values, as bytes.
+            length: Bytes of the body, if they are known.
+        """
+        self.started = True
+        if self.gone:
+            return
+        self.request.setResponseCode(status)
+        for name, value in headers:
+            self.request.responseHeaders.addRawHeader(name, value)
+        if length is not NOTHING:
+            self.request.responseHeaders.setRawHeaders(
+                b"content-length", [b"%d" % length]
+            )
+
+    def write(self, data):
+        """Send a part of the body."""
+        self.bytes += len(data)
+        if not self.gone:
+            self.request.write(data)
+
+    def pausing(self, producer):
+        """Let a slow reader pause *producer*.
+
+        Without it the answer to a reader that stopped reading would pile
+        up in memory.
+        """
+        self.release()
+        if not self.gone:
+            self.producer = producer
+            self.request.registerProducer(producer, True)
+
+    def release(self):
+        """Let go of the producer."""
+        if self.producer is not NOTHING and not self.gone:
+            self.request.unregisterProducer()
+        self.producer = NOTHING
+
+    def finish(self):
+        """End a whole answer."""
+        self.release()
+        self.finished = True
+        if not self.gone:
+            self.request.finish()
+
+    def whole(self, status, headers, body):
+        """Send a whole answer."""
+        self.start(status, headers, len(body))
+        self.write(body)
+        self.finish()
+
+    def abort(self):
+        """Cut an answer that is not whole, so that it shows.
+
+        A proper end would pass a part off as the whole.
+        """
+        self.release()
+        self.finished = True
+        if not self.gone:
+            self.request.loseConnection()
+
+
+def respond_refusal(request, status, text, headers=()):
+    """Answer with a status of our own and a line that says why."""
+    if request._disconnected or request.finished:
+        return
+    body = msgspec.json.encode({"error": text})
+    request.setResponseCode(status)
+    for name, value in headers:
+        request.responseHeaders.setRawHeaders(name, [value])
+    request.setHeader(b"content-type", b"application/json")
+    request.setHeader(b"content-length", b"%d" % len(body))
+    request.write(body)
+    request.finish()
--- /dev/null
+++ b/src/hyssopspring/platform/headers.py
@@ -0,0 +1,143 @@
+"""Headers of callers and servers, decoded and encoded."""
+
+from twisted.web.http_headers import Headers
+
+from ..core.sentinels import NOTHING
+from ..entry.attempts import Head
+from ..entry.requests import CallerFacts
+from ..traffic.work import Demand
+
+__all__ = ["read_caller", "read_head", "server_headers"]
+
+REQUEST_ID = b"x-request-attempt-id"
+DEADLINE = b"x-deadline-ms"
+PARTS = b"x-prompt-prefix"
+TOKENS = b"x-token-usage"
+LENGTH_HINT = b"x-length-hint"
+EXPECTED_SERVER = b"x-expect-instance"
+URGENCY = b"x-request-urgency"
+LAST_EVENT = b"last-event-id"
+STAMP = b"x-response-stamp"
+NOT_RUN = b"x-not-executed"
+RETRY_AFTER = b"retry-after"
+MISDIRECTED = 421
+
+OURS = (
+    EXPECTED_SERVER,
+    URGENCY,
+    b"x-expect-version",
+    b"x-hold",
+    b"x-pin-ms",
+    b"x-kv-backup",
+    b"kv-from",
+    b"kv-fetch",
+)
+"""Headers that only the system sets; a caller's own are dropped, as a
+server would act on them."""
+
+ONE_CONNECTION = (
+    b"connection",
+    b"content-length",
+    b"expect",
+    b"keep-alive",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+)
+
+
+def read_caller(headers):
+    """Return the `CallerFacts` of a caller's headers.
+
+    What cannot be read counts as absent: the server judges it.
+    """
+    return CallerFacts(
+        id=first(headers, REQUEST_ID),
+        deadline=read_number(first(headers, DEADLINE), 0.001),
+        demand=read_demand(headers),
+        last_event=first(headers, LAST_EVENT),
+    )
+
+
+def read_demand(headers):
+    """Return the `Demand` that a caller states."""
+    parts = []
+    for item in first(headers, PARTS).split(b","):
+        name, _, tokens = item.strip().partition(b":")
+        if name and tokens.isdigit():
+            parts.append((name.decode("latin-1"), int(tokens)))
+    tokens_in, _, most_out = first(headers, TOKENS).partition(b",")
+    counted = sum(tokens for _, tokens in parts)
+    hint = read_number(first(headers, LENGTH_HINT), 1.0)
+    out = read_number(most_out.strip(), 1.0)
+    if hint is not NOTHING and (out is NOTHING or hint < out):
+        out = hint
+    given = read_number(tokens_in.strip(), 1.0)
+    return Demand(
+        parts=tuple(parts),
+        tokens_in=counted if given is NOTHING else int(given),
+        tokens_out=0 if out is NOTHING else int(out),
+    )
+
+
+def read_number(text, unit):
+    """Return a number in the product's unit, or `NOTHING`."""
+    try:
+        value = float(text)
+    except ValueError:
+        return NOTHING
+    return value * unit if 0 <= value < 1e12 else NOTHING
+
+
+def server_headers(headers, *, time_left, server_id, urgency, last_event):
+    """Return the `Headers` that a server gets.
+
+    Args:
+        headers: The caller's `Headers`.
+        time_left: Seconds that the caller will still wait, or `NOTHING`.
+        server_id: The server that is to run it, and no other.
+        urgency: Rank among waiting requests; 0 goes first.
+        last_event: Event after which a stream goes on, or b"".
+    """
+    sent = passed_on(headers)
+    sent.setRawHeaders(EXPECTED_SERVER, [server_id.encode()])
+    if urgency is not NOTHING:
+        sent.setRawHeaders(URGENCY, [b"%d" % urgency])
+    if time_left is not NOTHING:
+        millis = max(1, int(time_left * 1000))
+        sent.setRawHeaders(DEADLINE, [b"%d" % millis])
+    if last_event:
+        sent.setRawHeaders(LAST_EVENT, [last_event])
+    return sent
+
+
+def passed_on(headers):
+    """Return a copy without what concerns one connection or the system."""
+    named = first(headers, b"connection").lower().split(b",")
+    dropped = {name.strip() for name in named}
+    dropped.update(ONE_CONNECTION, OURS)
+    sent = Headers()
+    for name, values in headers.getAllRawHeaders():
+        if name.lower() not in dropped:
+            sent.setRawHeaders(name, values)
+    return sent
+
+
+def read_head(status, headers):
+    """Return the `Head` of a server's answer."""
+    echo = first(headers, REQUEST_ID)
+    return Head(
+        not_run=bool(first(headers, NOT_RUN)),
+        misdirected=status == MISDIRECTED,
+        echo=echo or NOTHING,
+        stamped=bool(first(headers, STAMP)),
+        retry_after=read_number(first(headers, RETRY_AFTER), 1.0),
+    )
+
+
+def first(headers, name):
+    """Return the first value of a header, or b""."""
+    values = headers.getRawHeaders(name)
+    return values[0] if values else b""
--- /dev/null
+++ b/src/hyssopspring/platform/layout.py
@@ -0,0 +1,19 @@
+"""Where the store holds what, and how it is decoded."""
+
+from .operator import (
+    CONFIGURATION_KEY,
+    OPERATOR_PREFIX,
+    decode_configuration,
+    evacuated_data_centre,
+)
+from .registry import SERVERS_PREFIX, decode_server, server_id
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATOR_PREFIX",
+    "SERVERS_PREFIX",
+    "decode_configuration",
+    "decode_server",
+    "evacuated_data_centre",
+    "server_id",
+]
--- /dev/null
+++ b/src/hyssopspring/platform/settings.py
@@ -0,0 +1,95 @@
+"""The settings file that the platform writes for each process."""
+
+from ..core.exceptions import SettingsError
+from ..entry.settings import EntrySettings, check_settings
+
+__all__ = ["PATH_VARIABLE", "parse_settings", "read_settings"]
+
+PATH_VARIABLE = "HYSSOPSPRING_BOOT"
+"""Environment variable that holds the path of the file."""
+
+DATA_CENTRES = "zones."
+
+
+def read_settings(path):
+    """Read and check the file at *path*.
+
+    Raises:
+        SettingsError: It cannot be read, or a value is missing or wrong.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except OSError as problem:
+        raise SettingsError(f"{path}: cannot be read: {problem}") from None
+    return parse_settings(path, text)
+
+
+def parse_settings(path, text):
+    """Return the `EntrySettings` of a file's *text*.
+
+    Each line is a dotted name, an equals sign and a value; a list is
+    joined by commas.
+
+    Raises:
+        SettingsError: A value is missing or wrong; the text names it.
+    """
+    values = {}
+    for line in text.splitlines():
+        name, equals, value = line.partition("=")
+        if equals:
+            values[name.strip()] = value.strip()
+    try:
+        return check_settings(decode(values))
+    except KeyError as missing:
+        raise SettingsError(f"{path}: {missing.args[0]}: missing") from None
+    except ValueError as problem:
+        raise SettingsError(f"{path}: {problem}") from None
+
+
+def decode(values):
+    """Return the `EntrySettings` of values by name."""
+    regions = {
+        name.removeprefix(DATA_CENTRES): region
+        for name, region in values.items()
+        if name.startswith(DATA_CENTRES)
+    }
+    first, last = values["port_range"].split(",")
+    cores = number(values, "limits.cores", 1.0)
+    return EntrySettings(
+        host=values["node"],
+        address=values["ip"],
+        data_centre=values["zone"],
+        region=values["region"],
+        regions=regions,
+        front=values["listen.front"],
+        ready=values.get("listen.ready", ""),
+        directory=values.get("listen.directory", ""),
+        control=values.get("listen.control", ""),
+        ports=(int(first), int(last)),
+        seeds=tuple(filter(None, values.get("seeds", "").split(","))),
+        store=values["platform.address"],
+        capacity=number(values, "limits.cpu_share", 1.0) * cores,
+        retry_ratio=number(values, "bounds.retry_budget_ratio", 0.2),
+        retry_extra=number(values, "bounds.retry_budget_extra", 10.0),
+        retry_window=number(values, "bounds.budget_window_s", 10.0),
+        cold_factor=number(values, "bounds.cold_over", 1.0),
+        cold_extra=number(values, "bounds.cold_slack", 0.0),
+        stop_seconds=number(values, "bounds.grace_s", 8.0),
+        least_lease=number(values, "platform.ttl_min_ms", 1000.0) / 1000,
+    )
+
+
+def number(values, name, default):
+    """Return a number, or *default* if it is not given.
+
+    Raises:
+        ValueError: It is given and is no number; the text names it.
+    """
+    text = values.get(name, "")
+    if not text:
+        return default
+    try:
+        return float(text)
+    except ValueError:
+        raise ValueError(f"{name}: expected a number, got {text!r}") from None
--- /dev/null
+++ b/src/hyssopspring/traffic/evidence.py
@@ -0,0 +1,87 @@
+"""What requests have shown of a server, above what it says of itself."""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["Evidence", "Finding"]
+
+FIRST_PAUSE = 0.5
+"""Seconds without requests after a first failure to reach a server; about
+the time in which a restarting process is back."""
+
+LONGEST_PAUSE = 4.0
+"""Most seconds without a request; a server that is back waits no longer
+for its next trial."""
+
+REFUSED_PAUSE = 0.15
+"""Seconds for which a server that was full is passed over."""
+
+ERROR_WEIGHT = 0.08
+"""Weight of one answer in the error rate; about the last dozen count."""
+
+TRIAL_TIME = 1.0
+"""Seconds for which one trial keeps others from a suspected server."""
+
+
+class Finding(enum.IntEnum):
+    """How an attempt at a server went."""
+
+    ANSWERED = 0
+    ERROR = 1
+    UNREACHED = 2
+    SILENT = 3
+    FULL = 4
+    MISDIRECTED = 5
+    CANCELLED = 6
+
+
+SUSPECT = (Finding.UNREACHED, Finding.SILENT, Finding.MISDIRECTED)
+
+
+@dataclass(slots=True, eq=False)
+class Evidence:
+    """What attempts have shown of one server.
+
+    Attributes:
+        failures: Failures to reach it in a row.
+        paused_until: Time until which it gets nothing.
+        error_rate: Moving share of answers that were its own failures.
+    """
+
+    failures: int = 0
+    paused_until: float = 0.0
+    error_rate: float = 0.0
+
+    def note(self, finding, now):
+        """Take account of the end of an attempt.
+
+        Returns:
+            Whether the server is now newly suspected.
+        """
+        if finding is Finding.CANCELLED:
+            return False
+        if finding is Finding.FULL:
+            self.paused_until = max(self.paused_until, now + REFUSED_PAUSE)
+            return False
+        if finding in SUSPECT:
+            return self.suspect(now)
+        wrong = 1.0 if finding is Finding.ERROR else 0.0
+        self.error_rate += (wrong - self.error_rate) * ERROR_WEIGHT
+        self.failures = 0
+        return False
+
+    def suspect(self, now):
+        """Pause the server, longer with each failure in a row."""
+        pause = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self.failures)
+        self.paused_until = max(self.paused_until, now + pause)
+        self.failures += 1
+        return self.failures == 1
+
+    def open(self, now):
+        """Whether the server may get a request."""
+        return now >= self.paused_until
+
+    def begin_trial(self, now):
+        """Let one request through to a suspected server, not a burst."""
+        if self.failures:
+            self.paused_until = max(self.paused_until, now + TRIAL_TIME)
--- /dev/null
+++ b/src/hyssopspring/traffic/placing.py
@@ -0,0 +1,467 @@
+"""Choose a server, another region, or a refusal for one request."""
+
+from dataclasses import dataclass, replace
+
+from ..core.sentinels import NOTHING
+from .coldrates import ColdRates
+from .evidence import Evidence, Finding
+from .servers import Usability
+from .work import Demand, Ticket, make_work
+
+__all__ = ["Ask", "Away", "Placed", "Placer", "RegionLoad", "Refused"]
+
+HOME_SHARE = 0.6
+"""Part of the time to the objective up to which a request stays in its
+region whatever the others offer; sending it away costs a round trip and
+reads its shared parts again."""
+
+AWAY_SECONDS = 0.2
+"""Seconds by which another region answers later: a round trip between
+regions of 160 ms, and a hop at each end."""
+
+AWAY_SHARE = 0.85
+"""Part of the time to the objective within which another region must
+answer to be chosen; its load is known with a lag."""
+
+LATE_URGENCY = 8
+"""Urgency of requests that will miss their objective anyway: they run in
+the gaps and delay nobody who can still be on time."""
+
+MOST_LATE = 2
+"""Late requests that may wait at one server at a time."""
+
+SPREAD = 0.5
+"""Part of a Retry-After by which callers are spread, so that those who are
+refused together do not return together."""
+
+LEAST_RETRY = 0.25
+MOST_RETRY = 3.0
+"""Bounds of a Retry-After in seconds. Sooner, the load that led to the
+refusal has not changed; later, little is left of the caller's time."""
+
+LONGEST_TICKET = 40.0
+"""Seconds after which a placed request whose end was not heard of is
+dropped; routes time out well before."""
+
+SUMMARY_LIFE = 1.5
+"""Seconds for which another region's load report is used; it is sent a
+few times a second, and who is silent so long may be cut off."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ask:
+    """What must be known of a request to place it.
+
+    Attributes:
+        host: Host that carries it out.
+        number: The host's number for it.
+        service: Service that it needs.
+        demand: Its `Demand`.
+        time_left: Seconds in which it would meet its objective.
+        patience: Seconds in which an answer is of use at all.
+        priority: Rank among the routes of the service; 0 is highest.
+        excluded: Identifiers of servers that it must not go to.
+        regions: Regions that may serve it; empty for all.
+        may_leave: Whether it may be sent to another region.
+    """
+
+    host: str
+    number: int
+    service: str
+    demand: Demand = Demand()
+    time_left: float = 1.0
+    patience: float = 5.0
+    priority: int = 5
+    excluded: tuple = ()
+    regions: frozenset = frozenset()
+    may_leave: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """Send it to a server.
+
+    Attributes:
+        server_id: The server.
+        address: Its ``ip:port``.
+        urgency: Rank for the server; 0 goes first.
+        predicted: Seconds to the answer or first event.
+        cold: Whether the server is cold, so that the placement must be
+            used at once or not at all.
+    """
+
+    server_id: str
+    address: str
+    urgency: int
+    predicted: float
+    cold: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Away:
+    """Send it to a host of another region.
+
+    Attributes:
+        region: The region.
+        predicted: Seconds to the answer or first event.
+    """
+
+    region: str
+    predicted: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Refuse it at once.
+
+    Attributes:
+        retry_after: Seconds after which there should be room.
+        predicted: Seconds to an answer if it were admitted.
+    """
+
+    retry_after: float
+    predicted: float
+
+
+@dataclass(frozen=True, slots=True)
+class RegionLoad:
+    """What another region says of one service.
+
+    Attributes:
+        servers: Servers that take requests.
+        wait: Seconds that a new request would wait at the best of them.
+        room: Requests that could start at once.
+        at: Time of arrival.
+    """
+
+    servers: int
+    wait: float
+    room: int
+    at: float
+
+
+class Placer:
+    """Place the requests of one region.
+
+    Each host has one. The hosts of a region ask the same one of theirs,
+    which so knows all work in progress; what the others know serves to
+    take over when it is gone.
+
+    Args:
+        region: The region.
+        registry: The `Registry`.
+        service_of: Called with a name; returns the `Service`.
+        cold_bound: Called with a `Service`; returns the requests that
+            its cold servers stand in a second.
+        rng: Random number generator.
+    """
+
+    def __init__(self, region, registry, service_of, cold_bound, rng):
+        self.region = region
+        self.registry = registry
+        self.service_of = service_of
+        self.cold_bound = cold_bound
+        self.rng = rng
+        self.work = {}
+        self.evidence = {}
+        self.tickets = {}
+        self.cold_rates = ColdRates()
+        self.loads = {}
+
+    def place(self, ask, now, *, cold_allowed=True):
+        """Decide on one request.
+
+        Args:
+            ask: The `Ask`.
+            now: The time.
+            cold_allowed: Whether this host may count for cold servers.
+
+        Returns:
+            `Placed`, `Away` or `Refused`.
+        """
+        urgency = urgency_of(ask)
+        best, predicted = self.best_here(ask, urgency, now, cold_allowed)
+        home = ask.time_left * HOME_SHARE
+        if best is not NOTHING and predicted <= home:
+            return self.admit(ask, best, urgency, predicted, now)
+        away, elsewhere = self.best_away(ask, now)
+        if best is not NOTHING and predicted <= min(
+            ask.time_left, elsewhere + 0.05
+        ):
+            return self.admit(ask, best, urgency, predicted, now)
+        if self.worth_sending(ask, away, elsewhere, best):
+            return self.send_away(ask, away, elsewhere)
+        return self.place_late(ask, now, cold_allowed)
+
+    def best_here(self, ask, urgency, now, cold_allowed):
+        """Return the best server of this region and its prediction."""
+        best, least, predicted = NOTHING, 0.0, 0.0
+        if ask.regions and self.region not in ask.regions:
+            return best, predicted
+        for server in self.usable(ask, now, cold_allowed):
+            work = self.work_of(server)
+            cost = work.cost(ask.demand, urgency, now)
+            cost += self.evidence_of(server.entry.id).error_rate * 0.6
+            if best is NOTHING or cost < least:
+                best, least = server, cost
+                predicted = work.predict(ask.demand, urgency, now)
+        return best, predicted
+
+    def usable(self, ask, now, cold_allowed):
+        """Return the servers that may get the request now."""
+        found = []
+        for server in self.registry.candidates(ask.service, self.region, now):
+            server_id = server.entry.id
+            if server_id in ask.excluded:
+                continue
+            if not self.evidence_of(server_id).open(now):
+                continue
+            if self.too_cold(server, now, cold_allowed):
+                continue
+            found.append(server)
+        return found
+
+    def too_cold(self, server, now, cold_allowed):
+        """Whether the server is cold and has got its share already."""
+        if server.usability(now) is not Usability.COLD:
+            return False
+        service = self.service_of(server.entry.service)
+        if not service.cold_rate:
+            return False
+        if not cold_allowed:
+            return True
+        bound = self.cold_bound(service)
+        return not self.cold_rates.free(server.entry.id, bound, now)
+
+    def best_away(self, ask, now):
+        """Return the best other region and its prediction."""
+        best, least = NOTHING, float("inf")
+        if not ask.may_leave:
+            return best, least
+        for region, services in self.loads.items():
+            if ask.regions and region not in ask.regions:
+                continue
+            load = services.get(ask.service)
+            if load is None or now - load.at > SUMMARY_LIFE:
+                continue
+            if not load.servers:
+                continue
+            seconds = AWAY_SECONDS + self.predict_away(ask, load)
+            if seconds < least:
+                best, least = region, seconds
+        return best, least
+
+    def predict_away(self, ask, load):
+        """Return the seconds that another region would need."""
+        service = self.service_of(ask.service)
+        work = make_work(service, 1)
+        return load.wait + work.predict(ask.demand, 5, 0.0)
+
+    def worth_sending(self, ask, away, elsewhere, best):
+        """Whether another region serves the request better.
+
+        It must meet the objective there, or have no server here at all.
+        """
+        if away is NOTHING or elsewhere > ask.patience:
+            return False
+        if best is NOTHING:
+            return True
+        return elsewhere <= ask.time_left * AWAY_SHARE
+
+    def send_away(self, ask, region, predicted):
+        """Choose another region, and count on its load at once.
+
+        The region's own report comes with a lag; without the count all
+        requests until then would follow the first.
+        """
+        load = self.loads[region][ask.service]
+        own = self.predict_away(ask, replace(load, wait=0.0))
+        wait = load.wait + own / max(1, load.servers)
+        room = max(0, load.room - 1)
+        self.loads[region][ask.service] = replace(load, wait=wait, room=room)
+        return Away(region, predicted)
+
+    def place_late(self, ask, now, cold_allowed):
+        """Admit a request that will be late behind all others, or refuse.
+
+        Refused requests go at once: their callers may come back when
+        there is room, and the engine's time goes to those on time.
+        """
+        best, predicted = self.best_here(ask, LATE_URGENCY, now, cold_allowed)
+        if best is NOTHING:
+            return self.refuse(ask, 1.0)
+        late = sum(
+            ticket.urgency >= LATE_URGENCY and not ticket.started
+            for ticket in self.work_of(best).tickets.values()
+        )
+        if predicted <= ask.patience and late < MOST_LATE:
+            return self.admit(ask, best, LATE_URGENCY, predicted, now)
+        return self.refuse(ask, predicted)
+
+    def refuse(self, ask, predicted):
+        """Return a `Refused` that says when there should be room."""
+        over = max(LEAST_RETRY, predicted - ask.time_left * HOME_SHARE)
+        seconds = min(MOST_RETRY, over)
+        spread = 1.0 + SPREAD * self.rng.random()
+        return Refused(seconds * spread, predicted)
+
+    def admit(self, ask, server, urgency, predicted, now):
+        """Count the request at *server* and return the `Placed`."""
+        entry = server.entry
+        work = self.work_of(server)
+        fresh = 0
+        if hasattr(work, "fresh_tokens"):
+            fresh = work.fresh_tokens(ask.demand)
+        ticket = Ticket(
+            host=ask.host,
+            number=ask.number,
+            server_id=entry.id,
+            placed_at=now,
+            fresh_tokens=fresh,
+            tokens=ask.demand.tokens_in + ask.demand.tokens_out,
+            tokens_out=ask.demand.tokens_out,
+            urgency=urgency,
+            predicted=predicted,
+        )
+        self.drop(ask.host, ask.number)
+        self.tickets[ask.host, ask.number] = ticket
+        work.begin(ticket, ask.demand)
+        self.cold_rates.count(entry.id, now)
+        self.evidence_of(entry.id).begin_trial(now)
+        cold = server.usability(now) is Usability.COLD
+        return Placed(entry.id, entry.address, urgency, predicted, cold)
+
+    def note_start(self, host, number, seconds, now):
+        """Take account of a first event or the head of an answer."""
+        ticket = self.tickets.get((host, number))
+        if ticket is None or ticket.started:
+            return
+        work = self.work.get(ticket.server_id)
+        if work is not None:
+            work.start(ticket, seconds, now)
+        ticket.started = True
+
+    def note_end(self, host, number, server_id, finding, now):
+        """Take account of the end of an attempt.
+
+        Returns:
+            Whether its server is now newly suspected.
+        """
+        self.drop(host, number)
+        if server_id not in self.registry.servers:
+            return False
+        return self.evidence_of(server_id).note(finding, now)
+
+    def drop(self, host, number):
+        """Forget one placed request."""
+        ticket = self.tickets.pop((host, number), None)
+        if ticket is None:
+            return
+        work = self.work.get(ticket.server_id)
+        if work is not None:
+            work.end(ticket)
+
+    def keep_only(self, host, numbers, now, *, older_than):
+        """Forget the requests of *host* that it says have ended.
+
+        The word of an end may be lost on its way; the server would seem
+        loaded until the host is heard to carry it no longer.
+        """
+        stale = [
+            key
+            for key, ticket in self.tickets.items()
+            if key[0] == host
+            and key[1] not in numbers
+            and now - ticket.placed_at > older_than
+        ]
+        for key in stale:
+            self.drop(*key)
+
+    def adopt(self, ticket, now):
+        """Take over a request that another host has placed."""
+        key = ticket.host, ticket.number
+        known = self.tickets.get(key)
+        if known is not None:
+            known.started = known.started or ticket.started
+            return
+        server = self.registry.servers.get(ticket.server_id)
+        if server is None:
+            return
+        self.tickets[key] = ticket
+        self.work_of(server).begin(ticket, NOTHING)
+
+    def forget_host(self, host):
+        """Forget all requests of a host that is gone."""
+        for key in [key for key in self.tickets if key[0] == host]:
+            self.drop(*key)
+
+    def sweep(self, now):
+        """Forget servers that are gone, and requests past any timeout."""
+        known = self.registry.servers
+        for server_id in [one for one in self.work if one not in known]:
+            del self.work[server_id]
+            self.evidence.pop(server_id, None)
+            self.cold_rates.forget(server_id)
+        for key, ticket in list(self.tickets.items()):
+            gone = ticket.server_id not in known
+            if gone or now - ticket.placed_at > LONGEST_TICKET:
+                self.drop(*key)
+
+    def summarize(self, now):
+        """Return the `RegionLoad` of this region by service."""
+        loads = {}
+        for server in self.registry.servers.values():
+            if server.region != self.region:
+                continue
+            name = server.entry.service
+            load = loads.get(name) or RegionLoad(0, 60.0, 0, now)
+            loads[name] = self.add_load(load, server, now)
+        return loads
+
+    def add_load(self, load, server, now):
+        """Return *load* with one more server."""
+        server_id = server.entry.id
+        if self.registry.usability(server_id, now) is not Usability.READY:
+            return load
+        if not self.evidence_of(server_id).open(now):
+            return load
+        work = self.work_of(server)
+        return RegionLoad(
+            load.servers + 1,
+            min(load.wait, work.wait(now)),
+            load.room + work.room(),
+            now,
+        )
+
+    def take_load(self, region, loads):
+        """Take over another region's report."""
+        self.loads[region] = loads
+
+    def work_of(self, server):
+        """Return the model of a server's work."""
+        work = self.work.get(server.entry.id)
+        if work is None:
+            service = self.service_of(server.entry.service)
+            work = make_work(service, server.entry.slots)
+            self.work[server.entry.id] = work
+        return work
+
+    def evidence_of(self, server_id):
+        """Return the `Evidence` on a server."""
+        evidence = self.evidence.get(server_id)
+        if evidence is None:
+            evidence = self.evidence[server_id] = Evidence()
+        return evidence
+
+
+def urgency_of(ask):
+    """Return the urgency of a request that can be on time.
+
+    Ranks 2 to 6 leave room for late ones behind and for none before.
+    """
+    return min(6, 2 + max(0, ask.priority) * 2)
+
+
+def finding_of_status(status):
+    """Return the `Finding` of an answer that a server gave."""
+    return Finding.ERROR if status >= 500 else Finding.ANSWERED
--- /dev/null
+++ b/src/hyssopspring/traffic/routes.py
@@ -0,0 +1,216 @@
+"""Routes, services and the versioned configuration that holds them."""
+
+import enum
+from dataclasses import dataclass, field
+
+from ..core.hashing import hash_text
+from ..core.sentinels import NOTHING
+
+__all__ = [
+    "Configuration",
+    "ConfigurationKeeper",
+    "EngineSpec",
+    "RequestKind",
+    "RequestLimits",
+    "Route",
+    "Service",
+    "WeightedService",
+]
+
+SPLIT_STEPS = 10_000
+
+
+class RequestKind(enum.Enum):
+    """What may be done with a request more than once."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non-idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One share of a route that is split over services.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its share, relative to the other weights of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """How requests below one path of one host name are served.
+
+    Attributes:
+        name: Name given by the operator.
+        host: Host name that requests bear.
+        prefix: Start of the path, with a slash at both ends.
+        kind: The `RequestKind`.
+        timeout: Longest time to keep a request unanswered, in seconds.
+        objective: Time to the answer, or to a stream's first event, that
+            users want, in seconds.
+        priority: Rank among the routes of a service; 0 is the highest.
+        services: `WeightedService` of each service it is split over.
+        max_attempts: Most servers that may run one request.
+        resumable: Whether another server may go on with a stream.
+        homes: Regions that may serve it; empty for all.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout: float
+    objective: float
+    priority: int = 0
+    services: tuple[WeightedService, ...]
+    max_attempts: int = 1
+    resumable: bool = False
+    homes: frozenset = frozenset()
+
+    @property
+    def repeatable(self):
+        """Whether a second run does no harm."""
+        if self.kind is RequestKind.IDEMPOTENT:
+            return True
+        return self.kind is RequestKind.STREAM and self.resumable
+
+    @property
+    def stream(self):
+        """Whether the answer is a series of events."""
+        return self.kind is RequestKind.STREAM
+
+    def service_for(self, request_id):
+        """Return the service of one request of a split route.
+
+        The request's identifier decides, so that every host that handles
+        the request chooses the same.
+        """
+        if len(self.services) == 1:
+            return self.services[0].service
+        total = sum(share.weight for share in self.services)
+        point = hash_text(request_id) % SPLIT_STEPS / SPLIT_STEPS * total
+        for share in self.services:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.services[-1].service
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EngineSpec:
+    """What the servers of a model service have.
+
+    Attributes:
+        slots: Requests that run at once.
+        memory_tokens: Tokens that running requests and cached parts of
+            prompts share.
+    """
+
+    slots: int
+    memory_tokens: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A kind of backend server.
+
+    Attributes:
+        name: Its name.
+        cold_seconds: How long a server stays cold after its start.
+        cold_rate: Requests a second that a cold server stands; 0 if the
+            servers of the service are never cold.
+        engine: `EngineSpec` of a model service, or `NOTHING`.
+    """
+
+    name: str
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
+    engine: object = NOTHING
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestLimits:
+    """What a caller may send, and how long a connection may idle.
+
+    Attributes:
+        body_bytes: Longest body.
+        idle_seconds: Longest time without a request on a connection.
+    """
+
+    body_bytes: int = 4 * 1024 * 1024
+    idle_seconds: float = 15.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One version of all that operators have set.
+
+    Attributes:
+        version: Its number; versions only go up.
+        routes: Each `Route`.
+        services: `Service` by name.
+        limits: The `RequestLimits`.
+    """
+
+    version: int
+    routes: tuple = ()
+    services: dict = field(default_factory=dict)
+    limits: RequestLimits = RequestLimits()
+    by_host: dict = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self):
+        by_host = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        object.__setattr__(self, "by_host", by_host)
+
+    def find_route(self, host, path):
+        """Return the route with the longest matching prefix.
+
+        Args:
+            host: Host name, without a port.
+            path: Path of the request, without its query.
+
+        Returns:
+            The `Route`, or `NOTHING`.
+        """
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return NOTHING
+
+    def service(self, name):
+        """Return the `Service` of *name*, with defaults if unknown."""
+        return self.services.get(name) or Service(name=name)
+
+
+class ConfigurationKeeper:
+    """Hold the configuration in force; it never goes back.
+
+    A read that was on its way while a newer version arrived, or a
+    neighbour that lags, would otherwise bring a dropped route back into
+    force: callers would see an answer of the new version and then one of
+    the old.
+    """
+
+    def __init__(self):
+        self.current = NOTHING
+
+    @property
+    def version(self):
+        """Version in force, or 0 if none is known."""
+        return self.current.version if self.current else 0
+
+    def offer(self, configuration):
+        """Take over *configuration* if it is newer; return whether."""
+        if configuration.version <= self.version:
+            return False
+        self.current = configuration
+        return True
--- /dev/null
+++ b/src/hyssopspring/traffic/work.py
@@ -0,0 +1,276 @@
+"""How long a server will need: models of engines and plain services."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..core.sentinels import NOTHING
+
+__all__ = ["Demand", "EngineWork", "PlainWork", "Ticket", "make_work"]
+
+PREFILL_RATE = 34_000.0
+"""Prompt tokens that an engine reads in a second, to begin with. Chunks of
+1,024 tokens take 20 ms and a decoding step between two chunks 6 to 10 ms;
+what requests meet corrects it (`pace`)."""
+
+FIRST_SECONDS = 0.03
+"""Seconds to a first event on an idle engine, besides the reading."""
+
+TOKEN_SECONDS = 0.009
+"""Seconds for one output token in a batch, to begin with."""
+
+PLAIN_SECONDS = 0.06
+"""Seconds for one call of a plain service, to begin with."""
+
+LEARN = 0.12
+"""Weight of one observation in moving averages."""
+
+PACE_RANGE = (0.5, 8.0)
+"""Bounds of `pace`; slower servers than eightfold are passed over anyway."""
+
+PACE_FADE = 8.0
+"""Seconds in which a pace returns to normal without new evidence, so that
+a server that was slow once gets work again."""
+
+LEAST_LEARNED = 0.04
+"""Seconds of predicted reading from which a first event tells of pace."""
+
+BATCH_COST = 0.08
+"""Seconds by which a full batch counts as worse than an empty one; it
+spreads requests over servers that would be equally quick to begin."""
+
+ERROR_COST = 0.6
+"""Seconds by which a server that always fails counts as worse."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Demand:
+    """What a request asks of a server.
+
+    Attributes:
+        parts: Identifier and tokens of each part of the prompt, in order.
+        tokens_in: Tokens of the prompt.
+        tokens_out: Tokens of the answer, as far as can be told.
+    """
+
+    parts: tuple = ()
+    tokens_in: int = 0
+    tokens_out: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request that was placed at a server.
+
+    Attributes:
+        host: Host that carries it out.
+        number: The host's number for it.
+        server_id: The server.
+        placed_at: Time of the placement.
+        fresh_tokens: Tokens to be read that the server has not cached.
+        tokens: Memory that it takes, in tokens.
+        tokens_out: Tokens that it will make.
+        urgency: Rank among waiting requests; 0 goes first.
+        predicted: Seconds to its first event, as predicted.
+        started: Whether its first event has come.
+    """
+
+    host: str
+    number: int
+    server_id: str
+    placed_at: float
+    fresh_tokens: int = 0
+    tokens: int = 0
+    tokens_out: int = 0
+    urgency: int = 5
+    predicted: float = 0.0
+    started: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class PlainWork:
+    """Work in progress at a server that answers one call per slot.
+
+    Attributes:
+        slots: Calls that run at once.
+        tickets: `Ticket` by host and number.
+        seconds: Moving average of the time of a call.
+    """
+
+    slots: int
+    tickets: dict = field(default_factory=dict)
+    seconds: float = PLAIN_SECONDS
+
+    def predict(self, demand, urgency, now):
+        """Return the seconds until an answer would come."""
+        waiting = max(0, len(self.tickets) + 1 - self.slots)
+        return self.seconds * (1.0 + waiting / self.slots)
+
+    def cost(self, demand, urgency, now):
+        """Return the seconds that count in a comparison of servers."""
+        load = len(self.tickets) / self.slots
+        return self.predict(demand, urgency, now) + load * BATCH_COST
+
+    def begin(self, ticket, demand):
+        """Count a placed request."""
+        self.tickets[ticket.host, ticket.number] = ticket
+
+    def start(self, ticket, seconds, now):
+        """Take account of an answer after *seconds*."""
+        self.seconds += (min(seconds, 1.0) - self.seconds) * LEARN
+
+    def end(self, ticket):
+        """Count the end of a request."""
+        self.tickets.pop((ticket.host, ticket.number), None)
+
+    def wait(self, now):
+        """Return the seconds that a new request would wait."""
+        return self.predict(NOTHING, 5, now) - self.seconds
+
+    def room(self):
+        """Return how many requests could start at once."""
+        return max(0, self.slots - len(self.tickets))
+
+
+@dataclass(slots=True, eq=False)
+class EngineWork:
+    """Work in progress at a model server, and what it has cached.
+
+    An engine reads prompts one after another between the decoding steps
+    of its batch, so the time to a first event is the reading of all that
+    waits ahead, then of the prompt's parts that are not cached.
+
+    Attributes:
+        slots: Requests that run at once.
+        memory: Tokens that running requests and cached parts share.
+        tickets: `Ticket` by host and number.
+        cached: Tokens by part, the least recently used first.
+        pace: Observed time of reading over the predicted one.
+        paced_at: Time of the last observation.
+        head_since: Time since when the first waiting prompt is read.
+    """
+
+    slots: int
+    memory: int
+    tickets: dict = field(default_factory=dict)
+    cached: OrderedDict = field(default_factory=OrderedDict)
+    pace: float = 1.0
+    paced_at: float = 0.0
+    head_since: float = 0.0
+
+    def fresh_tokens(self, demand):
+        """Return the tokens of the prompt that are not cached here."""
+        known = 0
+        for part, tokens in demand.parts:
+            if part not in self.cached:
+                break
+            known += tokens
+        return max(1, demand.tokens_in - known)
+
+    def current_pace(self, now):
+        """Return the pace, which fades to normal without evidence."""
+        age = max(0.0, now - self.paced_at)
+        kept = max(0.0, 1.0 - age / PACE_FADE)
+        return 1.0 + (self.pace - 1.0) * kept
+
+    def rate(self, now):
+        """Return the tokens that are read in a second."""
+        return PREFILL_RATE / self.current_pace(now)
+
+    def ahead(self, urgency, now):
+        """Return the tokens to be read before a request of *urgency*."""
+        waiting = [
+            ticket for ticket in self.tickets.values() if not ticket.started
+        ]
+        if not waiting:
+            return 0.0
+        total = sum(
+            ticket.fresh_tokens
+            for ticket in waiting
+            if ticket.urgency <= urgency
+        )
+        done = max(0.0, now - self.head_since) * self.rate(now)
+        return max(0.0, total - min(done, 0.9 * waiting[0].fresh_tokens))
+
+    def slot_wait(self, tokens):
+        """Return the seconds until a slot and memory are free."""
+        used = sum(ticket.tokens for ticket in self.tickets.values())
+        over_slots = len(self.tickets) + 1 - self.slots
+        over_tokens = used + tokens - self.memory
+        if over_slots <= 0 and over_tokens <= 0:
+            return 0.0
+        count = max(1, len(self.tickets))
+        out = sum(ticket.tokens_out for ticket in self.tickets.values())
+        seconds = max(0.1, out / count * TOKEN_SECONDS)
+        share = max(over_slots / self.slots, over_tokens / max(1, self.memory))
+        return seconds * max(1.0 / count, share)
+
+    def predict(self, demand, urgency, now):
+        """Return the seconds until the first event would come."""
+        fresh = self.fresh_tokens(demand)
+        reading = (self.ahead(urgency, now) + fresh) / self.rate(now)
+        tokens = demand.tokens_in + demand.tokens_out
+        return FIRST_SECONDS + reading + self.slot_wait(tokens)
+
+    def cost(self, demand, urgency, now):
+        """Return the seconds that count in a comparison of servers.
+
+        Reading parts again delays all who wait behind as well, so it
+        counts one and a half times.
+        """
+        again = self.fresh_tokens(demand) / self.rate(now)
+        batch = len(self.tickets) / self.slots * BATCH_COST
+        return self.predict(demand, urgency, now) + 0.5 * again + batch
+
+    def begin(self, ticket, demand):
+        """Count a placed request; its parts will be cached."""
+        if not any(not other.started for other in self.tickets.values()):
+            self.head_since = ticket.placed_at
+        self.tickets[ticket.host, ticket.number] = ticket
+        if demand is NOTHING:
+            return
+        for part, tokens in demand.parts:
+            self.cached[part] = tokens
+            self.cached.move_to_end(part)
+        self.trim()
+
+    def trim(self):
+        """Forget the parts that the engine has dropped by now."""
+        used = sum(ticket.tokens for ticket in self.tickets.values())
+        room = max(0, self.memory - used)
+        total = sum(self.cached.values())
+        while self.cached and total > room:
+            total -= self.cached.popitem(last=False)[1]
+
+    def start(self, ticket, seconds, now):
+        """Learn from a first event that came after *seconds*."""
+        ticket.started = True
+        self.head_since = now
+        predicted = ticket.predicted - FIRST_SECONDS
+        if predicted < LEAST_LEARNED:
+            return
+        pace = self.current_pace(now)
+        met = pace * max(0.0, seconds - FIRST_SECONDS) / predicted
+        low, high = PACE_RANGE
+        met = min(high, max(low, met))
+        self.pace = pace + (met - pace) * LEARN
+        self.paced_at = now
+
+    def end(self, ticket):
+        """Count the end of a request."""
+        self.tickets.pop((ticket.host, ticket.number), None)
+
+    def wait(self, now):
+        """Return the seconds that a new request would wait."""
+        return self.ahead(5, now) / self.rate(now) + self.slot_wait(1000)
+
+    def room(self):
+        """Return how many requests could start at once."""
+        return max(0, self.slots - len(self.tickets))
+
+
+def make_work(service, slots):
+    """Return the model of a server of *service* with *slots*."""
+    engine = service.engine
+    if engine is NOTHING:
+        return PlainWork(max(1, slots))
+    return EngineWork(max(1, engine.slots), max(1, engine.memory_tokens))
