End a stopping host as soon as it is idle, and name home regions first

Cause: on a rolling restart both hosts of a region were leaving at once, since a stopping host stayed for the whole of its time to stop. Ruled out: a cut between regions; the hosts heard each other all the while. Change: a stopping host serves 2.2 s, refuses what is new while another host of its region takes it, and ends when nothing is in progress; without a host in the caller's region the directory names the homes of the name's routes.

--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -13,12 +13,15 @@
 """Seconds after which to come back when this host stops; another host can
 take the request at once."""
 
-STREAM_SHARE = 0.3
-"""Part of the time to stop in which new streams are still taken: a stream
-that begins later may not end in time."""
+SERVE_ON = 2.2
+"""Seconds for which a stopping host takes all requests: the time for which
+callers keep a directory answer, and one heartbeat."""
 
-PLAIN_SHARE = 0.8
-"""Part of the time to stop in which other requests are taken."""
+LAST_STREAM = 3.0
+LAST_PLAIN_SHARE = 0.8
+"""What the last host of a region still takes while it stops: streams for
+three seconds, since a longer one may not end in time, and others for this
+part of the time to stop."""
 
 STALE_CONTACT = 4.0
 """Seconds without the store after which an unknown route may just not be
@@ -76,9 +79,21 @@
 
     def too_late(self, route):
         """Whether this host stops too soon to finish the request."""
-        share = STREAM_SHARE if route.stream else PLAIN_SHARE
-        limit = self.state.settings.stop_seconds * share
-        return self.state.stopping_for > limit
+        seconds = self.state.stopping_for
+        if seconds <= SERVE_ON:
+            return False
+        if not self.is_last():
+            return True
+        if route.stream:
+            return seconds > LAST_STREAM
+        return seconds > self.state.settings.stop_seconds * LAST_PLAIN_SHARE
+
+    def is_last(self):
+        """Whether no other host of the region takes requests."""
+        now = self.state.clock.seconds()
+        region = self.state.settings.region
+        live = self.state.members.live(now, region=region)
+        return not any(member.version for member in live)
 
     def refuse(self, request, text, retry_after):
         """Answer that the request was not run."""
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -23,7 +23,7 @@
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
 from ..traffic.servers import Registry
 from .asking import Asking
-from .callers import CallerApi
+from .callers import SERVE_ON, CallerApi
 from .connections import Connections
 from .datagrams import Datagrams
 from .following import Following
@@ -47,10 +47,6 @@
 """Seconds for which a connection of another host may idle; the other side
 stops using it much sooner."""
 
-CLOSE_IDLE_AFTER = 0.35
-"""Part of the time to stop after which idle connections of callers are
-closed; by then they have heard that this host leaves."""
-
 FINISH_MARGIN = 0.35
 """Seconds before the end of the time to stop at which the process ends."""
 
@@ -234,28 +230,50 @@
         """Whether this host takes requests."""
         return bool(self.keeper.current) and not self.members.own.leaving
 
-    def hosts_for(self, region, data_centre):
+    def hosts_for(self, name, region, data_centre):
         """Return the addresses that callers of a region should use.
 
-        Hosts of the caller's region come first, and the others only if it
-        has none: a request body must not go to a region that is neither
-        the caller's nor allowed to serve it.
+        A request body must not go to a region that is neither the
+        caller's nor a home of its route. So hosts of the caller's region
+        are named; without one, those of the homes of the name's routes;
+        and then hosts that leave but still serve.
+
+        Args:
+            name: Host name that the caller wants to reach.
+            region: Region of the caller.
+            data_centre: Its data centre.
         """
         now = self.reactor.seconds()
-        live = [
-            member
-            for member in self.members.live(now)
-            if member.version or member is self.members.own
+        live = [member for member in self.members.live(now) if member.version]
+        homes = self.homes_of(name)
+        choices = (
+            [one for one in live if one.region == region],
+            [one for one in live if one.region in homes],
+            self.members.leaving(now, region),
+            live,
+        )
+        for members in choices:
+            if members:
+                return [member.front for member in members]
+        return []
+
+    def homes_of(self, name):
+        """Return the regions that are a home of all bound routes."""
+        if not self.keeper.current:
+            return frozenset()
+        bound = [
+            route.homes
+            for route in self.keeper.current.by_host.get(name.lower(), ())
+            if route.homes
         ]
-        near = [member for member in live if member.region == region]
-        return [member.front for member in near or live]
+        return frozenset.intersection(*bound) if bound else frozenset()
 
     async def stop(self):
         """Stop gracefully: no request in progress is cut.
 
         At once the host counts as leaving; it goes on serving those who
-        still hold its address, refuses what could not end in time, and
-        closes when nothing is left or the time is over.
+        still hold its address, then refuses what is new and ends as soon
+        as nothing is in progress, so that its successor starts early.
         """
         if self.members.own.leaving:
             return
@@ -268,9 +286,9 @@
         self.following.spawn(self.following.leave())
         for factory in self.factories:
             factory.closing = True
-        total = self.settings.stop_seconds
-        await self.sleep(total * CLOSE_IDLE_AFTER)
-        while self.state.stopping_for < total - FINISH_MARGIN:
+        await self.sleep(SERVE_ON)
+        end = self.settings.stop_seconds - FINISH_MARGIN
+        while self.state.stopping_for < end and self.busy():
             self.factories[0].close_idle()
             await self.sleep(CHECK_EVERY)
         self.timeline.note(
@@ -278,6 +296,12 @@
         )
         self.lines.flush()
 
+    def busy(self):
+        """Whether something is in progress, or nobody could take over."""
+        if self.callers.exchanges or self.relay.relayed:
+            return True
+        return self.callers.is_last()
+
     def sleep(self, seconds):
         """Return a deferred that fires after *seconds*."""
         return task.deferLater(self.reactor, seconds)
--- a/src/hyssopspring/platform/pages.py
+++ b/src/hyssopspring/platform/pages.py
@@ -16,8 +16,8 @@
     """Answer where to connect, and whether this host takes requests.
 
     Args:
-        hosts_for: Called with a region and a data centre; returns the
-            addresses of the hosts to use.
+        hosts_for: Called with a host name, a region and a data centre;
+            returns the addresses of the hosts to use.
         is_ready: Called for whether this host takes requests.
     """
 
@@ -36,9 +36,10 @@
 
     def resolve(self, request):
         """Answer with the hosts to use."""
+        name = argument(request, b"name")
         region = argument(request, b"region")
         data_centre = argument(request, b"zone")
-        addresses = self.hosts_for(region, data_centre)[:MOST_ADDRESSES]
+        addresses = self.hosts_for(name, region, data_centre)[:MOST_ADDRESSES]
         if not addresses:
             respond(request, 503, {})
             return
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -98,6 +98,17 @@
             found = [one for one in found if one.region == region]
         return found
 
+    def leaving(self, now, region):
+        """Return the hosts of *region* that leave but are still heard."""
+        found = [
+            member
+            for member in self.others.values()
+            if member.leaving and member.heard_within(PLACER_SILENCE, now)
+        ]
+        if self.own.leaving:
+            found.append(self.own)
+        return [member for member in found if member.region == region]
+
     def placers(self, now):
         """Return the hosts of this region to ask, the best first.
 
