Wait for as many ends as slot and memory need at a full engine

Change: a request waits for the ends that free its slot and memory; the time of a token is learned per server.

--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -347,19 +347,26 @@
         Returns:
             Whether its server is now newly suspected.
         """
-        self.drop(host, number)
+        whole = now if finding is Finding.ANSWERED else NOTHING
+        self.drop(host, number, whole)
         if server_id not in self.registry.servers:
             return False
         return self.evidence_of(server_id).note(finding, now)
 
-    def drop(self, host, number):
-        """Forget one placed request."""
+    def drop(self, host, number, whole=NOTHING):
+        """Forget one placed request.
+
+        Args:
+            host: Host that carries it out.
+            number: Its number.
+            whole: Time at which its answer was whole, or `NOTHING`.
+        """
         ticket = self.tickets.pop((host, number), None)
         if ticket is None:
             return
         work = self.work.get(ticket.server_id)
         if work is not None:
-            work.end(ticket)
+            work.end(ticket, whole)
 
     def keep_only(self, host, numbers, now, *, older_than):
         """Forget the requests of *host* that it says have ended.
@@ -382,11 +389,13 @@
         key = ticket.host, ticket.number
         known = self.tickets.get(key)
         if known is not None:
-            known.started = known.started or ticket.started
+            if ticket.started and not known.started:
+                known.started, known.started_at = True, now
             return
         server = self.registry.servers.get(ticket.server_id)
         if server is None:
             return
+        ticket.started_at = now
         self.tickets[key] = ticket
         self.work_of(server).begin(ticket, NOTHING)
 
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -18,6 +18,17 @@
 TOKEN_SECONDS = 0.009
 """Seconds for one output token in a batch, to begin with."""
 
+TOKEN_RANGE = (0.002, 0.05)
+"""Bounds of the observed time of an output token. Callers ask for more
+tokens than come, so it may lie below the time of one step."""
+
+LEAST_LEFT = 0.08
+"""Seconds that a request needs still when it is past its expected end."""
+
+MEMORY_USED = 0.93
+"""Part of an engine's memory that is filled; requests grow while they
+run, and an engine whose memory runs out drops requests midway."""
+
 PLAIN_SECONDS = 0.06
 """Seconds for one call of a plain service, to begin with."""
 
@@ -72,6 +83,7 @@
         urgency: Rank among waiting requests; 0 goes first.
         predicted: Seconds to its first event, as predicted.
         started: Whether its first event has come.
+        started_at: Time of its first event.
     """
 
     host: str
@@ -84,6 +96,7 @@
     urgency: int = 5
     predicted: float = 0.0
     started: bool = False
+    started_at: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -118,7 +131,7 @@
         """Take account of an answer after *seconds*."""
         self.seconds += (min(seconds, 1.0) - self.seconds) * LEARN
 
-    def end(self, ticket):
+    def end(self, ticket, now=NOTHING):
         """Count the end of a request."""
         self.tickets.pop((ticket.host, ticket.number), None)
 
@@ -147,6 +160,7 @@
         pace: Observed time of reading over the predicted one.
         paced_at: Time of the last observation.
         head_since: Time since when the first waiting prompt is read.
+        token_seconds: Moving average of the time of an output token.
     """
 
     slots: int
@@ -156,6 +170,7 @@
     pace: float = 1.0
     paced_at: float = 0.0
     head_since: float = 0.0
+    token_seconds: float = TOKEN_SECONDS
 
     def fresh_tokens(self, demand):
         """Return the tokens of the prompt that are not cached here."""
@@ -191,25 +206,45 @@
         done = max(0.0, now - self.head_since) * self.rate(now)
         return max(0.0, total - min(done, 0.9 * waiting[0].fresh_tokens))
 
-    def slot_wait(self, tokens):
-        """Return the seconds until a slot and memory are free."""
+    def slot_wait(self, tokens, now):
+        """Return the seconds until a slot and memory are free.
+
+        When memory runs out an engine drops the newest of its requests
+        in the middle of their streams and reads them in again: callers
+        see streams stand still. So a request waits for the ends of as
+        many others as its slot and its memory need.
+        """
         used = sum(ticket.tokens for ticket in self.tickets.values())
-        over_slots = len(self.tickets) + 1 - self.slots
-        over_tokens = used + tokens - self.memory
-        if over_slots <= 0 and over_tokens <= 0:
+        slots = len(self.tickets) + 1 - self.slots
+        memory = used + tokens - self.memory * MEMORY_USED
+        if slots <= 0 and memory <= 0:
             return 0.0
-        count = max(1, len(self.tickets))
-        out = sum(ticket.tokens_out for ticket in self.tickets.values())
-        seconds = max(0.1, out / count * TOKEN_SECONDS)
-        share = max(over_slots / self.slots, over_tokens / max(1, self.memory))
-        return seconds * max(1.0 / count, share)
+        seconds = 0.0
+        ends = sorted(
+            (self.seconds_left(ticket, now), ticket.tokens)
+            for ticket in self.tickets.values()
+        )
+        for left, freed in ends:
+            seconds = left
+            slots -= 1
+            memory -= freed
+            if slots <= 0 and memory <= 0:
+                break
+        return seconds
+
+    def seconds_left(self, ticket, now):
+        """Return the seconds until a request should end."""
+        whole = ticket.tokens_out * self.token_seconds
+        if not ticket.started:
+            return whole + ticket.predicted
+        return max(LEAST_LEFT, whole - (now - ticket.started_at))
 
     def predict(self, demand, urgency, now):
         """Return the seconds until the first event would come."""
         fresh = self.fresh_tokens(demand)
         reading = (self.ahead(urgency, now) + fresh) / self.rate(now)
         tokens = demand.tokens_in + demand.tokens_out
-        return FIRST_SECONDS + reading + self.slot_wait(tokens)
+        return FIRST_SECONDS + reading + self.slot_wait(tokens, now)
 
     def cost(self, demand, urgency, now):
         """Return the seconds that count in a comparison of servers.
@@ -244,6 +279,7 @@
     def start(self, ticket, seconds, now):
         """Learn from a first event that came after *seconds*."""
         ticket.started = True
+        ticket.started_at = now
         self.head_since = now
         predicted = ticket.predicted - FIRST_SECONDS
         if predicted < LEAST_LEARNED:
@@ -255,13 +291,24 @@
         self.pace = pace + (met - pace) * LEARN
         self.paced_at = now
 
-    def end(self, ticket):
-        """Count the end of a request."""
+    def end(self, ticket, now=NOTHING):
+        """Count the end of a request, and learn from a whole one.
+
+        Args:
+            ticket: The `Ticket`.
+            now: Time at which its answer was whole, or `NOTHING`.
+        """
         self.tickets.pop((ticket.host, ticket.number), None)
+        if now is NOTHING or not ticket.started or not ticket.tokens_out:
+            return
+        met = (now - ticket.started_at) / ticket.tokens_out
+        low, high = TOKEN_RANGE
+        met = min(high, max(low, met))
+        self.token_seconds += (met - self.token_seconds) * LEARN
 
     def wait(self, now):
         """Return the seconds that a new request would wait."""
-        return self.ahead(5, now) / self.rate(now) + self.slot_wait(1000)
+        return self.ahead(5, now) / self.rate(now) + self.slot_wait(1000, now)
 
     def room(self):
         """Return how many requests could start at once."""
