--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -6,8 +6,13 @@
 
 __all__ = ["CallerApi"]
 
-NO_CONFIGURATION_RETRY = 0.5
-"""Seconds after which to come back to a host that is starting."""
+STARTING_RETRY = 0.4
+"""Seconds after which to come back to a host that is starting; it reads
+the configuration within that time."""
+
+NO_STORE_RETRY = 2.0
+"""Seconds after which to come back to a host that cannot read the
+configuration; sooner, most callers would be refused a second time."""
 
 STOPPING_RETRY = 0.05
 """Seconds after which to come back when this host stops; another host can
@@ -44,9 +49,9 @@
         """Serve one whole request."""
         configuration = self.state.keeper.current
         if configuration is NOTHING:
-            self.refuse(
-                request, "no configuration yet", NO_CONFIGURATION_RETRY
-            )
+            failing = self.state.contact.failing_since is not NOTHING
+            wait = NO_STORE_RETRY if failing else STARTING_RETRY
+            self.refuse(request, "no configuration yet", wait)
             return
         route = self.find_route(configuration, request)
         if route is NOTHING:
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -47,7 +47,7 @@
 """Seconds for which a connection of another host may idle; the other side
 stops using it much sooner."""
 
-FINISH_MARGIN = 0.35
+FINISH_MARGIN = 0.8
 """Seconds before the end of the time to stop at which the process ends."""
 
 BACKLOG = 512
