--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -274,6 +274,7 @@
         ask.priority,
         list(ask.excluded),
         sorted(ask.regions),
+        list(ask.avoided),
         ask.may_leave,
     )
 
@@ -294,6 +295,7 @@
         priority=message.priority,
         excluded=tuple(message.excluded),
         regions=frozenset(message.regions),
+        avoided=tuple(message.avoided),
         may_leave=message.may_leave,
     )
 
--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -18,15 +18,17 @@
 """Seconds after which to come back when this host stops; another host can
 take the request at once."""
 
-SERVE_ON = 2.2
+SERVE_ON = 1.3
 """Seconds for which a stopping host takes all requests: the time for which
 callers keep a directory answer, and one heartbeat."""
 
-LAST_STREAM = 3.0
-LAST_PLAIN_SHARE = 0.8
-"""What the last host of a region still takes while it stops: streams for
-three seconds, since a longer one may not end in time, and others for this
-part of the time to stop."""
+LAST_STREAM = 2.8
+"""Seconds for which the last host of a region still takes streams while it
+stops; a later one may not end in time."""
+
+FINISH_MARGIN = 0.8
+"""Seconds before the end of the time to stop at which the process ends,
+for its own end and a late timer."""
 
 STALE_CONTACT = 4.0
 """Seconds without the store after which an unknown route may just not be
@@ -87,11 +89,21 @@
         seconds = self.state.stopping_for
         if seconds <= SERVE_ON:
             return False
-        if not self.is_last():
+        if not self.holds_on():
             return True
         if route.stream:
-            return seconds > LAST_STREAM
-        return seconds > self.state.settings.stop_seconds * LAST_PLAIN_SHARE
+            return seconds > LAST_STREAM or not self.is_last()
+        end = self.state.settings.stop_seconds - FINISH_MARGIN
+        return seconds + route.timeout > end
+
+    def holds_on(self):
+        """Whether this host has to stay up for others than the newest.
+
+        While it waits for the end of a stream it may as well serve what
+        is short; without a stream it only delays its successor.
+        """
+        streams = any(one.route.stream for one in self.exchanges)
+        return streams or self.is_last()
 
     def is_last(self):
         """Whether no other host of the region takes requests."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -1,5 +1,7 @@
 """A caller's request from its arrival to its final answer."""
 
+from dataclasses import replace
+
 from twisted.internet import defer
 
 from ..core.events import EventKind
@@ -89,8 +91,11 @@
         self.runs = 0
         self.tries = 0
         self.may_leave = True
+        self.avoided = []
         self.refused = False
         self.retry_paid = False
+        self.moving = False
+        self.placement = NOTHING
         self.kept = NOTHING
         self.last_event = facts.last_event
         self.first_at = NOTHING
@@ -145,7 +150,7 @@
     async def next_try(self):
         """Place the request, make an attempt, return its outcome."""
         self.tries += 1
-        number, decision = await self.state.asking.place(self.ask())
+        number, decision = await self.placed()
         if self.sink.gone or self.time_left < LEAST_TIME:
             self.state.asking.note_end(number, Finding.CANCELLED)
             return NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER)
@@ -157,6 +162,13 @@
         self.note_refusal(decision)
         return NotRun(Reason.OVERLOADED, decision.retry_after)
 
+    async def placed(self):
+        """Return the number and the decision for the next attempt."""
+        if self.placement is NOTHING:
+            return await self.state.asking.place(self.ask())
+        placement, self.placement = self.placement, NOTHING
+        return placement
+
     def note_refusal(self, refused):
         """Put a refusal and its grounds on the time line."""
         self.state.timeline.note(
@@ -189,6 +201,7 @@
             priority=self.route.priority,
             excluded=tuple(self.excluded),
             regions=self.route.homes,
+            avoided=tuple(self.avoided),
             may_leave=self.may_leave,
         )
 
@@ -241,7 +254,7 @@
         """Make an attempt through a host of another region."""
         member = self.choose_host(away.region)
         if member is NOTHING:
-            self.may_leave = False
+            self.avoid_region(away.region)
             return NotRun(Reason.CONNECT, CONNECT_RETRY_AFTER)
         self.tried_hosts.add(member.name)
         self.state.timeline.note(
@@ -269,11 +282,16 @@
         if answer is not NOTHING and answer.head.server_id:
             self.excluded.append(answer.head.server_id)
         if isinstance(outcome, NotRun):
-            self.may_leave = False
+            self.avoid_region(away.region)
         if self.attempt.finding is Finding.UNREACHED:
             self.state.connections.forget(member.name)
         return outcome
 
+    def avoid_region(self, region):
+        """Try another region next; a third would come too late."""
+        self.may_leave = not self.avoided
+        self.avoided.append(region)
+
     def relay_started(self):
         """Note when an answer from another region began."""
         if self.first_at is NOTHING:
@@ -408,11 +426,36 @@
             return
         if not self.route.repeatable or self.retry_paid:
             return
-        if self.runs + 1 > self.route.max_attempts - 1:
+        if self.runs + 1 > self.route.max_attempts - 1 or self.moving:
             return
         if now - self.last_data > self.silence_limit() and self.pay_retry():
             self.retry_paid = True
-            self.attempt.abandon(Reason.CONNECTION_LOST)
+            self.moving = True
+            work = defer.ensureDeferred(self.move(self.attempt))
+            work.addErrback(self.crashed)
+
+    async def move(self, silent):
+        """Go on elsewhere in place of a silent attempt.
+
+        Another place is found first: a server that is only slow would
+        have answered, and an answer that was cut for nothing is lost.
+
+        Args:
+            silent: The `Attempt`.
+        """
+        seen = self.last_data
+        key = silent.lane.key
+        ask = self.ask()
+        ask = replace(ask, excluded=(*ask.excluded, key))
+        number, decision = await self.state.asking.place(ask)
+        self.moving = False
+        found = isinstance(decision, Placed | Away)
+        silent_still = self.attempt is silent and self.last_data == seen
+        if found and silent_still and not self.over:
+            self.placement = (number, decision)
+            silent.abandon(Reason.CONNECTION_LOST)
+        else:
+            self.state.asking.note_end(number, Finding.CANCELLED)
 
     def silence_limit(self):
         """Return the seconds after which a server counts as silent."""
@@ -472,7 +515,7 @@
             how=how,
             status=status,
             first_ms=int((first - self.arrived) * 1000),
-            ms=int((now - self.arrived) * 1000),
+            took_ms=int((now - self.arrived) * 1000),
             tries=self.tries,
         )
 
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -103,13 +103,15 @@
             ``decode_configuration``, ``evacuated_data_centre``,
             ``decode_server`` and ``server_id``.
         applied: Called when the configuration has changed.
+        found_hosts: Called when the hosts in the store were read.
     """
 
-    def __init__(self, state, store, layout, applied):
+    def __init__(self, state, store, layout, applied, found_hosts):
         self.state = state
         self.store = store
         self.layout = layout
         self.applied = applied
+        self.found_hosts = found_hosts
         self.evacuated = set()
         self.lease = NOTHING
         self.renew_due = 0.0
@@ -283,6 +285,7 @@
             return
         self.state.contact.heard()
         self.hosts.replace(listing.entries, listing.revision)
+        self.found_hosts()
 
     def tick(self):
         """Do the periodic work."""
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -101,6 +101,20 @@
                 self.datagrams.send(plain, member.control)
         self.notice_gone(now)
 
+    def welcome(self, member):
+        """Tell a host that has just started what it needs at once.
+
+        Until it has heard of other hosts and of their load it refuses
+        what its own region cannot serve.
+        """
+        if member is None:
+            return
+        self.datagrams.send(self.heartbeat(NOTHING), member.control)
+        own = self.members.own
+        first = self.members.placers(self.clock.seconds())[0]
+        if member.region != own.region and first is own:
+            self.datagrams.send(self.summary(), member.control)
+
     def heartbeat(self, tickets):
         """Return the heartbeat of this moment."""
         own = self.members.own
@@ -147,17 +161,26 @@
         self.placer.sweep(now)
         if self.members.placers(now)[0] is not self.members.own:
             return
-        loads = {
-            service: ServiceLoad(load.servers, round(load.wait, 4), load.room)
-            for service, load in self.placer.summarize(now).items()
-        }
-        message = Summary(self.members.own.region, loads)
+        message = self.summary()
         regions = {member.region for member in self.members.others.values()}
         for region in regions - {self.members.own.region}:
             for name in self.informed(region):
                 member = self.members.others[name]
                 self.datagrams.send(message, member.control)
 
+    def summary(self):
+        """Return this region's load as this host sees it."""
+        loads = self.placer.summarize(self.clock.seconds())
+        return Summary(
+            self.members.own.region,
+            {
+                service: ServiceLoad(
+                    load.servers, round(load.wait, 4), load.room
+                )
+                for service, load in loads.items()
+            },
+        )
+
     def take_heartbeat(self, message):
         """Note that a host is up, and what it has."""
         member = self.members.others.get(message.host)
@@ -165,6 +188,7 @@
             self.members.learn(member_of(message))
             self.placer.forget_host(message.host)
             member = self.members.others.get(message.host)
+            self.welcome(member)
         if member is None or message.incarnation < member.incarnation:
             return
         now = self.clock.seconds()
@@ -226,6 +250,7 @@
                 service: RegionLoad(load.servers, load.wait, load.room, now)
                 for service, load in message.loads.items()
             },
+            now,
         )
 
 
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -36,6 +36,7 @@
         priority: Rank among the routes of the service.
         excluded: Servers that it must not go to.
         regions: Regions that may serve it; empty for all.
+        avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
     """
 
@@ -50,6 +51,7 @@
     priority: int
     excluded: list[str]
     regions: list[str]
+    avoided: list[str]
     may_leave: bool
 
 
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -23,7 +23,7 @@
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
 from ..traffic.servers import Registry
 from .asking import Asking
-from .callers import SERVE_ON, CallerApi
+from .callers import FINISH_MARGIN, SERVE_ON, CallerApi
 from .connections import Connections
 from .datagrams import Datagrams
 from .following import Following
@@ -47,9 +47,6 @@
 """Seconds for which a connection of another host may idle; the other side
 stops using it much sooner."""
 
-FINISH_MARGIN = 0.8
-"""Seconds before the end of the time to stop at which the process ends."""
-
 BACKLOG = 512
 
 
@@ -93,6 +90,7 @@
             self.service,
             self.cold_bound,
             self.rng,
+            self.members.regions,
         )
         self.datagrams = Datagrams(
             lambda message, ip: self.membership.receive(message, ip),
@@ -132,7 +130,11 @@
             self.settings.store, self.state.connections, self.reactor
         )
         self.following = Following(
-            self.state, store, layout, lambda: self.membership.beat()
+            self.state,
+            store,
+            layout,
+            applied=lambda: self.membership.beat(),
+            found_hosts=lambda: self.membership.beat(),
         )
         self.membership = Membership(
             self.members,
@@ -300,7 +302,7 @@
         """Whether something is in progress, or nobody could take over."""
         if self.callers.exchanges or self.relay.relayed:
             return True
-        return self.callers.is_last()
+        return self.callers.holds_on()
 
     def sleep(self, seconds):
         """Return a deferred that fires after *seconds*."""
--- a/src/hyssopspring/platform/pages.py
+++ b/src/hyssopspring/platform/pages.py
@@ -7,7 +7,7 @@
 RESOLVE = b"/v1/resolve"
 READY = b"/v1/ready"
 MOST_ADDRESSES = 64
-TTL_SECONDS = 2
+TTL_SECONDS = 1
 """Seconds for which callers keep a directory answer. Some keep it three
 times as long, which must end before a stopping host does."""
 
--- a/src/hyssopspring/traffic/evidence.py
+++ b/src/hyssopspring/traffic/evidence.py
@@ -35,6 +35,13 @@
     CANCELLED = 6
 
 
+MAY_BE_SLOW = (Finding.SILENT,)
+"""Findings that do not speak against a server that answers others: it is
+busy, or fails some; pausing it would refuse all that it could serve."""
+
+RECENT_ANSWER = 1.0
+"""Seconds for which an answer shows that a server is up."""
+
 SUSPECT = (Finding.UNREACHED, Finding.SILENT, Finding.MISDIRECTED)
 
 
@@ -46,11 +53,18 @@
         failures: Failures to reach it in a row.
         paused_until: Time until which it gets nothing.
         error_rate: Moving share of answers that were its own failures.
+        answered_at: Time of the last answer that began.
     """
 
     failures: int = 0
     paused_until: float = 0.0
     error_rate: float = 0.0
+    answered_at: float = -1e9
+
+    def note_answer(self, now):
+        """Note that an answer of the server has begun."""
+        self.answered_at = now
+        self.failures = 0
 
     def note(self, finding, now):
         """Take account of the end of an attempt.
@@ -63,11 +77,13 @@
         if finding is Finding.FULL:
             self.paused_until = max(self.paused_until, now + REFUSED_PAUSE)
             return False
-        if finding in SUSPECT:
+        alive = now - self.answered_at < RECENT_ANSWER
+        if finding in SUSPECT and not (alive and finding in MAY_BE_SLOW):
             return self.suspect(now)
-        wrong = 1.0 if finding is Finding.ERROR else 0.0
+        wrong = 0.0 if finding is Finding.ANSWERED else 1.0
         self.error_rate += (wrong - self.error_rate) * ERROR_WEIGHT
-        self.failures = 0
+        if finding not in SUSPECT:
+            self.failures = 0
         return False
 
     def suspect(self, now):
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -98,6 +98,10 @@
             found = [one for one in found if one.region == region]
         return found
 
+    def regions(self, now):
+        """Return the regions in which hosts live."""
+        return {member.region for member in self.live(now)}
+
     def leaving(self, now, region):
         """Return the hosts of *region* that leave but are still heard."""
         found = [
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -39,6 +39,10 @@
 """Bounds of a Retry-After in seconds. Sooner, the load that led to the
 refusal has not changed; later, little is left of the caller's time."""
 
+UNTOLD_WAIT = 0.25
+"""Seconds that a request is taken to wait in a region that has not told
+its load yet."""
+
 LONGEST_TICKET = 40.0
 """Seconds after which a placed request whose end was not heard of is
 dropped; routes time out well before."""
@@ -62,6 +66,7 @@
         priority: Rank among the routes of the service; 0 is highest.
         excluded: Identifiers of servers that it must not go to.
         regions: Regions that may serve it; empty for all.
+        avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
     """
 
@@ -74,6 +79,7 @@
     priority: int = 5
     excluded: tuple = ()
     regions: frozenset = frozenset()
+    avoided: tuple = ()
     may_leave: bool = True
 
 
@@ -154,19 +160,25 @@
         cold_bound: Called with a `Service`; returns the requests that
             its cold servers stand in a second.
         rng: Random number generator.
+        live_regions: Called with the time; returns the regions in which
+            hosts live.
     """
 
-    def __init__(self, region, registry, service_of, cold_bound, rng):
+    def __init__(
+        self, region, registry, service_of, cold_bound, rng, live_regions
+    ):
         self.region = region
         self.registry = registry
         self.service_of = service_of
         self.cold_bound = cold_bound
         self.rng = rng
+        self.live_regions = live_regions
         self.work = {}
         self.evidence = {}
         self.tickets = {}
         self.cold_rates = ColdRates()
         self.loads = {}
+        self.loads_at = {}
 
     def place(self, ask, now, *, cold_allowed=True):
         """Decide on one request.
@@ -238,12 +250,12 @@
         best, least = NOTHING, float("inf")
         if not ask.may_leave:
             return best, least
-        for region, services in self.loads.items():
+        for region in self.live_regions(now) - {self.region}:
             if ask.regions and region not in ask.regions:
                 continue
-            load = services.get(ask.service)
-            if load is None or now - load.at > SUMMARY_LIFE:
+            if region in ask.avoided:
                 continue
+            load = self.load_of(region, ask.service, now)
             if not load.servers:
                 continue
             seconds = AWAY_SECONDS + self.predict_away(ask, load)
@@ -251,6 +263,19 @@
                 best, least = region, seconds
         return best, least
 
+    def load_of(self, region, service, now):
+        """Return the load of a service in another region.
+
+        A region whose hosts are heard while its report is missing may
+        well serve the request; it is taken to be fairly busy.
+        """
+        told_at = self.loads_at.get(region, NOTHING)
+        if told_at is not NOTHING and now - told_at <= SUMMARY_LIFE:
+            none = RegionLoad(0, 0.0, 0, now)
+            return self.loads[region].get(service, none)
+        servers = self.registry.candidates(service, region, now)
+        return RegionLoad(len(servers), UNTOLD_WAIT, len(servers), now)
+
     def predict_away(self, ask, load):
         """Return the seconds that another region would need."""
         service = self.service_of(ask.service)
@@ -274,7 +299,9 @@
         The region's own report comes with a lag; without the count all
         requests until then would follow the first.
         """
-        load = self.loads[region][ask.service]
+        load = self.loads.get(region, {}).get(ask.service)
+        if load is None:
+            return Away(region, predicted)
         own = self.predict_away(ask, replace(load, wait=0.0))
         wait = load.wait + own / max(1, load.servers)
         room = max(0, load.room - 1)
@@ -339,6 +366,7 @@
         work = self.work.get(ticket.server_id)
         if work is not None:
             work.start(ticket, seconds, now)
+            self.evidence_of(ticket.server_id).note_answer(now)
         ticket.started = True
 
     def note_end(self, host, number, server_id, finding, now):
@@ -442,9 +470,10 @@
             now,
         )
 
-    def take_load(self, region, loads):
+    def take_load(self, region, loads, now):
         """Take over another region's report."""
         self.loads[region] = loads
+        self.loads_at[region] = now
 
     def work_of(self, server):
         """Return the model of a server's work."""
