--- a/src/hyssopspring/__init__.py
+++ b/src/hyssopspring/__init__.py
@@ -1,13 +1,25 @@
 """A multi-region inference gateway for many teams."""
 
-from .core.accepted import Accepted, GenerationKeeper
-from .core.configuration import Configuration
-from .core.exceptions import HyssopError
-from .core.outcomes import Answered, NotRun, Outcome, Reason, Unknown
-from .core.requests import Priority, Request, Target, TargetKind
-from .core.sentinels import NOTHING
+import importlib
 
-__all__ = [
+_HOMES = {
+    "Accepted": "accepted",
+    "Answered": "outcomes",
+    "Configuration": "configuration",
+    "GenerationKeeper": "accepted",
+    "HyssopError": "exceptions",
+    "NOTHING": "sentinels",
+    "NotRun": "outcomes",
+    "Outcome": "outcomes",
+    "Priority": "requests",
+    "Reason": "outcomes",
+    "Request": "requests",
+    "Target": "requests",
+    "TargetKind": "requests",
+    "Unknown": "outcomes",
+}
+
+__all__ = [  # noqa: F822 - found by `__getattr__`
     "NOTHING",
     "Accepted",
     "Answered",
@@ -23,3 +35,15 @@
     "TargetKind",
     "Unknown",
 ]
+
+
+def __getattr__(name):
+    """Import a public name when it is first used.
+
+    A host that was killed serves again only when its program is loaded,
+    and no process needs all of these modules.
+    """
+    if name not in _HOMES:
+        raise AttributeError(f"module {__name__!r} has no {name!r}")
+    module = importlib.import_module(f".core.{_HOMES[name]}", __name__)
+    return getattr(module, name)
--- a/src/hyssopspring/core/exceptions.py
+++ b/src/hyssopspring/core/exceptions.py
@@ -1,5 +1,8 @@
 """Failures of the program, each with a type of its own."""
 
+EXIT_BAD_SETTINGS = 2
+"""Exit status of a process whose settings are wrong."""
+
 
 class HyssopError(Exception):
     """Base of every error that the project raises."""
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import defer, error, protocol
 from twisted.web._newclient import Request as ClientRequest
-from twisted.web.client import ResponseDone
+from twisted.web._newclient import ResponseDone
 from twisted.web.http import PotentialDataLoss
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -217,7 +217,7 @@
 
     async def take_whole(self, response, head):
         """Hold the whole answer and judge it."""
-        body = await self.read(response, _Collector(LONGEST_ANSWER))
+        body = await self.read(response, Collector(LONGEST_ANSWER))
         self.answer = Answer(
             response.code, passed_headers(response), body, head
         )
@@ -309,7 +309,7 @@
     """The answer ended before its end."""
 
 
-class _Collector(protocol.Protocol):
+class Collector(protocol.Protocol):
     """Collect a body of limited length."""
 
     def __init__(self, limit):
@@ -341,7 +341,7 @@
         """Do nothing; whoever cancels closes the connection."""
 
 
-class _EventReader(_Collector):
+class _EventReader(Collector):
     """Pass on whole events of a stream.
 
     Only whole events go on, so that a stream that another server goes on
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -6,8 +6,8 @@
 from twisted.internet import defer, protocol
 from twisted.web._newclient import HTTP11ClientProtocol
 
+from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
-from ..settings import split_address
 
 __all__ = ["Connections", "Connection", "set_liveness"]
 
--- a/src/hyssopspring/entry/datagrams.py
+++ b/src/hyssopspring/entry/datagrams.py
@@ -2,8 +2,8 @@
 
 from twisted.internet import protocol
 
+from ..core.addresses import split_address
 from ..core.exceptions import ProtocolError
-from ..settings import split_address
 from .messages import decode_message, encode_message
 
 __all__ = ["Datagrams"]
--- a/src/hyssopspring/entry/fetching.py
+++ b/src/hyssopspring/entry/fetching.py
@@ -2,11 +2,11 @@
 
 from twisted.internet import defer
 from twisted.web._newclient import Request as ClientRequest
+from twisted.web._newclient import ResponseDone
 from twisted.web.http_headers import Headers
 
 from ..core.exceptions import NoAnswerError
-from ..net.clients import BodyReader
-from .attempts import WholeBody
+from .attempts import Collector, WholeBody
 
 __all__ = ["fetch"]
 
@@ -64,9 +64,12 @@
                 self.method, self.uri, headers, producer, persistent=True
             )
         )
-        reader = BodyReader(LONGEST_ANSWER)
+        reader = Collector(LONGEST_ANSWER)
         response.deliverBody(reader)
-        return response.code, await reader.done
+        await reader.done
+        if not reader.reason.check(ResponseDone):
+            raise NoAnswerError("the answer was cut")
+        return response.code, reader.body
 
     def drop(self):
         """Close the connection of a call that failed."""
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -10,13 +10,13 @@
 from twisted.internet import defer, task
 from twisted.python.failure import Failure
 
+from ..core.addresses import split_address
 from ..core.events import EventKind, HybridClock, Timeline
-from ..core.exceptions import SettingsError
+from ..core.exceptions import EXIT_BAD_SETTINGS, SettingsError
 from ..platform import headers, layout
 from ..platform.pages import DirectoryPages
 from ..platform.settings import PATH_VARIABLE, read_settings
 from ..platform.store import PlatformStore
-from ..settings import EXIT_BAD_SETTINGS, split_address
 from ..traffic.members import Member, Members
 from ..traffic.placing import Placer
 from ..traffic.retries import RetryWindow
--- a/src/hyssopspring/settings.py
+++ b/src/hyssopspring/settings.py
@@ -7,9 +7,8 @@
 import msgspec
 import yaml
 
-from .core.exceptions import SettingsError
-
-EXIT_BAD_SETTINGS = 2
+from .core.addresses import split_address  # noqa: F401 - used by others
+from .core.exceptions import EXIT_BAD_SETTINGS, SettingsError
 
 
 class PeerSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -189,9 +188,3 @@
         run(settings)
 
     return command
-
-
-def split_address(text):
-    """Return IP address and port of ``ip:port``."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
