--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -177,7 +177,9 @@
         if settings.control:
             self.listen(settings.control, self.relay.handle)
         ip, port = split_address(own.control)
-        self.reactor.listenUDP(port, self.datagrams, interface=ip)
+        self.ports.append(
+            self.reactor.listenUDP(port, self.datagrams, interface=ip)
+        )
         self.following.start()
         self.repeat(HEARTBEAT_EVERY, self.beat)
         self.repeat(SUMMARY_EVERY, self.membership.summarize)
@@ -304,6 +306,18 @@
             return True
         return self.callers.holds_on()
 
+    async def close(self):
+        """Close all sockets and end all periodic work."""
+        for loop in self.loops:
+            if loop.running:
+                loop.stop()
+        self.following.stop()
+        for port in self.ports:
+            await port.stopListening()
+        for factory in self.factories:
+            factory.close_all()
+        self.state.connections.close()
+
     def sleep(self, seconds):
         """Return a deferred that fires after *seconds*."""
         return task.deferLater(self.reactor, seconds)
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -101,6 +101,12 @@
             if not channel.requests and channel.transport is not None:
                 channel.transport.loseConnection()
 
+    def close_all(self):
+        """Close all connections."""
+        for channel in list(self.channels):
+            if channel.transport is not None:
+                channel.transport.abortConnection()
+
 
 class AnswerSink:
     """Write one answer.
--- /dev/null
+++ b/src/hyssopspring_fakes/backends.py
@@ -0,0 +1,140 @@
+"""Stand-in of a backend server behind an entry host, for tests."""
+
+from twisted.internet import task
+from twisted.web import http
+
+__all__ = ["FakeBackend"]
+
+
+class FakeBackend:
+    """Answer plain calls and streams, and remember what ran.
+
+    Args:
+        reactor: The reactor.
+        name: Its identifier.
+        address: IP address to listen at.
+
+    Attributes:
+        ran: Identifier of each request that ran.
+        seen: Headers of each request that arrived, by lower-case name.
+        mood: How it behaves: "well", "silent", "cut", "error", "full",
+            "reset" or "foreign" (the answer is to another request).
+        events: Events of a stream.
+        cut_after: Events after which a stream is cut, in the mood "cut".
+        gap: Seconds between events.
+        stopped: Identifier of each request whose caller has gone.
+    """
+
+    def __init__(self, reactor, name, address):
+        self.reactor = reactor
+        self.name = name
+        self.address = address
+        self.ran = []
+        self.seen = []
+        self.stopped = []
+        self.mood = "well"
+        self.events = 4
+        self.cut_after = 2
+        self.gap = 0.0
+        self.port = None
+
+    def start(self):
+        """Listen; return ``ip:port``."""
+        factory = http.HTTPFactory(reactor=self.reactor)
+        factory.log = lambda request: None
+        fake = self
+
+        class Call(http.Request):
+            """One request."""
+
+            def process(self):
+                """Answer it as the server's mood says."""
+                fake.serve(self)
+
+        original = factory.buildProtocol
+
+        def build(addr):
+            made = original(addr)
+            made.requestFactory = Call
+            return made
+
+        factory.buildProtocol = build
+        self.port = self.reactor.listenTCP(0, factory, interface=self.address)
+        return f"{self.address}:{self.port.getHost().port}"
+
+    def serve(self, request):
+        """Answer one request."""
+        headers = {
+            name.lower(): values[0]
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        self.seen.append(headers)
+        identifier = headers.get(b"x-request-attempt-id", b"")
+        if headers.get(b"x-expect-instance") != self.name.encode():
+            self.answer(request, 421, b"", {b"x-instance-id": b"other"})
+            return
+        if self.mood == "full":
+            self.answer(request, 503, b"", {b"x-not-executed": b"1"})
+            return
+        self.ran.append(identifier.decode())
+        request.notifyFinish().addErrback(
+            lambda _: self.stopped.append(identifier.decode())
+        )
+        self.run(request, headers, identifier)
+
+    def run(self, request, headers, identifier):
+        """Run one request."""
+        if self.mood == "silent":
+            return
+        if self.mood == "reset":
+            request.transport.abortConnection()
+            return
+        if self.mood == "foreign":
+            identifier = b"another"
+        stamp = {
+            b"x-request-attempt-id": identifier,
+            b"x-response-stamp": b"stamp-" + self.name.encode(),
+        }
+        if self.mood == "error":
+            self.answer(request, 500, b"failed", stamp)
+        elif b"x-token-usage" in headers:
+            first = int(headers.get(b"last-event-id", b"-1")) + 1
+            self.stream(request, stamp, first)
+        else:
+            self.answer(request, 200, b"whole " + request.uri, stamp)
+
+    def stream(self, request, stamp, first):
+        """Send the events of a stream, one by one."""
+        for name, value in stamp.items():
+            request.setHeader(name, value)
+        request.setHeader(b"content-type", b"text/event-stream")
+        self.next_event(request, first)
+
+    def next_event(self, request, number):
+        """Send one event and go on with the next."""
+        if request._disconnected:
+            return
+        if self.mood == "cut" and number >= self.cut_after:
+            request.write(b"id: %d\ndata: a part of" % number)
+            request.loseConnection()
+            return
+        if number >= self.events:
+            request.finish()
+            return
+        request.write(b"id: %d\ndata: event %d\n\n" % (number, number))
+        task.deferLater(
+            self.reactor, self.gap, self.next_event, request, number + 1
+        )
+
+    def answer(self, request, status, body, headers):
+        """Answer at once."""
+        request.setResponseCode(status)
+        for name, value in headers.items():
+            request.setHeader(name, value)
+        request.setHeader(b"content-length", b"%d" % len(body))
+        request.write(body)
+        request.finish()
+
+    async def stop(self):
+        """Stop listening."""
+        await self.port.stopListening()
--- /dev/null
+++ b/src/hyssopspring_fakes/metadata.py
@@ -0,0 +1,194 @@
+"""Stand-in of the platform's metadata store, for tests on loopback."""
+
+from base64 import b64decode, b64encode
+
+import msgspec
+from twisted.internet import defer
+from twisted.web import http
+
+__all__ = ["FakeMetadata"]
+
+
+class FakeMetadata:
+    """Keys with revisions, watches and leases, over HTTP.
+
+    Args:
+        reactor: The reactor.
+        address: IP address to listen at.
+
+    Attributes:
+        down: Whether calls get no answer.
+        refused: IP addresses whose calls are answered 503.
+    """
+
+    def __init__(self, reactor, address):
+        self.reactor = reactor
+        self.address = address
+        self.items = {}
+        self.history = []
+        self.revision = 0
+        self.leases = {}
+        self.waiting = []
+        self.down = False
+        self.refused = set()
+        self.port = None
+
+    def start(self):
+        """Listen; return ``ip:port``."""
+        factory = http.HTTPFactory(reactor=self.reactor)
+        factory.log = lambda request: None
+        fake = self
+
+        class Call(http.Request):
+            """One call."""
+
+            def process(self):
+                """Answer it, now or when there is something to tell."""
+                defer.ensureDeferred(fake.serve(self))
+
+        original = factory.buildProtocol
+
+        def build(addr):
+            made = original(addr)
+            made.requestFactory = Call
+            return made
+
+        factory.buildProtocol = build
+        self.port = self.reactor.listenTCP(0, factory, interface=self.address)
+        return f"{self.address}:{self.port.getHost().port}"
+
+    def put(self, key, value, lease=0):
+        """Write a key, as the operator or a server would."""
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": b64encode(value).decode(),
+            "revision": self.revision,
+            "created_rev": self.revision,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.note(item)
+
+    def put_json(self, key, value):
+        """Write a key as JSON."""
+        self.put(key, msgspec.json.encode(value))
+
+    def remove(self, key):
+        """Remove a key."""
+        if key not in self.items:
+            return
+        del self.items[key]
+        self.revision += 1
+        self.note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def note(self, event):
+        """Keep an event and tell those who wait."""
+        self.history.append(event)
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.callback(None)
+
+    async def serve(self, request):
+        """Answer one call."""
+        if self.down:
+            return
+        if request.getClientAddress().host in self.refused:
+            self.respond(request, 503, {})
+            return
+        name = request.path.rsplit(b"/", 1)[-1]
+        if name == b"kv-range":
+            self.list(request)
+        elif name == b"kv-watch":
+            await self.watch(request)
+        elif name == b"kv-txn":
+            self.transact(request)
+        elif name == b"kv-lease":
+            self.grant(request)
+        elif request.path.startswith(b"/v1/kv-keep/"):
+            self.respond(request, 200 if int(name) in self.leases else 404, {})
+        else:
+            self.end(request, int(name))
+
+    def list(self, request):
+        """Answer a listing."""
+        prefix = request.args[b"prefix"][0].decode()
+        items = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix)
+        ]
+        answer = {"items": items, "has_more": False}
+        self.respond(request, 200, answer)
+
+    async def watch(self, request):
+        """Answer a watch, once there is an event or its time is over."""
+        prefix = request.args[b"prefix"][0].decode()
+        after = int(request.args[b"after"][0])
+        seconds = int(request.args[b"wait_ms"][0]) / 1000
+        until = self.reactor.seconds() + seconds
+        while True:
+            events = [
+                event
+                for event in self.history
+                if event["revision"] > after
+                and event["key"].startswith(prefix)
+            ]
+            left = until - self.reactor.seconds()
+            if events or left <= 0 or request._disconnected:
+                self.respond(request, 200, {"events": events})
+                return
+            done = defer.Deferred()
+            timer = self.reactor.callLater(left, self.wake, done)
+            self.waiting.append(done)
+            await done
+            if timer.active():
+                timer.cancel()
+
+    def wake(self, done):
+        """End the waiting of a watch."""
+        if done in self.waiting:
+            self.waiting.remove(done)
+            done.callback(None)
+
+    def transact(self, request):
+        """Write keys under a lease."""
+        body = msgspec.json.decode(request.content.read())
+        for row in body["set_keys"]:
+            lease = row.get("lease", 0)
+            if lease and lease not in self.leases:
+                self.respond(request, 404, {})
+                return
+            self.leases.get(lease, set()).add(row["key"])
+            self.put(row["key"], b64decode(row["value"]), lease)
+        self.respond(request, 200, {"revision": self.revision})
+
+    def grant(self, request):
+        """Grant a lease."""
+        lease = 1000 + len(self.leases)
+        self.leases[lease] = set()
+        self.respond(request, 200, {"lease": lease, "ttl_ms": 9000})
+
+    def end(self, request, lease):
+        """End a lease and remove its keys."""
+        for key in self.leases.pop(lease, set()):
+            self.remove(key)
+        self.respond(request, 200, {})
+
+    def respond(self, request, status, value):
+        """Answer with *value* as JSON and the revision."""
+        if request._disconnected:
+            return
+        body = msgspec.json.encode({"store_revision": self.revision, **value})
+        request.setResponseCode(status)
+        request.setHeader(b"content-length", b"%d" % len(body))
+        request.write(body)
+        request.finish()
+
+    async def stop(self):
+        """Stop listening."""
+        self.down = True
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.callback(None)
+        await self.port.stopListening()
--- /dev/null
+++ b/tests/entry_hosts.py
@@ -0,0 +1,226 @@
+"""Entry hosts, servers and a store on loopback, for tests."""
+
+import random
+import time
+from io import BytesIO
+
+from twisted.internet import reactor, task
+from twisted.web.client import (
+    Agent,
+    FileBodyProducer,
+    HTTPConnectionPool,
+    ResponseFailed,
+)
+from twisted.web.http_headers import Headers
+
+from hyssopspring.core.exceptions import NoAnswerError
+from hyssopspring.entry.process import EntryProcess
+from hyssopspring.entry.settings import EntrySettings
+from hyssopspring.net.clients import read_body
+from hyssopspring_fakes.backends import FakeBackend
+from hyssopspring_fakes.metadata import FakeMetadata
+
+REGIONS = {"north-a": "north", "south-a": "south"}
+WAIT_EVERY = 0.02
+LONGEST_WAIT = 8.0
+
+
+class Hosts:
+    """Two regions with an entry host, an engine and a server each."""
+
+    def __init__(self, first_port):
+        self.first_port = first_port
+        self.store = FakeMetadata(reactor, "127.0.0.9")
+        self.backends = {}
+        self.processes = {}
+        self.lines = []
+        pool = HTTPConnectionPool(reactor, persistent=False)
+        self.agent = Agent(reactor, pool=pool, connectTimeout=1.0)
+        self.store_address = ""
+
+    async def start(self):
+        """Start all of it and wait until it serves."""
+        self.store_address = self.store.start()
+        self.store.put_json("op/config", configuration())
+        for number, region in enumerate(("north", "south")):
+            for service in ("engine", "plain"):
+                self.add_backend(f"{service}-{region}", service, region)
+            self.add_host(f"h-{region}", region, number)
+        await self.settled()
+
+    def add_backend(self, name, service, region):
+        """Start a server and register it."""
+        backend = FakeBackend(reactor, name, "127.0.0.5")
+        address = backend.start()
+        self.backends[name] = backend
+        self.register(name, service, address, region)
+        return backend
+
+    def register(self, name, service, address, region, **more):
+        """Write the entry of a server."""
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": f"{region}-a",
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            **more,
+        }
+        self.store.put_json(f"servers/{name}", entry)
+
+    def add_host(self, name, region, number):
+        """Start an entry host."""
+        ip = f"127.0.0.{20 + number}"
+        port = self.first_port
+        settings = EntrySettings(
+            host=name,
+            address=ip,
+            data_centre=f"{region}-a",
+            region=region,
+            regions=REGIONS,
+            front=f"{ip}:{port}",
+            ready=f"{ip}:{port + 1}",
+            directory=f"{ip}:{port + 1}",
+            control=f"{ip}:{port + 2}",
+            ports=(port + 3, port + 4),
+            store=self.store_address,
+            retry_extra=54.0,
+            cold_factor=1.5,
+            cold_extra=3.0,
+            stop_seconds=4.0,
+        )
+        process = EntryProcess(
+            settings,
+            reactor,
+            wall=time.time,
+            boot_clock=time.monotonic,
+            rng=random.Random(number),
+            write=self.take_lines,
+        )
+        self.processes[name] = process
+        process.start()
+
+    def take_lines(self, data):
+        """Keep log lines."""
+        self.lines += data.decode().splitlines()
+        return len(data)
+
+    async def settled(self):
+        """Wait until each host knows the other's load."""
+        await self.until(
+            lambda: all(
+                process.placer.loads and process.is_ready()
+                for process in self.processes.values()
+            )
+        )
+
+    async def until(self, condition):
+        """Wait until *condition* holds."""
+        end = reactor.seconds() + LONGEST_WAIT
+        while not condition():
+            assert reactor.seconds() < end, "waited too long"
+            await task.deferLater(reactor, WAIT_EVERY)
+
+    async def send(
+        self, host, path, *, identifier, method=b"GET", body=b"", **headers
+    ):
+        """Send a request; return status, headers and body."""
+        response = await self.begin(
+            host, path, identifier, method, body, headers
+        )
+        return response.code, response.headers, await read_body(response)
+
+    def begin(self, host, path, identifier, method, body, headers):
+        """Send a request; return the deferred head of its answer."""
+        sent = {
+            b"host": [b"a.example"],
+            b"x-request-attempt-id": [identifier.encode()],
+        }
+        for name, value in headers.items():
+            sent[name.replace("_", "-").encode()] = [value.encode()]
+        front = self.processes[host].settings.front
+        return self.agent.request(
+            method,
+            f"http://{front}{path}".encode(),
+            Headers(sent),
+            FileBodyProducer(BytesIO(body)) if body else None,
+        )
+
+    async def page(self, host, path):
+        """Ask the directory or readiness page; return status and body."""
+        address = self.processes[host].settings.directory
+        response = await self.agent.request(
+            b"GET", f"http://{address}{path}".encode()
+        )
+        return response.code, await read_body(response)
+
+    async def stop(self):
+        """Stop all of it."""
+        for process in self.processes.values():
+            await process.close()
+        for backend in self.backends.values():
+            await backend.stop()
+        await self.store.stop()
+
+
+def configuration(version=1, **changes):
+    """Return an operator's document; *changes* replace fields of routes."""
+    routes = [
+        {
+            "name": "lookup",
+            "prefix": "/lookup/",
+            "kind": "idempotent",
+            "service": "plain",
+            "max_attempts": 2,
+        },
+        {
+            "name": "post",
+            "prefix": "/post/",
+            "kind": "non_idempotent",
+            "service": "plain",
+        },
+        {
+            "name": "quote",
+            "prefix": "/quote/",
+            "kind": "streaming",
+            "service": "engine",
+            "max_attempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "review",
+            "prefix": "/review/",
+            "kind": "streaming",
+            "service": "engine",
+        },
+        {
+            "name": "bound",
+            "prefix": "/bound/",
+            "kind": "idempotent",
+            "service": "plain",
+            "max_attempts": 2,
+            "home_regions": ["south"],
+        },
+    ]
+    for route in routes:
+        stream = route["kind"] == "streaming"
+        route.update(host="a.example", timeout_ms=6000 if stream else 1500)
+        route.update(target_latency_ms=500)
+        route.update(changes.get(route["name"], {}))
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": "engine",
+                "engine": {"slots": 64, "kv_capacity_tokens": 100000},
+            },
+            {"name": "plain"},
+        ],
+        "limits": {"max_body_bytes": 10000, "idle_timeout_ms": 15000},
+    }
+
+
+BROKEN = (ResponseFailed, NoAnswerError)
+"""What a caller sees of an answer that was cut."""
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,225 @@
+"""Translation between the users' platform and the product."""
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+from twisted.web.http_headers import Headers
+
+from hyssopspring.core.exceptions import ProtocolError, SettingsError
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.platform import headers
+from hyssopspring.platform.operator import (
+    decode_configuration,
+    evacuated_data_centre,
+)
+from hyssopspring.platform.registry import decode_server
+from hyssopspring.platform.settings import parse_settings
+from hyssopspring.traffic.routes import RequestKind
+
+SETTINGS = """\
+node=front-1
+ip=127.0.0.2
+zone=north-a
+region=north
+zones.north-a=north
+zones.south-a=south
+listen.front=127.0.0.2:8144
+port_range=7660,7675
+seeds=127.0.0.2:8146,127.0.0.3:8146
+platform.address=127.0.0.9:8142
+bounds.retry_budget_extra=54
+bounds.grace_s=8
+limits.cpu_share=0.5
+limits.cores=2
+something.new=ignored
+"""
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "a.example",
+            "prefix": "/q/",
+            "kind": "streaming",
+            "timeout_ms": 15000,
+            "target_latency_ms": 600,
+            "priority": 0,
+            "service": "s1",
+            "max_attempts": 2,
+            "resumable": True,
+            "home_regions": ["north"],
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "prefix": "/r/",
+            "kind": "non_idempotent",
+            "timeout_ms": 2500,
+            "weighted_services": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "cold_s": 3.0,
+            "cold_per_s": 2.2,
+            "engine": {"slots": 64, "kv_capacity_tokens": 289720},
+        },
+        {"name": "s2"},
+    ],
+    "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+}
+
+
+def test_settings_are_decoded_into_the_products_units():
+    """Unknown names are left alone; milliseconds become seconds."""
+    settings = parse_settings("file", SETTINGS)
+    assert_that(settings.regions["south-a"], Equals("south"))
+    assert_that(settings.ports, Equals((7660, 7675)))
+    assert_that(settings.capacity, Equals(1.0))
+    assert_that(settings.retry_extra, Equals(54.0))
+    assert_that(settings.least_lease, Equals(1.0))
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        ("port_range=7675,7660", "ports"),
+        ("port_range=x,y", "x"),
+        ("bounds.grace_s=soon", "bounds.grace_s"),
+        ("bounds.grace_s=0.5", "stop_seconds"),
+        ("limits.cpu_share=0", "capacity"),
+    ],
+)
+def test_wrong_settings_name_the_value(line, named):
+    """A process that starts with a wrong value fails under traffic."""
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", SETTINGS + line)
+    assert named in str(raised.value)
+
+
+def test_a_missing_setting_is_named():
+    """An operator reads which line the file lacks."""
+    text = SETTINGS.replace("region=north\n", "", 1)
+    with pytest.raises(SettingsError) as raised:
+        parse_settings("file", text)
+    assert "region: missing" in str(raised.value)
+
+
+def test_the_operators_document_is_decoded():
+    """Each field arrives in the type and unit of the product."""
+    value = msgspec.json.encode(CONFIGURATION)
+    configuration = decode_configuration(value)
+    quote, rate = configuration.routes
+    assert_that(quote.kind, Is(RequestKind.STREAM))
+    assert_that(quote.objective, Equals(0.6))
+    assert_that(quote.homes, Equals(frozenset({"north"})))
+    assert quote.repeatable and not rate.repeatable
+    assert_that(
+        [share.service for share in rate.services], Equals(["s1", "s2"])
+    )
+    assert_that(configuration.service("s1").engine.slots, Equals(64))
+    assert_that(configuration.service("s2").engine, Is(NOTHING))
+    assert_that(configuration.limits.idle_seconds, Equals(15.0))
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"[1]", b"\xff", b'{"a"'])
+def test_documents_that_are_none_are_refused(value):
+    """A host stops following, since one value could not be read."""
+    with pytest.raises(ProtocolError):
+        decode_configuration(value)
+    with pytest.raises(ProtocolError):
+        decode_server("servers/x", value)
+
+
+def test_evacuations_are_told_from_other_keys():
+    """The configuration's own key names no data centre."""
+    assert_that(evacuated_data_centre("op/evacuate/a"), Equals("a"))
+    assert_that(evacuated_data_centre("op/config"), Is(NOTHING))
+
+
+def test_a_servers_entry_is_decoded():
+    """Milliseconds become seconds, and a state becomes a flag."""
+    row = {
+        "service": "s1",
+        "address": "127.0.0.5:80",
+        "zone": "north-a",
+        "slots": 6,
+        "state": "draining",
+        "cold_left_ms": 1500,
+        "time_left_ms": 2000,
+        "unknown": [],
+    }
+    entry = decode_server("servers/i-1", msgspec.json.encode(row))
+    assert_that(entry.id, Equals("i-1"))
+    assert entry.leaving
+    assert_that((entry.cold_left, entry.gone_in), Equals((1.5, 2.0)))
+
+
+def test_headers_that_only_the_system_sets_do_not_pass():
+    """A caller sets the urgency of its own request, or takes memory."""
+    sent = Headers(
+        {
+            b"X-Hold": [b"1"],
+            b"Kv-From": [b"1.2.3.4:5/x"],
+            b"X-Request-Urgency": [b"0"],
+            b"X-Expect-Instance": [b"other"],
+            b"Connection": [b"close, X-Private"],
+            b"X-Private": [b"1"],
+            b"X-Model": [b"m"],
+            b"X-Deadline-Ms": [b"9000"],
+            b"Host": [b"a.example"],
+        }
+    )
+    got = headers.server_headers(
+        sent, time_left=2.5, server_id="i-1", urgency=4, last_event=b"17"
+    )
+    rows = {name.lower(): values[0] for name, values in got.getAllRawHeaders()}
+    assert_that(
+        rows,
+        Equals(
+            {
+                b"x-model": b"m",
+                b"host": b"a.example",
+                b"x-deadline-ms": b"2500",
+                b"x-expect-instance": b"i-1",
+                b"x-request-urgency": b"4",
+                b"last-event-id": b"17",
+            }
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    "parts", [b"", b"x", b":", b"a:b", b"a:1,,b:", b"\xff:3", b"a:1:2"]
+)
+def test_prompts_that_cannot_be_read_do_not_stop_a_request(parts):
+    """The server judges what the caller sent; it is passed on as it is."""
+    facts = headers.read_caller(
+        Headers({b"X-Prompt-Prefix": [parts], b"X-Deadline-Ms": [b"soon"]})
+    )
+    assert_that(facts.deadline, Is(NOTHING))
+    assert facts.demand.tokens_in >= 0
+
+
+def test_the_demand_is_read_from_the_prompt_and_the_hint():
+    """The estimate of the caller replaces the most that it allows."""
+    facts = headers.read_caller(
+        Headers(
+            {
+                b"X-Prompt-Prefix": [b"5c1e:800,91bd:410"],
+                b"X-Token-Usage": [b"1460,80"],
+                b"X-Length-Hint": [b"30"],
+                b"X-Deadline-Ms": [b"5000"],
+            }
+        )
+    )
+    assert_that(facts.demand.parts, Equals((("5c1e", 800), ("91bd", 410))))
+    assert_that(facts.demand.tokens_in, Equals(1460))
+    assert_that(facts.demand.tokens_out, Equals(30))
+    assert_that(facts.deadline, Equals(5.0))
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,69 @@
+"""Budgets that hold over all hosts without a message between them."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hyssopspring.traffic.coldrates import CONCURRENT_PLACERS, ColdRates
+from hyssopspring.traffic.retries import RetryWindow
+
+BOUND = 6.3
+"""Requests that a cold server stands in a second at the first users: 2.2 a
+second, times 1.5, and 3 more."""
+
+
+@given(st.lists(st.floats(0.0, 0.2), min_size=1, max_size=120))
+def test_concurrent_placers_keep_within_the_cold_bound(gaps):
+    """A cold server crashes, since two hosts both believe that they place.
+
+    Views of who lives differ for a second after a cut or a restart. Each
+    host counts by itself; all that may place at once, taken together,
+    must stay within the bound in any second.
+    """
+    placers = [ColdRates() for _ in range(CONCURRENT_PLACERS)]
+    now, sent = 0.0, []
+    for gap in gaps:
+        now += gap
+        for placer in placers:
+            if placer.free("s1", BOUND, now):
+                placer.count("s1", now)
+                sent.append(now)
+    for start in sent:
+        within = [at for at in sent if start <= at < start + 1.0]
+        assert len(within) <= BOUND
+
+
+def test_requests_before_the_word_of_coldness_count():
+    """A server is cold already when its word of it arrives."""
+    rates = ColdRates()
+    rates.count("s1", 0.0)
+    rates.count("s1", 0.1)
+    assert not rates.free("s1", BOUND, 0.5)
+    assert rates.free("s1", BOUND, 2.0)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 6), st.floats(0.0, 0.3), st.booleans()),
+        min_size=1,
+        max_size=200,
+    )
+)
+def test_hosts_together_keep_within_the_retry_budget(steps):
+    """An outage multiplies its own load by retries.
+
+    Seven hosts see most attempts fail and each repeats as far as its own
+    window allows. The sum of their repeats keeps to a fifth of the
+    requests and 54 in any ten seconds.
+    """
+    hosts = [RetryWindow(0.2, 54.0, 10.0) for _ in range(7)]
+    now, requests, repeats = 0.0, [], []
+    for host, gap, fails in steps:
+        now += gap
+        hosts[host].note_request("engine", now)
+        requests.append(now)
+        if fails and hosts[host].spend("engine", now, 7):
+            repeats.append(now)
+    for end in repeats:
+        inside = sum(end - 10.0 < at <= end for at in repeats)
+        asked = sum(end - 10.0 < at <= end for at in requests)
+        assert inside <= 0.2 * asked + 54
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,331 @@
+"""Entry hosts, servers and a store on loopback: what callers see."""
+
+import json
+import socket
+
+import pytest
+import pytest_twisted
+from entry_hosts import Hosts, configuration
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, Not
+from twisted.internet import defer, protocol, reactor, task
+
+from hyssopspring.entry.callers import SERVE_ON
+
+USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
+EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
+
+
+def free_port():
+    """Return the first of five ports that are free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.20", 0))
+        return min(probe.getsockname()[1], 65_000)
+
+
+@pytest_twisted.async_yield_fixture
+async def hosts():
+    """Yield two regions that serve."""
+    made = Hosts(free_port())
+    await made.start()
+    yield made
+    await made.stop()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_is_served_whole(hosts):
+    """The server's status, body and stamp arrive unchanged."""
+    status, headers, body = await hosts.send(
+        "h-north", "/lookup/a?b=1", identifier="r1"
+    )
+    assert_that((status, body), Equals((200, b"whole /lookup/a?b=1")))
+    assert_that(
+        headers.getRawHeaders(b"x-response-stamp"),
+        Equals([b"stamp-plain-north"]),
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_stream_is_served_whole(hosts):
+    """Events arrive in their order, and the stream ends."""
+    status, _, body = await hosts.send(
+        "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that((status, body), Equals((200, EVENTS)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_stream_that_breaks_goes_on_at_another_server(hosts):
+    """A quote stops midway.
+
+    Its server breaks off in the middle of an event. Another one, in the
+    other region, goes on after the last event that came whole; the caller
+    sees one stream without a gap or a repeat.
+    """
+    hosts.backends["engine-north"].mood = "cut"
+    status, _, body = await hosts.send(
+        "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that((status, body), Equals((200, EVENTS)))
+    went_on = hosts.backends["engine-south"].seen[-1]
+    assert_that(went_on[b"last-event-id"], Equals(b"1"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_review_that_breaks_runs_once_and_shows_its_end(hosts):
+    """A review is done twice, or a part of it passes for the whole."""
+    hosts.backends["engine-north"].mood = "cut"
+    with pytest.raises(Exception) as raised:
+        await hosts.send(
+            "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+        )
+    assert "ResponseFailed" in repr(raised.value)
+    assert_that(hosts.backends["engine-north"].ran, Equals(["r1"]))
+    assert_that(hosts.backends["engine-south"].ran, Equals([]))
+
+
+@pytest.mark.parametrize("mood", ["error", "reset", "foreign"])
+@pytest_twisted.ensureDeferred
+async def test_a_lookup_is_repeated_at_another_server(hosts, mood):
+    """A lookup fails though another server would have answered."""
+    hosts.backends["plain-north"].mood = mood
+    status, _, body = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that((status, body), Equals((200, b"whole /lookup/a")))
+    assert_that(hosts.backends["plain-south"].ran, Equals(["r1"]))
+
+
+@pytest.mark.parametrize("mood", ["reset", "foreign"])
+@pytest_twisted.ensureDeferred
+async def test_a_posting_that_may_have_run_is_not_repeated(hosts, mood):
+    """A vendor is paid twice.
+
+    The server ran the posting and its answer was lost. Nobody repeats it,
+    and the caller is not told that it did not run.
+    """
+    hosts.backends["plain-north"].mood = mood
+    status, _, _ = await hosts.send(
+        "h-north", "/post/a", identifier="r1", method=b"POST", body=b"x"
+    )
+    assert_that(status, Equals(502))
+    assert_that(hosts.backends["plain-south"].ran, Equals([]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_posting_that_was_refused_goes_elsewhere(hosts):
+    """A posting fails at a full server though another one is free."""
+    hosts.backends["plain-north"].mood = "full"
+    status, _, _ = await hosts.send(
+        "h-north", "/post/a", identifier="r1", method=b"POST", body=b"x"
+    )
+    assert_that(status, Equals(200))
+    assert_that(hosts.backends["plain-south"].ran, Equals(["r1"]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_refused_everywhere_means_not_run(hosts):
+    """The caller is told at once that nothing ran, and when to come."""
+    for name in ("plain-north", "plain-south"):
+        hosts.backends[name].mood = "full"
+    status, headers, _ = await hosts.send(
+        "h-north", "/post/a", identifier="r1", method=b"POST", body=b"x"
+    )
+    assert_that(status, Equals(503))
+    wait = float(headers.getRawHeaders(b"retry-after")[0])
+    assert 0.0 < wait < 5.0
+    ran = [one for b in hosts.backends.values() for one in b.ran]
+    assert_that(ran, Equals([]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_another_server_at_the_address_runs_nothing(hosts):
+    """A request reaches a server of another service.
+
+    The address of a server that is gone belongs to a new one. Each
+    request names the server that it is meant for.
+    """
+    backend = hosts.backends["plain-north"]
+    backend.name = "newcomer"
+    status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that(status, Equals(200))
+    assert_that(backend.ran, Equals([]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_bound_request_is_served_in_its_home_only(hosts):
+    """Data leaves its home when its servers there are full."""
+    status, _, _ = await hosts.send("h-north", "/bound/a", identifier="r1")
+    assert_that(status, Equals(200))
+    hosts.backends["plain-south"].mood = "full"
+    status, _, _ = await hosts.send("h-north", "/bound/a", identifier="r2")
+    assert_that(status, Equals(503))
+    assert_that(hosts.backends["plain-south"].ran, Equals(["r1"]))
+    assert_that(hosts.backends["plain-north"].ran, Equals([]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_timeout_is_answered_at_its_moment(hosts):
+    """A caller waits beyond the time that the operator allows."""
+    for name in ("plain-north", "plain-south"):
+        hosts.backends[name].mood = "silent"
+    began = reactor.seconds()
+    status, _, _ = await hosts.send(
+        "h-north", "/post/a", identifier="r1", method=b"POST", body=b"x"
+    )
+    assert_that(status, Equals(504))
+    assert 1.4 < reactor.seconds() - began < 1.9
+
+
+@pytest_twisted.ensureDeferred
+async def test_work_for_a_caller_that_left_is_stopped(hosts):
+    """A server works on for callers that have gone.
+
+    The caller closes its connection while the stream runs in the other
+    region; the close must reach the server there.
+    """
+    engine = hosts.backends["engine-south"]
+    engine.gap, engine.events = 0.2, 50
+    hosts.backends["engine-north"].mood = "full"
+    response = await hosts.begin(
+        "h-north", "/quote/a", "r1", b"POST", b"", USAGE
+    )
+    reader = protocol.Protocol()
+    response.deliverBody(reader)
+    reader.transport.loseConnection()
+    await hosts.until(lambda: engine.stopped == ["r1"])
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_change_is_in_force_soon_and_stays(hosts):
+    """A new route is served, and an older document changes nothing."""
+    moved = configuration(5, lookup={"prefix": "/moved/"})
+    hosts.store.put_json("op/config", moved)
+    north = hosts.processes["h-north"]
+    await hosts.until(lambda: north.keeper.version == 5)
+    status, _, _ = await hosts.send("h-north", "/moved/a", identifier="r1")
+    assert_that(status, Equals(200))
+    status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r2")
+    assert_that(status, Equals(404))
+    hosts.store.put_json("op/config", configuration(3))
+    await task.deferLater(reactor, 0.2)
+    assert_that(north.keeper.version, Equals(5))
+
+
+@pytest_twisted.ensureDeferred
+async def test_leaving_and_evacuated_servers_get_nothing(hosts):
+    """A server that leaves gets new work, and cuts it."""
+    address = hosts.backends["plain-north"].port.getHost()
+    hosts.register(
+        "plain-north",
+        "plain",
+        f"127.0.0.5:{address.port}",
+        "north",
+        state="draining",
+    )
+    north = hosts.processes["h-north"]
+    await hosts.until(
+        lambda: (
+            not north.registry.candidates("plain", "north", reactor.seconds())
+        )
+    )
+    status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that(status, Equals(200))
+    assert_that(hosts.backends["plain-north"].ran, Equals([]))
+    hosts.store.put_json("op/evacuate/south-a", {})
+    await hosts.until(lambda: north.registry.evacuated == {"south-a"})
+    status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r2")
+    assert_that(status, Equals(503))
+
+
+@pytest_twisted.ensureDeferred
+async def test_hosts_serve_on_while_the_store_is_away(hosts):
+    """All requests are refused as soon as the store does not answer."""
+    hosts.store.down = True
+    north = hosts.processes["h-north"]
+    await hosts.until(lambda: north.state.contact.away)
+    status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that(status, Equals(200))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_host_that_the_store_refuses_learns_from_a_neighbour(hosts):
+    """One host serves a dropped route for as long as the store refuses it.
+
+    The store turns this host away and serves its neighbour.
+    """
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    hosts.store.refused.add("127.0.0.25")
+    second = hosts.processes["h-north-2"]
+    for follower in second.following.followers:
+        follower.after = 0
+    moved = configuration(9, lookup={"prefix": "/moved/"})
+    hosts.store.put_json("op/config", moved)
+    await hosts.until(lambda: second.keeper.version == 9)
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_directory_names_hosts_of_the_callers_region(hosts):
+    """A bound request's body goes to a region that is no home of it."""
+    query = "/v1/resolve?name=a.example&region=north&zone=north-a"
+    status, body = await hosts.page("h-south", query)
+    front = hosts.processes["h-north"].settings.front
+    assert_that(status, Equals(200))
+    assert_that(json.loads(body)["addresses"], Equals([front]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_planned_stop_cuts_nothing(hosts):
+    """A rolling restart cuts the streams of callers.
+
+    The host is told to stop while a stream runs. It says that it is not
+    ready, the directory of the other host names it no more, the stream
+    ends whole, and new requests of callers that still hold its address
+    are refused as not run.
+    """
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    engine = hosts.backends["engine-north"]
+    engine.gap, engine.events = 0.25, 9
+    streaming = defer.ensureDeferred(
+        hosts.send(
+            "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+        )
+    )
+    await hosts.until(lambda: engine.ran)
+    north = hosts.processes["h-north"]
+    stopped = defer.ensureDeferred(north.stop())
+    status, _ = await hosts.page("h-north", "/v1/ready")
+    assert_that(status, Equals(503))
+    south = hosts.processes["h-south"]
+    await hosts.until(
+        lambda: (
+            "h-north"
+            not in [m.name for m in south.members.live(reactor.seconds())]
+        )
+    )
+    await task.deferLater(reactor, SERVE_ON)
+    status, _, _ = await hosts.send(
+        "h-north", "/review/a", identifier="r2", method=b"POST", **USAGE
+    )
+    assert_that(status, Equals(503))
+    ran = [one for b in hosts.backends.values() for one in b.ran]
+    assert_that(ran, Equals(["r1"]))
+    status, _, body = await streaming
+    assert_that((status, body.count(b"data: ")), Equals((200, 9)))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_lines_of_a_request_tell_its_whole_way(hosts):
+    """On call reads why a request was answered from another region."""
+    hosts.backends["plain-north"].mood = "full"
+    await hosts.send("h-north", "/lookup/a", identifier="r1")
+    for process in hosts.processes.values():
+        process.lines.flush()
+    rows = [json.loads(line) for line in hosts.lines]
+    way = [row["event"] for row in rows if row.get("request") == "r1"]
+    for event in ("placed", "attempt_ended", "sent_away", "relayed"):
+        assert_that(way, Contains(event))
+    assert_that(way[-1:], Not(Equals([])))
+    ended = next(row for row in rows if row["event"] == "attempt_ended")
+    assert_that(ended["reason"], Equals("refused_by_server"))
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,91 @@
+"""Which hosts live, and which of them places for the region."""
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from hyssopspring.traffic.members import Member, Members
+
+
+def make_member(name, region="north", **more):
+    """Return a `Member`."""
+    values = {
+        "name": name,
+        "region": region,
+        "data_centre": f"{region}-a",
+        "front": f"{name}:1",
+        "control": f"{name}:2",
+        "relay": f"{name}:3",
+        "incarnation": 1,
+        "up_seconds": 60.0,
+        "version": 1,
+    }
+    return Member(**{**values, **more})
+
+
+@pytest.fixture
+def members():
+    """Return the view of ``h1``, which hears two more of its region."""
+    made = Members(make_member("h1"))
+    for name in ("h2", "h3"):
+        made.learn(make_member(name))
+        made.others[name].heard_at = 10.0
+    return made
+
+
+def names(found):
+    """Return the names of members."""
+    return [member.name for member in found]
+
+
+def view_of(name, all_names):
+    """Return the view of one host that hears all others."""
+    made = Members(make_member(name))
+    for other in all_names:
+        made.learn(make_member(other))
+    for member in made.others.values():
+        member.heard_at = 10.0
+    return made
+
+
+def test_all_hosts_ask_the_same_host():
+    """Two hosts that place know only half of the work each."""
+    everyone = ("h1", "h2", "h3", "h4")
+    first = {
+        view_of(name, everyone).placers(10.1)[0].name for name in everyone
+    }
+    assert_that(len(first), Equals(1))
+
+
+def test_a_host_that_leaves_or_lost_the_store_places_last(members):
+    """Requests go to a server that left, by a host that cannot know."""
+    ranked = names(members.placers(10.1))
+    first = ranked[0]
+    target = members.own if first == "h1" else members.others[first]
+    target.contact_age = 30.0
+    assert_that(names(members.placers(10.1))[-1], Equals(first))
+    target.contact_age = 0.0
+    target.leaving = True
+    assert_that(names(members.placers(10.1))[-1], Equals(first))
+
+
+def test_a_host_that_has_just_started_places_last(members):
+    """A new host knows no work in progress and overfills the servers."""
+    first = names(members.placers(10.1))[0]
+    target = members.own if first == "h1" else members.others[first]
+    target.up_seconds = 0.2
+    assert_that(names(members.placers(10.1))[-1], Equals(first))
+
+
+def test_silent_hosts_are_neither_named_nor_asked(members):
+    """Callers are sent to a host that has lost its power."""
+    members.others["h2"].heard_at = 20.0
+    assert_that(sorted(names(members.live(20.1))), Equals(["h1", "h2"]))
+    assert "h3" not in names(members.placers(20.1))
+
+
+def test_an_old_entry_does_not_replace_a_newer_start(members):
+    """A restarted host is forgotten, since its old entry is read late."""
+    members.learn(make_member("h2", incarnation=5, front="new"))
+    members.learn(make_member("h2", incarnation=1, front="old"))
+    assert_that(members.others["h2"].front, Equals("new"))
--- /dev/null
+++ b/tests/test_mirrors.py
@@ -0,0 +1,143 @@
+"""Copies of the store, through outages and lost history."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from twisted.internet import defer, task
+
+from hyssopspring.core.events import HybridClock, Timeline
+from hyssopspring.core.exceptions import KeyValueError
+from hyssopspring.entry.mirrors import (
+    Changes,
+    Contact,
+    Follower,
+    HistoryLostError,
+    Mirror,
+    Removal,
+)
+from hyssopspring.stores.keyvalues import Entry, Listing
+
+
+class Script:
+    """A store that answers as its script says."""
+
+    def __init__(self, steps):
+        self.steps = list(steps)
+        self.calls = []
+
+    def next(self, call):
+        """Return the next answer, or raise it."""
+        self.calls.append(call)
+        if not self.steps:
+            return defer.Deferred()
+        step = self.steps.pop(0)
+        if isinstance(step, Exception):
+            return defer.fail(step)
+        return defer.succeed(step)
+
+    def list(self, prefix):
+        """Answer a listing."""
+        return self.next(("list", prefix))
+
+    def watch(self, prefix, after, wait):
+        """Answer a watch."""
+        return self.next(("watch", after))
+
+
+class Recorder:
+    """Remember what a mirror tells."""
+
+    def __init__(self):
+        self.written = []
+        self.removed = []
+        self.mirror = Mirror(
+            lambda entry: self.written.append(entry.value),
+            lambda key, outage: self.removed.append((key, outage)),
+        )
+
+
+@pytest.fixture
+def clock():
+    """Return a clock that the test advances."""
+    return task.Clock()
+
+
+@pytest.fixture
+def recorder():
+    """Return a `Recorder`."""
+    return Recorder()
+
+
+@pytest.fixture
+def follow(clock, recorder):
+    """Return a function that follows a script to its end."""
+
+    def start(*steps):
+        script = Script(steps)
+        contact = Contact(clock, Timeline("h1", HybridClock(clock.seconds)))
+        follower = Follower(
+            script, "a/", recorder.mirror, contact, clock, random.Random(1)
+        )
+        follower.start()
+        return script, contact, follower
+
+    return start
+
+
+def test_an_older_entry_does_not_overwrite_a_newer_one(recorder):
+    """A neighbour's copy brings back a value that was replaced."""
+    recorder.mirror.replace([Entry("a/1", b"new", 9)], 9)
+    recorder.mirror.replace([Entry("a/1", b"old", 4)], 4)
+    assert_that(recorder.written, Equals([b"new"]))
+
+
+def test_changes_are_taken_in_the_order_of_their_revisions(recorder):
+    """A key that was removed and written again in one answer stays."""
+    recorder.mirror.put(Entry("a/1", b"one", 1))
+    recorder.mirror.apply(
+        Changes((Entry("a/1", b"two", 5),), (Removal("a/1", 3),), 5)
+    )
+    assert_that(recorder.mirror.entries["a/1"].value, Equals(b"two"))
+
+
+def test_lost_history_is_made_up_by_a_new_listing(follow, recorder):
+    """A server that left while history was dropped is used on.
+
+    The watch is told that what it asks for is no longer there; the next
+    listing shows the removal.
+    """
+    script, _, _ = follow(
+        Listing((Entry("a/1", b"x", 1), Entry("a/2", b"y", 2)), 2),
+        HistoryLostError("gone"),
+        Listing((Entry("a/2", b"y", 2),), 8),
+    )
+    assert_that(recorder.removed, Equals([("a/1", False)]))
+    assert_that(script.calls[-1], Equals(("watch", 8)))
+
+
+def test_what_vanished_in_an_outage_is_told_apart(follow, clock, recorder):
+    """All servers are dropped at once when the store comes back.
+
+    Their registrations lapsed while it was away.
+    """
+    script, contact, _ = follow(
+        Listing((Entry("a/1", b"x", 1),), 1),
+        *[KeyValueError("down")] * 6,
+        Changes((), (Removal("a/1", 6),), 6),
+    )
+    while not recorder.removed:
+        clock.advance(0.1)
+    assert_that(recorder.removed, Equals([("a/1", True)]))
+    assert contact.returning
+    clock.advance(3.0)
+    assert not contact.returning
+
+
+def test_a_store_that_is_away_is_asked_seldom(follow, clock):
+    """All hosts together keep the store down by asking it too often."""
+    script, _, _ = follow(*[KeyValueError("down")] * 200)
+    for _ in range(100):
+        clock.advance(0.1)
+    assert 8 <= len(script.calls) <= 30
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,298 @@
+"""Placement of requests within a region, and between regions."""
+
+import random
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, IsInstance
+
+from hyssopspring.traffic.evidence import Finding
+from hyssopspring.traffic.placing import (
+    Ask,
+    Away,
+    Placed,
+    Placer,
+    Refused,
+    RegionLoad,
+)
+from hyssopspring.traffic.routes import EngineSpec, Service
+from hyssopspring.traffic.servers import Registry, ServerEntry
+from hyssopspring.traffic.work import Demand
+
+ENGINE = Service(
+    name="engine",
+    cold_seconds=3.0,
+    cold_rate=2.2,
+    engine=EngineSpec(slots=64, memory_tokens=289_720),
+)
+PLAIN = Service(name="plain")
+SERVICES = {"engine": ENGINE, "plain": PLAIN}
+REGIONS = {"north-a": "north", "south-a": "south", "west-a": "west"}
+REVIEW = Demand(
+    parts=(("shared", 2520), ("subject", 3780), ("own", 2890)),
+    tokens_in=9190,
+    tokens_out=50,
+)
+"""Lengths of a policy review on the first users' sheet."""
+
+
+@pytest.fixture
+def registry():
+    """Return a registry of two engines and two plain servers."""
+    made = Registry(REGIONS)
+    for name, service in (
+        ("e1", "engine"),
+        ("e2", "engine"),
+        ("p1", "plain"),
+        ("p2", "plain"),
+    ):
+        made.put(
+            ServerEntry(
+                id=name,
+                service=service,
+                address="127.0.0.1:1",
+                data_centre="north-a",
+                slots=6,
+            ),
+            0.0,
+        )
+    return made
+
+
+@pytest.fixture
+def placer(registry):
+    """Return the placer of the region ``north``."""
+    return Placer(
+        "north",
+        registry,
+        SERVICES.get,
+        lambda service: service.cold_rate * 1.5 + 3.0,
+        random.Random(1),
+        lambda now: {"north", "south", "west"},
+    )
+
+
+@pytest.fixture
+def ask():
+    """Return a function that makes the next `Ask`."""
+    numbers = iter(range(1, 10_000))
+
+    def make(service="engine", demand=REVIEW, **more):
+        values = {"time_left": 0.8, "patience": 2.7, "priority": 1}
+        return Ask(
+            host="h1",
+            number=next(numbers),
+            service=service,
+            demand=demand,
+            **{**values, **more},
+        )
+
+    return make
+
+
+def tell(placer, region, now=0.0, *, servers=2, wait=0.0):
+    """Let *region* report its load."""
+    loads = {name: RegionLoad(servers, wait, 20, now) for name in SERVICES}
+    placer.take_load(region, loads, now)
+
+
+def test_a_prompt_goes_where_its_parts_are_cached(placer, ask):
+    """Parts that were read a moment ago are not read again elsewhere."""
+    first = placer.place(ask(), 0.0)
+    placer.note_start("h1", 1, 0.3, 0.3)
+    second = placer.place(ask(), 0.5)
+    assert_that(second.server_id, Equals(first.server_id))
+    assert second.predicted < first.predicted / 2
+
+
+def test_affinity_gives_way_to_load(placer, ask):
+    """A popular subject must not pile up on one engine beside an idle one."""
+    demands = [
+        Demand(
+            parts=(*REVIEW.parts[:2], (f"own-{n}", 2890)),
+            tokens_in=9190,
+            tokens_out=50,
+        )
+        for n in range(12)
+    ]
+    decisions = [placer.place(ask(demand=one), 0.0) for one in demands]
+    used = {one.server_id for one in decisions if isinstance(one, Placed)}
+    assert_that(used, Equals({"e1", "e2"}))
+
+
+def test_a_peak_goes_to_regions_with_room_and_the_rest_is_refused(placer, ask):
+    """Callers wait for seconds in one region while others are idle.
+
+    A peak arrives at once. What the region can begin in time stays, what
+    others can begin in time goes there, and what nobody can begin in time
+    is refused at once with a time to come back.
+    """
+    tell(placer, "south")
+    demands = [
+        Demand(parts=((f"own-{n}", 9190),), tokens_in=9190, tokens_out=50)
+        for n in range(60)
+    ]
+    decisions = [placer.place(ask(demand=one), 0.0) for one in demands]
+    here = [one for one in decisions if isinstance(one, Placed)]
+    away = [one for one in decisions if isinstance(one, Away)]
+    refused = [one for one in decisions if isinstance(one, Refused)]
+    assert 2 <= len(here) <= 12
+    assert len(away) >= 1
+    assert len(refused) >= 30
+    waits = {round(one.retry_after, 3) for one in refused}
+    assert min(waits) >= 0.25 and max(waits) <= 4.5
+    assert len(waits) > 10
+
+
+def test_no_request_leaves_its_homes(placer, ask):
+    """A bound request reaches a region where its data must not be.
+
+    Its own region has no server left. The only other home has refused it,
+    and a third region, which is no home, is idle.
+    """
+    tell(placer, "south")
+    tell(placer, "west")
+    bound = ask(
+        regions=frozenset({"north", "south"}),
+        excluded=("e1", "e2"),
+        avoided=("south",),
+    )
+    assert_that(placer.place(bound, 0.0), IsInstance(Refused))
+    free = ask(excluded=("e1", "e2"), avoided=("south",))
+    assert_that(placer.place(free, 0.0).region, Equals("west"))
+
+
+def test_a_region_that_is_no_home_places_nothing(placer, ask):
+    """A caller's host stands in a region that must not serve it."""
+    tell(placer, "south")
+    decision = placer.place(ask(regions=frozenset({"south"})), 0.0)
+    assert_that(decision, IsInstance(Away))
+    assert_that(decision.region, Equals("south"))
+
+
+def test_a_region_that_has_not_told_its_load_may_be_asked(placer, ask):
+    """A host that has just started refuses what others could serve.
+
+    It hears hosts of other regions, but their load reports have not come
+    yet; its own region lacks a server for the request.
+    """
+    placer.registry.put(
+        ServerEntry(
+            id="e3",
+            service="engine",
+            address="127.0.0.1:1",
+            data_centre="south-a",
+        ),
+        0.0,
+    )
+    decision = placer.place(ask(excluded=("e1", "e2")), 0.0)
+    assert_that(decision, IsInstance(Away))
+    assert_that(decision.region, Equals("south"))
+
+
+def test_a_region_that_reports_no_server_gets_nothing(placer, ask):
+    """Requests follow a region whose servers have just crashed."""
+    placer.take_load("south", {}, 0.0)
+    placer.take_load("west", {}, 0.0)
+    decision = placer.place(ask(excluded=("e1", "e2")), 0.0)
+    assert_that(decision, IsInstance(Refused))
+
+
+def test_a_cold_server_gets_its_share_and_no_more(placer, registry, ask):
+    """Two engines come back cold and all requests fall on them at once."""
+    for name in ("e1", "e2"):
+        registry.put(
+            ServerEntry(
+                id=name,
+                service="engine",
+                address="127.0.0.1:1",
+                data_centre="north-a",
+                cold_left=3.0,
+            ),
+            0.0,
+        )
+    decisions = [placer.place(ask(), n * 0.01) for n in range(80)]
+    sent = [one for one in decisions if isinstance(one, Placed)]
+    assert_that(len(sent), Equals(4))
+    assert all(one.cold for one in sent)
+
+
+def test_a_host_that_stands_in_sends_nothing_to_cold_servers(
+    placer, registry, ask
+):
+    """The placing host is silent and each host decides by itself."""
+    registry.put(
+        ServerEntry(
+            id="e1",
+            service="engine",
+            address="127.0.0.1:1",
+            data_centre="north-a",
+            cold_left=3.0,
+        ),
+        0.0,
+    )
+    decisions = [
+        placer.place(ask(), 0.0, cold_allowed=False) for _ in range(4)
+    ]
+    used = {one.server_id for one in decisions if isinstance(one, Placed)}
+    assert_that(used, Equals({"e2"}))
+
+
+def test_an_unreachable_server_is_tried_by_one_request_at_a_time(placer, ask):
+    """Each request loses time at a server that does not answer."""
+    placer.note_end("h1", 0, "p1", Finding.UNREACHED, 0.0)
+    early = {placer.place(ask("plain"), 0.1).server_id for _ in range(5)}
+    assert_that(early, Equals({"p2"}))
+    later = [placer.place(ask("plain"), 0.7).server_id for _ in range(5)]
+    assert_that(later.count("p1"), Equals(1))
+
+
+def test_a_slow_server_that_answers_others_is_not_paused(placer, ask):
+    """One slow answer empties the only server of a region.
+
+    A request was given up since the server had not begun; the server
+    answers others all the while.
+    """
+    placer.place(ask("plain"), 0.0)
+    ticket = next(iter(placer.tickets.values()))
+    placer.note_start("h1", ticket.number, 0.05, 0.4)
+    server = ticket.server_id
+    placer.note_end("h1", 999, server, Finding.SILENT, 0.5)
+    assert placer.evidence_of(server).open(0.6)
+    placer.note_end("h1", 999, server, Finding.SILENT, 5.0)
+    assert not placer.evidence_of(server).open(5.1)
+
+
+def test_memory_of_an_engine_is_not_overfilled(placer, ask):
+    """Streams stand still midway, since the engine drops some of them.
+
+    Its memory ran out. A request that does not fit has to wait for the
+    ends of others, and so goes elsewhere or is refused.
+    """
+    big = Demand(parts=(), tokens_in=60_000, tokens_out=50)
+    patient = {"time_left": 60.0, "patience": 60.0}
+    for _ in range(8):
+        placer.place(ask(demand=big, **patient), 0.0)
+    work = placer.work["e1"]
+    assert_that(work.slot_wait(1000, 0.0), Equals(0.0))
+    assert work.slot_wait(60_000, 0.0) > 1.0
+
+
+def test_lost_word_of_an_end_does_not_load_a_server_forever(placer, ask):
+    """A server gets nothing for long, since its last ends were not heard."""
+    placer.place(ask("plain"), 0.0)
+    number = next(iter(placer.tickets))[1]
+    placer.keep_only("h1", set(), 0.5, older_than=0.7)
+    assert_that(len(placer.tickets), Equals(1))
+    placer.keep_only("h1", {number}, 2.0, older_than=0.7)
+    assert_that(len(placer.tickets), Equals(1))
+    placer.keep_only("h1", set(), 2.0, older_than=0.7)
+    assert_that(len(placer.tickets), Equals(0))
+
+
+def test_work_of_a_lost_host_is_forgotten(placer, ask):
+    """A host is killed; its requests have ended at their servers."""
+    placer.place(ask("plain"), 0.0)
+    placer.forget_host("h1")
+    assert_that(placer.work["p1"].tickets, Equals({}))
+    assert_that(placer.work["p2"].tickets, Equals({}))
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,100 @@
+"""Backend servers as the registry names them."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is
+
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.traffic.servers import (
+    ABSENT_GRACE,
+    Registry,
+    ServerEntry,
+    Usability,
+)
+
+REGIONS = {"north-a": "north", "south-a": "south"}
+
+
+def make_entry(server_id="s1", **more):
+    """Return a `ServerEntry`."""
+    values = {
+        "id": server_id,
+        "service": "engine",
+        "address": "127.0.0.1:1",
+        "data_centre": "north-a",
+        "slots": 4,
+    }
+    return ServerEntry(**{**values, **more})
+
+
+def ids(registry, now, region="north"):
+    """Return the identifiers of the servers that may be used."""
+    found = registry.candidates("engine", region, now)
+    return [server.entry.id for server in found]
+
+
+def test_leaving_is_undone_only_by_a_new_start():
+    """A server that leaves gets a request again, and cuts it.
+
+    An older entry of the server, read from a neighbour that lags, comes
+    after the one that said that it leaves.
+    """
+    registry = Registry(REGIONS)
+    registry.put(make_entry(leaving=True), 0.0)
+    registry.put(make_entry(leaving=False), 1.0)
+    assert_that(ids(registry, 1.0), Equals([]))
+
+
+def test_servers_that_lapsed_in_an_outage_are_used_until_they_are_back():
+    """All requests are refused when the store comes back after an outage.
+
+    Registrations lapse while it is away. The servers live and register
+    again within two seconds; until then the registry is empty.
+    """
+    registry = Registry(REGIONS)
+    registry.put(make_entry("s1"), 0.0)
+    registry.put(make_entry("s2"), 0.0)
+    registry.replace_all([], 10.0, outage=True)
+    assert_that(ids(registry, 10.1), Equals(["s1", "s2"]))
+    registry.put(make_entry("s1"), 11.0)
+    gone = registry.expire(10.0 + ABSENT_GRACE + 0.1)
+    assert_that(gone, Equals(["s2"]))
+    assert_that(ids(registry, 13.0), Equals(["s1"]))
+
+
+def test_a_removed_server_is_not_used_without_an_outage():
+    """A server leaves without a word and its entry is removed."""
+    registry = Registry(REGIONS)
+    registry.put(make_entry(), 0.0)
+    registry.remove("s1", 1.0, outage=False)
+    assert_that(registry.usability("s1", 1.0), Is(NOTHING))
+
+
+def test_a_server_counts_as_cold_a_little_longer_than_it_says():
+    """The entry is some time old when it arrives."""
+    registry = Registry(REGIONS)
+    registry.put(make_entry(cold_left=3.0), 10.0)
+    assert_that(registry.usability("s1", 13.2), Is(Usability.COLD))
+    assert_that(registry.usability("s1", 14.0), Is(Usability.READY))
+
+
+def test_servers_of_a_returned_data_centre_are_cold():
+    """Servers crash as soon as their data centre is taken back.
+
+    They are cold at the end of an evacuation and their entries say so
+    with a lag, while all requests come back to them at once.
+    """
+    registry = Registry(REGIONS)
+    registry.put(make_entry(), 0.0)
+    registry.evacuate({"north-a"}, 1.0, lambda service: 3.0)
+    assert_that(ids(registry, 2.0), Equals([]))
+    registry.evacuate(set(), 5.0, lambda service: 3.0)
+    assert_that(registry.usability("s1", 7.9), Is(Usability.COLD))
+    assert_that(registry.usability("s1", 9.0), Is(Usability.READY))
+
+
+def test_a_server_is_gone_when_its_announced_time_is_over():
+    """A server that is taken away at short notice gets nothing more."""
+    registry = Registry(REGIONS)
+    registry.put(make_entry(leaving=True, gone_in=2.0), 0.0)
+    assert_that(registry.expire(1.9), Equals([]))
+    assert_that(registry.expire(2.1), Equals(["s1"]))
