Let two hosts of a region watch the store and pass changes on

Change: the two hosts that rank first in a region watch; changes go to the others in datagrams that name the revision before, and whoever missed one reads a whole copy from the sender. A watch pauses 0.2 s after an answer. A host whose calls fail says so and others take over. Two faults met: datagrams over 8 KB were truncated, and the stand-in could not tell which host called. A host that has never read the store asks every 0.3 s at most.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -47,6 +47,8 @@
     PEER_UNREAD = (409, "another host's copy of the store was not read")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
+    WATCHING = (502, "host watches the store for its region")
+    RESTING = (503, "host relies on others of its region for changes")
     CLAIM_COMMITTED = (600, "claims of keys recorded")
     CLAIM_CONFLICT = (601, "claim lost to another claimant")
     CLAIM_UNAVAILABLE = (602, "claims cannot be recorded now")
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -143,10 +143,13 @@
 
     Args:
         reactor: The reactor.
+        source: IP address that connections come from. A host may have
+            several; the others know it by this one.
     """
 
-    def __init__(self, reactor):
+    def __init__(self, reactor, source):
         self.reactor = reactor
+        self.source = source
         self.idle = {}
         self.opened = 0
 
@@ -186,7 +189,9 @@
         factory = _Connecting(made, lambda one: self.keep(lane, one))
         ip, port = split_address(lane.address)
         timeout = FAR_CONNECT_TIMEOUT if lane.far else CONNECT_TIMEOUT
-        connector = self.reactor.connectTCP(ip, port, factory, timeout)
+        connector = self.reactor.connectTCP(
+            ip, port, factory, timeout, bindAddress=(self.source, 0)
+        )
         return made
 
     def keep(self, lane, connection):
--- a/src/hyssopspring/entry/datagrams.py
+++ b/src/hyssopspring/entry/datagrams.py
@@ -6,10 +6,11 @@
 from ..core.exceptions import ProtocolError
 from .messages import decode_message, encode_message
 
-__all__ = ["Datagrams"]
+__all__ = ["LONGEST", "Datagrams"]
 
 LONGEST = 60_000
-"""Bytes of the longest datagram that is sent; a larger one is no UDP."""
+"""Bytes of the longest datagram that is sent or taken. The configuration
+of a large deployment fits; a larger one is read as a whole copy."""
 
 
 class Datagrams(protocol.DatagramProtocol):
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -10,7 +10,8 @@
 from ..traffic.members import Member
 from .connections import Lane
 from .fetching import fetch
-from .mirrors import Follower, Mirror
+from .messages import RemovedItem, StoreChange, StoredItem
+from .mirrors import Changes, Follower, Mirror, Removal
 
 __all__ = ["Following", "MEMBERS_PREFIX"]
 
@@ -20,8 +21,26 @@
 """Seconds after which the store forgets a host that is gone."""
 
 RENEW_EVERY = 2.5
-"""Seconds between renewals; each is also the proof of contact with the
-store, so it is several times as often as the lease needs."""
+WATCHER_RENEW_EVERY = 1.0
+"""Seconds between renewals of a host that does not watch the store, and of
+one that does. Each is also the proof of contact with the store: others of
+the region rely on a watching host, and take over when it fails."""
+
+WATCHING_HOSTS = 2
+"""Hosts of a region that watch the store and pass on what changes. Each
+call is paid for, so calls must not grow with hosts times servers; the
+second bridges the loss of the first."""
+
+REST_AFTER = 1.5
+"""Seconds for which a host must rank behind the watching ones before it
+ends its own watches; ranks change for moments when hosts start."""
+
+FAILING_AGE = 10.0
+"""Age of contact, in seconds, that a host tells while its calls fail, so
+that others rank before it at once."""
+
+BATCH_BYTES = 6_000
+"""Bytes of items that are passed on in one datagram."""
 
 PEER_TIMEOUT = 0.8
 """Seconds for another host's copy of the store."""
@@ -33,20 +52,6 @@
 PEER_IDLE = 6.0
 
 
-class StoredItem(msgspec.Struct, array_like=True, frozen=True):
-    """One item in a copy of the store that hosts pass on.
-
-    Attributes:
-        key: The key.
-        value: The value.
-        revision: Revision of its last change.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-
-
 class Snapshot(msgspec.Struct, array_like=True, frozen=True):
     """A host's copy of the store.
 
@@ -104,27 +109,32 @@
             ``decode_server`` and ``server_id``.
         applied: Called when the configuration has changed.
         found_hosts: Called when the hosts in the store were read.
+        spread: Called with a `StoreChange` for the hosts of the region.
     """
 
-    def __init__(self, state, store, layout, applied, found_hosts):
+    def __init__(self, state, store, layout, applied, found_hosts, spread):
         self.state = state
         self.store = store
         self.layout = layout
         self.applied = applied
         self.found_hosts = found_hosts
+        self.spread = spread
         self.evacuated = set()
         self.lease = NOTHING
         self.renew_due = 0.0
         self.renewing = False
         self.fetching = False
+        self.behind = False
         self.fetch_due = 0.0
         self.operator = Mirror(self.operator_wrote, self.operator_removed)
         self.servers = Mirror(self.server_wrote, self.server_removed)
         self.hosts = Mirror(self.host_wrote, self.host_removed)
-        self.followers = [
-            self.follower(layout.OPERATOR_PREFIX, self.operator),
-            self.follower(layout.SERVERS_PREFIX, self.servers),
-        ]
+        self.mirrors = {
+            layout.OPERATOR_PREFIX: self.operator,
+            layout.SERVERS_PREFIX: self.servers,
+        }
+        self.followers = []
+        self.needed_at = 0.0
 
     def follower(self, prefix, mirror):
         """Return the `Follower` of one prefix."""
@@ -135,19 +145,94 @@
             self.state.contact,
             self.state.clock,
             self.state.rng,
+            self.pass_on,
         )
 
     def start(self):
         """Begin to follow."""
+        self.needed_at = self.state.clock.seconds()
+        self.start_watching()
+        self.spawn(self.ask_seeds())
+
+    def start_watching(self):
+        """Read all of the store, and watch it."""
+        self.state.timeline.note(EventKind.WATCHING)
+        self.followers = [
+            self.follower(prefix, mirror)
+            for prefix, mirror in self.mirrors.items()
+        ]
         for follower in self.followers:
             follower.start().addErrback(self.crashed)
-        self.spawn(self.read_hosts())
-        self.spawn(self.ask_seeds())
 
     def stop(self):
         """End following."""
         for follower in self.followers:
             follower.stop()
+        self.followers = []
+
+    def choose_watching(self, now):
+        """Watch the store if this host is one of those that must."""
+        ranked = self.state.members.placers(now)[:WATCHING_HOSTS]
+        if self.state.members.own in ranked:
+            self.needed_at = now
+            if not self.followers:
+                self.start_watching()
+        elif self.followers and now - self.needed_at > REST_AFTER:
+            self.stop()
+            self.state.timeline.note(
+                EventKind.RESTING, watched_by=[one.name for one in ranked]
+            )
+
+    def pass_on(self, prefix, changes, outage):
+        """Tell the hosts of the region what a watch has brought."""
+        rows = [
+            StoredItem(entry.key, entry.value, entry.revision)
+            for entry in changes.entries
+        ]
+        rows += [
+            RemovedItem(removal.key, removal.revision)
+            for removal in changes.removals
+        ]
+        rows.sort(key=lambda row: row.revision)
+        previous = self.revision
+        for batch in split_rows(rows):
+            message = StoreChange(
+                self.state.members.own.name,
+                prefix,
+                previous,
+                [row for row in batch if isinstance(row, StoredItem)],
+                [row for row in batch if isinstance(row, RemovedItem)],
+                outage,
+            )
+            previous = max(previous, batch[-1].revision)
+            self.spread(message)
+
+    @property
+    def revision(self):
+        """Newest revision of the store that this host has seen."""
+        return max(self.operator.newest, self.servers.newest)
+
+    def take_change(self, message):
+        """Take over what another host's watch has brought.
+
+        A datagram may be lost. Then the next one follows on a revision
+        that this host has not seen, and a whole copy is read instead.
+        """
+        mirror = self.mirrors.get(message.prefix)
+        if mirror is None:
+            return
+        missed = message.previous > self.revision
+        changes = Changes(
+            tuple(entries(message.written)),
+            tuple(Removal(row.key, row.revision) for row in message.removed),
+            0,
+        )
+        mirror.apply(changes, outage=message.outage)
+        member = self.state.members.others.get(message.host)
+        if missed and member is not None and not self.fetching:
+            self.fetching = True
+            self.behind = True
+            self.spawn(self.read_host(member.relay))
 
     def spawn(self, coroutine):
         """Run a coroutine whose unexpected failure is logged."""
@@ -292,13 +377,18 @@
         now = self.state.clock.seconds()
         own = self.state.members.own
         own.contact_age = self.state.contact.age
-        own.revision = max(self.operator.newest, self.servers.newest)
+        if self.state.contact.failing_since is not NOTHING:
+            own.contact_age = max(own.contact_age, FAILING_AGE)
+        own.revision = self.revision
+        self.choose_watching(now)
         for server_id in self.state.registry.expire(now):
             self.state.timeline.note(EventKind.SERVER_GONE, server=server_id)
             self.state.connections.forget(server_id)
         if now >= self.renew_due and not self.renewing:
             self.renewing = True
-            self.renew_due = now + RENEW_EVERY
+            watching = bool(self.followers)
+            period = WATCHER_RENEW_EVERY if watching else RENEW_EVERY
+            self.renew_due = now + period
             self.spawn(self.renew())
 
     async def renew(self):
@@ -408,13 +498,33 @@
         """Take over another host's copy if it is newer."""
         for row in snapshot.hosts:
             self.host_wrote(Entry(row.key, row.value, row.revision))
-        own = max(self.operator.newest, self.servers.newest)
-        if snapshot.revision <= own or not snapshot.operator:
+        newer = snapshot.revision > self.revision
+        missed = self.behind and snapshot.revision == self.revision
+        if not snapshot.operator or not (newer or missed):
             return
+        self.behind = False
         self.operator.replace(entries(snapshot.operator), 0)
         self.servers.replace(entries(snapshot.servers), snapshot.revision)
 
 
+def split_rows(rows):
+    """Yield lists of rows that each fit into a datagram.
+
+    A row that is too large for one goes alone; it is not sent, and the
+    other hosts read a whole copy.
+    """
+    batch, size = [], 0
+    for row in rows:
+        length = len(row.key) + len(getattr(row, "value", b""))
+        if batch and size + length > BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(row)
+        size += length
+    if batch:
+        yield batch
+
+
 def host_entry(member):
     """Return the `HostEntry` of a `Member`."""
     return HostEntry(
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -14,6 +14,7 @@
     RefusalMessage,
     ServiceLoad,
     StartMessage,
+    StoreChange,
     Summary,
 )
 
@@ -54,10 +55,19 @@
         timeline: The `Timeline`.
         changed: Called with a `Member` that has newer state than this
             host.
+        store_changed: Called with a `StoreChange` of another host.
     """
 
     def __init__(
-        self, members, asking, placer, datagrams, clock, timeline, changed
+        self,
+        members,
+        asking,
+        placer,
+        datagrams,
+        clock,
+        timeline,
+        changed,
+        store_changed,
     ):
         self.members = members
         self.asking = asking
@@ -76,6 +86,7 @@
             StartMessage: self.take_start,
             EndMessage: self.take_end,
             Summary: self.take_summary,
+            StoreChange: store_changed,
         }
 
     def receive(self, message, ip):
@@ -155,6 +166,12 @@
         self.was_live = live
         self.members.forget_silent(now, FORGET_AFTER)
 
+    def spread(self, message):
+        """Send *message* to all other hosts of the region."""
+        for member in self.members.others.values():
+            if member.region == self.members.own.region:
+                self.datagrams.send(message, member.control)
+
     def summarize(self):
         """Tell the other regions this one's load, if this host places."""
         now = self.clock.seconds()
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -14,7 +14,10 @@
     "GrantMessage",
     "Heartbeat",
     "RefusalMessage",
+    "RemovedItem",
     "StartMessage",
+    "StoreChange",
+    "StoredItem",
     "Summary",
     "decode_message",
     "encode_message",
@@ -205,6 +208,52 @@
     loads: dict[str, ServiceLoad]
 
 
+class StoredItem(msgspec.Struct, array_like=True, frozen=True):
+    """One item of the store, as hosts pass it on.
+
+    Attributes:
+        key: The key.
+        value: The value.
+        revision: Revision of its last change.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class RemovedItem(msgspec.Struct, array_like=True, frozen=True):
+    """A key that was removed from the store.
+
+    Attributes:
+        key: The key.
+        revision: Revision of the store at its removal.
+    """
+
+    key: str
+    revision: int
+
+
+class StoreChange(msgspec.Struct, array_like=True, tag="c", frozen=True):
+    """Pass on what a watch of the store has brought.
+
+    Attributes:
+        host: Host whose watch it was.
+        prefix: Prefix of the keys.
+        previous: Revision up to which the host knew all before.
+        written: Items that were written.
+        removed: Keys that were removed.
+        outage: Whether the store had been away.
+    """
+
+    host: str
+    prefix: str
+    previous: int
+    written: list[StoredItem]
+    removed: list[RemovedItem]
+    outage: bool
+
+
 Message = (
     AskMessage
     | GrantMessage
@@ -213,6 +262,7 @@
     | EndMessage
     | Heartbeat
     | Summary
+    | StoreChange
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -21,11 +21,20 @@
 """Seconds for which a watch waits; a call is paid for each, and a silent
 connection shows by its own probes well before."""
 
+WATCH_PAUSE = 0.2
+"""Seconds between an answer of a watch that brought something and the next
+call. Changes come in bursts, when servers register or are replaced, and
+each answer is paid for; the bounds on changes are several seconds."""
+
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
 """Bounds of the pause after a failed call, in seconds: at most one call a
 second from each host while the store is away."""
 
+UNKNOWING_PAUSE = 0.3
+"""Longest pause of a host that has never read the store: it serves nobody
+until it has."""
+
 LOST_AFTER = 0.6
 """Seconds of failing calls after which the store counts as away."""
 
@@ -189,15 +198,18 @@
         contact: The `Contact`.
         clock: The runtime's clock.
         rng: Random number generator.
+        changed: Called with the `Changes` that a watch has brought, and
+            whether the store had been away, before the mirror has them.
     """
 
-    def __init__(self, store, prefix, mirror, contact, clock, rng):
+    def __init__(self, store, prefix, mirror, contact, clock, rng, changed):
         self.store = store
         self.prefix = prefix
         self.mirror = mirror
         self.contact = contact
         self.clock = clock
         self.rng = rng
+        self.changed = changed
         self.after = NOTHING
         self.pause = FIRST_PAUSE
         self.running = True
@@ -244,11 +256,16 @@
         )
         outage = self.contact.returning
         self.contact.heard()
+        if changes.entries or changes.removals:
+            self.changed(self.prefix, changes, outage)
         self.mirror.apply(changes, outage=outage)
         self.after = max(self.after, changes.revision)
+        if changes.entries or changes.removals:
+            await task.deferLater(self.clock, WATCH_PAUSE)
 
     def wait(self):
         """Wait before the next try, longer each time, never in step."""
         pause = self.pause * (0.5 + self.rng.random())
-        self.pause = min(LONGEST_PAUSE, self.pause * 2)
+        longest = LONGEST_PAUSE if self.mirror.known else UNKNOWING_PAUSE
+        self.pause = min(longest, self.pause * 2)
         return task.deferLater(self.clock, pause)
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -25,7 +25,7 @@
 from .asking import Asking
 from .callers import FINISH_MARGIN, SERVE_ON, CallerApi
 from .connections import Connections
-from .datagrams import Datagrams
+from .datagrams import LONGEST, Datagrams
 from .following import Following
 from .lines import LineWriter
 from .membership import HEARTBEAT_EVERY, SUMMARY_EVERY, Membership
@@ -114,7 +114,7 @@
             registry=self.registry,
             members=self.members,
             asking=self.asking,
-            connections=Connections(self.reactor),
+            connections=Connections(self.reactor, settings.address),
             contact=Contact(self.reactor, self.timeline),
             retries=RetryWindow(
                 settings.retry_ratio,
@@ -135,6 +135,7 @@
             layout,
             applied=lambda: self.membership.beat(),
             found_hosts=lambda: self.membership.beat(),
+            spread=lambda message: self.membership.spread(message),
         )
         self.membership = Membership(
             self.members,
@@ -144,6 +145,7 @@
             self.reactor,
             self.timeline,
             self.following.neighbour_is_newer,
+            self.following.take_change,
         )
         self.callers = CallerApi(self.state)
         self.relay = RelayApi(self.state, self.following.snapshot)
@@ -178,7 +180,9 @@
             self.listen(settings.control, self.relay.handle)
         ip, port = split_address(own.control)
         self.ports.append(
-            self.reactor.listenUDP(port, self.datagrams, interface=ip)
+            self.reactor.listenUDP(
+                port, self.datagrams, interface=ip, maxPacketSize=LONGEST
+            )
         )
         self.following.start()
         self.repeat(HEARTBEAT_EVERY, self.beat)
@@ -360,6 +364,8 @@
     from twisted.internet import reactor
 
     os.set_blocking(sys.stdout.fileno(), False)
+    # A step of the time of day must not move any timer.
+    reactor.seconds = time.monotonic
     process = EntryProcess(
         settings,
         reactor,
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -134,6 +134,9 @@
                 if event["revision"] > after
                 and event["key"].startswith(prefix)
             ]
+            if request.getClientAddress().host in self.refused:
+                self.respond(request, 503, {})
+                return
             left = until - self.reactor.seconds()
             if events or left <= 0 or request._disconnected:
                 self.respond(request, 200, {"events": events})
@@ -163,6 +166,13 @@
             self.put(row["key"], b64decode(row["value"]), lease)
         self.respond(request, 200, {"revision": self.revision})
 
+    def refuse(self, address):
+        """Turn the calls of one host away, also those that wait."""
+        self.refused.add(address)
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.callback(None)
+
     def grant(self, request):
         """Grant a lease."""
         lease = 1000 + len(self.leases)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer, protocol, reactor, task
 
 from hyssopspring.entry.callers import SERVE_ON
+from hyssopspring.entry.messages import StoreChange
 
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
@@ -254,10 +255,8 @@
     """
     hosts.add_host("h-north-2", "north", 5)
     await hosts.settled()
-    hosts.store.refused.add("127.0.0.25")
+    hosts.store.refuse("127.0.0.25")
     second = hosts.processes["h-north-2"]
-    for follower in second.following.followers:
-        follower.after = 0
     moved = configuration(9, lookup={"prefix": "/moved/"})
     hosts.store.put_json("op/config", moved)
     await hosts.until(lambda: second.keeper.version == 9)
@@ -329,3 +328,57 @@
     assert_that(way[-1:], Not(Equals([])))
     ended = next(row for row in rows if row["event"] == "attempt_ended")
     assert_that(ended["reason"], Equals("refused_by_server"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_changes_reach_hosts_that_do_not_watch(hosts):
+    """Calls to the store grow with hosts times servers.
+
+    Two hosts of a region watch; the third rests and hears from them. It
+    also learns of a change whose datagram was lost, by the next one.
+    """
+    for number in (5, 6):
+        hosts.add_host(f"h-north-{number}", "north", number)
+    await hosts.settled()
+    north = [p for n, p in hosts.processes.items() if "north" in n]
+    await hosts.until(
+        lambda: (
+            sorted(bool(p.following.followers) for p in north)
+            == [False, True, True]
+        )
+    )
+    resting = next(p for p in north if not p.following.followers)
+    calls = resting.following.store.calls
+    hosts.store.put_json("op/config", configuration(5))
+    await hosts.until(lambda: resting.keeper.version == 5)
+    take = resting.following.take_change
+    resting.membership.handlers[StoreChange] = lambda message: None
+    hosts.store.put_json("op/config", configuration(6))
+    await task.deferLater(reactor, 0.3)
+    resting.membership.handlers[StoreChange] = take
+    hosts.store.put_json("op/evacuate/south-a", {})
+    await hosts.until(lambda: resting.keeper.version == 6)
+    await hosts.until(lambda: resting.registry.evacuated == {"south-a"})
+    assert resting.following.store.calls - calls <= 3
+
+
+@pytest_twisted.ensureDeferred
+async def test_another_host_watches_when_one_loses_the_store(hosts):
+    """A region misses a change, since its watching hosts are cut off."""
+    for number in (5, 6):
+        hosts.add_host(f"h-north-{number}", "north", number)
+    await hosts.settled()
+    north = [p for n, p in hosts.processes.items() if "north" in n]
+    await hosts.until(
+        lambda: (
+            sorted(bool(p.following.followers) for p in north)
+            == [False, True, True]
+        )
+    )
+    resting = next(p for p in north if not p.following.followers)
+    for process in north:
+        if process is not resting:
+            hosts.store.refuse(process.settings.address)
+    await hosts.until(lambda: resting.following.followers)
+    hosts.store.put_json("op/config", configuration(5))
+    await hosts.until(lambda: all(p.keeper.version == 5 for p in north))
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -78,7 +78,13 @@
         script = Script(steps)
         contact = Contact(clock, Timeline("h1", HybridClock(clock.seconds)))
         follower = Follower(
-            script, "a/", recorder.mirror, contact, clock, random.Random(1)
+            script,
+            "a/",
+            recorder.mirror,
+            contact,
+            clock,
+            random.Random(1),
+            lambda prefix, changes, outage: None,
         )
         follower.start()
         return script, contact, follower
@@ -137,7 +143,19 @@
 
 def test_a_store_that_is_away_is_asked_seldom(follow, clock):
     """All hosts together keep the store down by asking it too often."""
-    script, _, _ = follow(*[KeyValueError("down")] * 200)
+    listing = Listing((Entry("a/1", b"x", 1),), 1)
+    script, _, _ = follow(listing, *[KeyValueError("down")] * 200)
     for _ in range(100):
         clock.advance(0.1)
     assert 8 <= len(script.calls) <= 30
+
+
+def test_a_host_that_knows_nothing_asks_more_often(follow, clock):
+    """A host serves nobody for a second after the store's return.
+
+    It started while the store was away, and its pauses had grown.
+    """
+    script, _, _ = follow(*[KeyValueError("down")] * 200)
+    for _ in range(100):
+        clock.advance(0.1)
+    assert 25 <= len(script.calls) <= 60
