--- /dev/null
+++ b/src/hyssopspring_fakes/emulation.py
@@ -0,0 +1,412 @@
+"""Engines, regions and a load on a clock of their own, without network.
+
+The figures of an engine are those that the first users give for theirs: a
+step of 5.18 ms and 0.0367 ms for each request in the batch, 49.6 prompt
+tokens read in a millisecond in chunks of 1,024, 64 slots and memory for
+289,720 tokens.
+"""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from hyssopspring.traffic.evidence import Finding
+from hyssopspring.traffic.placing import Ask, Away, Placed, Placer
+from hyssopspring.traffic.routes import EngineSpec, Service
+from hyssopspring.traffic.servers import Registry, ServerEntry
+from hyssopspring.traffic.work import Demand
+
+__all__ = ["Load", "Outcome", "Shape", "emulate"]
+
+STEP = 0.00518
+STEP_PER_REQUEST = 0.0000367
+READ_RATE = 49_600.0
+CHUNK = 1024
+SLOTS = 64
+MEMORY = 289_720
+TICK = 0.002
+SUMMARY_EVERY = 0.2
+ONE_WAY = 0.08
+"""Seconds between two regions."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Kind:
+    """A kind of request.
+
+    Attributes:
+        name: Its name.
+        rate: Requests a second over all regions.
+        sizes: Tokens of the shared part, the subject's part and its own.
+        choices: Number of shared parts and of subjects.
+        tokens_out: Tokens of its answer.
+        objective: Seconds to its first event.
+        patience: Seconds after which its caller has gone.
+        priority: Its rank.
+    """
+
+    name: str
+    rate: float
+    sizes: tuple
+    choices: tuple
+    tokens_out: int
+    objective: float
+    patience: float
+    priority: int
+
+
+REVIEW = Kind(
+    name="review",
+    rate=12.6,
+    sizes=(2520, 3780, 2890),
+    choices=(4, 106),
+    tokens_out=50,
+    objective=0.8,
+    patience=3.2,
+    priority=1,
+)
+QUOTE = Kind(
+    name="quote",
+    rate=14.0,
+    sizes=(119, 79, 628),
+    choices=(20, 78),
+    tokens_out=290,
+    objective=0.6,
+    patience=2.4,
+    priority=0,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Shape:
+    """Where engines stand and where requests come from.
+
+    Attributes:
+        engines: Number of engines by region.
+        weights: Share of the requests by region, as a function of time.
+        seconds: Length.
+        kinds: Each `Kind`.
+        policy: "placer", or "nearest" for the least loaded engine of the
+            caller's own region.
+    """
+
+    engines: dict
+    weights: object
+    seconds: float = 20.0
+    kinds: tuple = (REVIEW, QUOTE)
+    policy: str = "placer"
+
+
+@dataclass(slots=True, eq=False)
+class Load:
+    """One request in the emulation.
+
+    Attributes:
+        kind: Its `Kind`.
+        region: Where its caller is.
+        demand: Its `Demand`.
+        at: Time of its arrival.
+        number: Its number.
+        delay: Seconds that its events need to come back.
+        urgency: Its rank at an engine.
+        left_in: Tokens still to be read.
+        left_out: Tokens still to be made.
+        first_at: Time of its first event at its caller, or 0.
+        refused: Whether it was refused.
+    """
+
+    kind: Kind
+    region: str
+    demand: Demand
+    at: float
+    number: int
+    delay: float = 0.0
+    urgency: int = 5
+    left_in: int = 0
+    left_out: int = 0
+    first_at: float = 0.0
+    refused: bool = False
+
+    @property
+    def in_time(self):
+        """Whether its first event met its objective."""
+        if not self.first_at:
+            return False
+        return self.first_at - self.at <= self.kind.objective
+
+
+@dataclass(slots=True, eq=False)
+class Outcome:
+    """What became of a load.
+
+    Attributes:
+        loads: Each `Load`.
+        tokens_read: Prompt tokens that the engines read.
+        tokens_shared_again: Tokens of shared parts among them that an
+            engine had read before.
+    """
+
+    loads: list = field(default_factory=list)
+    tokens_read: int = 0
+    tokens_shared_again: int = 0
+    known_parts: set = field(default_factory=set)
+
+    def share(self, kind="", region=""):
+        """Return the share of requests that were in time."""
+        chosen = [
+            one
+            for one in self.loads
+            if kind in ("", one.kind.name) and region in ("", one.region)
+        ]
+        return sum(one.in_time for one in chosen) / max(1, len(chosen))
+
+    def refused(self):
+        """Return the share of requests that were refused."""
+        count = sum(one.refused for one in self.loads)
+        return count / max(1, len(self.loads))
+
+
+class Engine:
+    """One engine: reads prompts in chunks between steps of its batch."""
+
+    def __init__(self, name, outcome):
+        self.name = name
+        self.outcome = outcome
+        self.waiting = []
+        self.running = []
+        self.cached = OrderedDict()
+        self.due = 0.0
+        self.started = []
+        self.ended = []
+
+    def add(self, load):
+        """Take a request."""
+        self.waiting.append(load)
+        self.waiting.sort(key=lambda one: (one.urgency, one.number))
+
+    def advance(self, now):
+        """Make the steps that are due."""
+        while self.due <= now:
+            self.due = max(self.due, now - TICK) + self.step(now)
+
+    def step(self, now):
+        """Make one step; return its seconds."""
+        seconds = STEP + STEP_PER_REQUEST * len(self.running)
+        for load in self.running:
+            load.left_out -= 1
+        done = [one for one in self.running if one.left_out <= 0]
+        for load in done:
+            self.running.remove(load)
+            self.ended.append(load)
+        return seconds + self.read(now)
+
+    def read(self, now):
+        """Read one chunk of the first waiting prompt; return seconds."""
+        self.waiting = [
+            one for one in self.waiting if now - one.at <= one.kind.patience
+        ]
+        used = sum(one.demand.tokens_in for one in self.running)
+        if not self.waiting or len(self.running) >= SLOTS:
+            return 0.0
+        load = self.waiting[0]
+        if used + load.demand.tokens_in > MEMORY:
+            return 0.0
+        if load.left_in < 0:
+            load.left_in = self.uncached(load)
+        chunk = min(CHUNK, load.left_in)
+        load.left_in -= chunk
+        self.outcome.tokens_read += chunk
+        if load.left_in <= 0:
+            self.waiting.remove(load)
+            self.running.append(load)
+            self.started.append(load)
+            self.remember(load, used)
+        return chunk / READ_RATE
+
+    def uncached(self, load):
+        """Return the tokens to read, and count those read again."""
+        known = 0
+        for part, tokens in load.demand.parts:
+            if part not in self.cached:
+                break
+            known += tokens
+        for part, tokens in load.demand.parts[:2]:
+            if part not in self.cached:
+                if part in self.outcome.known_parts:
+                    self.outcome.tokens_shared_again += tokens
+                self.outcome.known_parts.add(part)
+        return max(1, load.demand.tokens_in - known)
+
+    def remember(self, load, used):
+        """Keep the prompt's parts; the least recently used go."""
+        for part, tokens in load.demand.parts:
+            self.cached[part] = tokens
+            self.cached.move_to_end(part)
+        while sum(self.cached.values()) > MEMORY - used:
+            self.cached.popitem(last=False)
+
+
+def emulate(shape, seed=1):
+    """Play *shape* and return the `Outcome`."""
+    return Emulation(shape, random.Random(seed)).run()
+
+
+class Emulation:
+    """Regions with a placer each, engines, and requests."""
+
+    def __init__(self, shape, rng):
+        self.shape = shape
+        self.rng = rng
+        self.outcome = Outcome()
+        service = Service(
+            name="engine",
+            engine=EngineSpec(slots=SLOTS, memory_tokens=MEMORY),
+        )
+        self.registry = Registry({name: name for name in shape.engines})
+        self.engines = {}
+        self.by_region = {}
+        for region, count in shape.engines.items():
+            names = [f"{region}-{n}" for n in range(count)]
+            self.by_region[region] = names
+            for name in names:
+                self.engines[name] = Engine(name, self.outcome)
+                self.registry.put(
+                    ServerEntry(
+                        id=name,
+                        service="engine",
+                        address="127.0.0.1:1",
+                        data_centre=region,
+                    ),
+                    0.0,
+                )
+        self.placers = {
+            region: Placer(
+                region,
+                self.registry,
+                lambda name: service,
+                lambda one: 6.0,
+                rng,
+                lambda now: set(shape.engines),
+            )
+            for region in shape.engines
+        }
+        self.moving = []
+        self.summary_due = 0.0
+        self.at_engine = {}
+
+    def run(self):
+        """Play to the end."""
+        now = 0.0
+        while now < self.shape.seconds + 4.0:
+            now += TICK
+            if now >= self.summary_due:
+                self.summary_due = now + SUMMARY_EVERY
+                self.summarize(now)
+            if now < self.shape.seconds:
+                self.arrive(now)
+            self.deliver(now)
+            for engine in self.engines.values():
+                engine.advance(now)
+                self.tell(engine, now)
+        return self.outcome
+
+    def arrive(self, now):
+        """Let the requests of one tick arrive."""
+        weights = self.shape.weights(now)
+        total = sum(weights.values())
+        for kind in self.shape.kinds:
+            if self.rng.random() < kind.rate * TICK * total:
+                region = self.rng.choices(
+                    list(weights), list(weights.values())
+                )[0]
+                self.place(self.make(kind, region, now), region, now)
+
+    def make(self, kind, region, now):
+        """Return a new request."""
+        number = len(self.outcome.loads)
+        shared = f"{kind.name}-{self.rng.randrange(kind.choices[0])}"
+        subject = f"{shared}-{self.rng.randrange(kind.choices[1])}"
+        names = (shared, subject, f"own-{number}")
+        load = Load(
+            kind=kind,
+            region=region,
+            demand=Demand(
+                parts=tuple(zip(names, kind.sizes, strict=True)),
+                tokens_in=sum(kind.sizes),
+                tokens_out=kind.tokens_out,
+            ),
+            at=now,
+            number=number,
+            left_in=-1,
+            left_out=kind.tokens_out,
+        )
+        self.outcome.loads.append(load)
+        return load
+
+    def place(self, load, region, now, *, may_leave=True):
+        """Have a request placed in *region*."""
+        if self.shape.policy == "nearest":
+            self.send_nearest(load, region)
+            return
+        waited = now - load.at
+        ask = Ask(
+            host="h",
+            number=load.number,
+            service="engine",
+            demand=load.demand,
+            time_left=max(0.0, load.kind.objective - waited - load.delay),
+            patience=max(0.0, load.kind.patience * 0.85 - waited),
+            priority=load.kind.priority,
+            may_leave=may_leave,
+        )
+        decision = self.placers[region].place(ask, now)
+        if isinstance(decision, Placed):
+            load.urgency = decision.urgency
+            self.at_engine[load.number] = region, now
+            self.engines[decision.server_id].add(load)
+        elif isinstance(decision, Away):
+            load.delay = ONE_WAY
+            self.moving.append((now + ONE_WAY, load, decision.region))
+        else:
+            load.refused = True
+
+    def send_nearest(self, load, region):
+        """Send a request to the least loaded engine of its region."""
+        engines = [self.engines[name] for name in self.by_region[region]]
+        chosen = min(
+            engines, key=lambda one: len(one.waiting) + len(one.running)
+        )
+        chosen.add(load)
+
+    def deliver(self, now):
+        """Hand requests over that have reached another region."""
+        arrived = [row for row in self.moving if row[0] <= now]
+        self.moving = [row for row in self.moving if row[0] > now]
+        for _, load, region in arrived:
+            self.place(load, region, now, may_leave=False)
+
+    def tell(self, engine, now):
+        """Tell the placers what an engine has begun and ended."""
+        for load in engine.started:
+            load.first_at = now + load.delay
+            if load.number in self.at_engine:
+                region, sent = self.at_engine[load.number]
+                self.placers[region].note_start(
+                    "h", load.number, now - sent, now
+                )
+        for load in engine.ended:
+            if load.number in self.at_engine:
+                region, _ = self.at_engine.pop(load.number)
+                self.placers[region].note_end(
+                    "h", load.number, engine.name, Finding.ANSWERED, now
+                )
+        engine.started.clear()
+        engine.ended.clear()
+
+    def summarize(self, now):
+        """Let each region tell the others its load."""
+        for region, placer in self.placers.items():
+            loads = placer.summarize(now)
+            for other, told in self.placers.items():
+                if other != region:
+                    told.take_load(region, dict(loads), now)
