--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -39,6 +39,10 @@
 """Bounds of a Retry-After in seconds. Sooner, the load that led to the
 refusal has not changed; later, little is left of the caller's time."""
 
+ERROR_COST = 0.6
+"""Seconds by which a server that always fails counts as worse: about an
+objective, so that it still gets what no other could begin in time."""
+
 UNTOLD_WAIT = 0.25
 """Seconds that a request is taken to wait in a region that has not told
 its load yet."""
@@ -210,10 +214,11 @@
         best, least, predicted = NOTHING, 0.0, 0.0
         if ask.regions and self.region not in ask.regions:
             return best, predicted
-        for server in self.usable(ask, now, cold_allowed):
+        servers = self.usable(ask, now, cold_allowed)
+        for server in servers:
             work = self.work_of(server)
             cost = work.cost(ask.demand, urgency, now)
-            cost += self.evidence_of(server.entry.id).error_rate * 0.6
+            cost += self.evidence_of(server.entry.id).error_rate * ERROR_COST
             if best is NOTHING or cost < least:
                 best, least = server, cost
                 predicted = work.predict(ask.demand, urgency, now)
@@ -250,7 +255,7 @@
         best, least = NOTHING, float("inf")
         if not ask.may_leave:
             return best, least
-        for region in self.live_regions(now) - {self.region}:
+        for region in sorted(self.live_regions(now) - {self.region}):
             if ask.regions and region not in ask.regions:
                 continue
             if region in ask.avoided:
@@ -498,8 +503,3 @@
     Ranks 2 to 6 leave room for late ones behind and for none before.
     """
     return min(6, 2 + max(0, ask.priority) * 2)
-
-
-def finding_of_status(status):
-    """Return the `Finding` of an answer that a server gave."""
-    return Finding.ERROR if status >= 500 else Finding.ANSWERED
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -49,9 +49,6 @@
 """Seconds by which a full batch counts as worse than an empty one; it
 spreads requests over servers that would be equally quick to begin."""
 
-ERROR_COST = 0.6
-"""Seconds by which a server that always fails counts as worse."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Demand:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -195,6 +195,18 @@
     await hosts.until(lambda: engine.stopped == ["r1"])
 
 
+@pytest_twisted.ensureDeferred
+async def test_work_is_stopped_before_it_has_answered(hosts):
+    """A server works on for a caller that left before the first byte."""
+    server = hosts.backends["plain-south"]
+    server.mood = "silent"
+    waiting = hosts.begin("h-north", "/bound/a", "r1", b"GET", b"", {})
+    await hosts.until(lambda: server.ran == ["r1"])
+    waiting.addErrback(lambda reason: None)
+    waiting.cancel()
+    await hosts.until(lambda: server.stopped == ["r1"])
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_change_is_in_force_soon_and_stays(hosts):
     """A new route is served, and an older document changes nothing."""
@@ -257,6 +269,7 @@
     await hosts.settled()
     hosts.store.refuse("127.0.0.25")
     second = hosts.processes["h-north-2"]
+    second.membership.handlers[StoreChange] = lambda message: None
     moved = configuration(9, lookup={"prefix": "/moved/"})
     hosts.store.put_json("op/config", moved)
     await hosts.until(lambda: second.keeper.version == 9)
@@ -309,9 +322,10 @@
     assert_that(status, Equals(503))
     ran = [one for b in hosts.backends.values() for one in b.ran]
     assert_that(ran, Equals(["r1"]))
+    await stopped
+    assert streaming.called
     status, _, body = await streaming
     assert_that((status, body.count(b"data: ")), Equals((200, 9)))
-    await stopped
 
 
 @pytest_twisted.ensureDeferred
