Take test ports below those of connections; shorten two waits

Hosts bind their connections to their own address now, and a listener port drawn from the system's range met one: 21 of 24 tests of tests/test_entry.py failed in one run with address in use. Two tests passed without their guard, as slower guards covered them within eight seconds; their waits are 0.5 and 4 s now. Red first: FAILED tests/test_entry.py::test_work_is_stopped_before_it_has_answered FAILED tests/test_entry.py::test_another_host_watches_when_one_loses_the_store

--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -115,9 +115,9 @@
             )
         )
 
-    async def until(self, condition):
-        """Wait until *condition* holds."""
-        end = reactor.seconds() + LONGEST_WAIT
+    async def until(self, condition, *, within=LONGEST_WAIT):
+        """Wait until *condition* holds, *within* seconds at most."""
+        end = reactor.seconds() + within
         while not condition():
             assert reactor.seconds() < end, "waited too long"
             await task.deferLater(reactor, WAIT_EVERY)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,7 @@
 """Entry hosts, servers and a store on loopback: what callers see."""
 
 import json
+import os
 import socket
 
 import pytest
@@ -17,11 +18,34 @@
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
 
 
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+"""Ports below those from which the system takes the ports of connections;
+a listener among them would meet a connection now and then."""
+
+PORTS_A_HOST = 5
+ADDRESSES = [f"127.0.0.{20 + number}" for number in range(7)]
+
+
+def is_free(port):
+    """Whether *port* can be listened at on all addresses of the hosts."""
+    for address in ADDRESSES:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((address, port))
+            except OSError:
+                return False
+    return True
+
+
 def free_port():
-    """Return the first of five ports that are free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.20", 0))
-        return min(probe.getsockname()[1], 65_000)
+    """Return the first of the ports of a host, all of them free."""
+    start = FIRST_PORT + os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
+    for port in range(start, LAST_PORT + FIRST_PORT, PORTS_A_HOST):
+        ports = range(port, port + PORTS_A_HOST)
+        if all(is_free(one) for one in ports):
+            return port
+    raise AssertionError("no free ports")
 
 
 @pytest_twisted.async_yield_fixture
@@ -204,7 +228,7 @@
     await hosts.until(lambda: server.ran == ["r1"])
     waiting.addErrback(lambda reason: None)
     waiting.cancel()
-    await hosts.until(lambda: server.stopped == ["r1"])
+    await hosts.until(lambda: server.stopped == ["r1"], within=0.5)
 
 
 @pytest_twisted.ensureDeferred
@@ -393,6 +417,6 @@
     for process in north:
         if process is not resting:
             hosts.store.refuse(process.settings.address)
-    await hosts.until(lambda: resting.following.followers)
+    await hosts.until(lambda: resting.following.followers, within=4.0)
     hosts.store.put_json("op/config", configuration(5))
     await hosts.until(lambda: all(p.keeper.version == 5 for p in north))
