--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -322,7 +322,7 @@
 def decision_of(message):
     """Return the decision of a message."""
     if isinstance(message, RefusalMessage):
-        return Refused(message.retry_after, message.predicted)
+        return Refused(message.retry_after, message.predicted, message.servers)
     if message.region:
         return Away(message.region, message.predicted)
     return Placed(
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -178,6 +178,7 @@
             route=self.route.name,
             predicted=round(refused.predicted, 3),
             retry_after=round(refused.retry_after, 3),
+            servers_open=refused.servers,
             excluded=len(self.excluded),
         )
 
@@ -185,7 +186,7 @@
         """Return the `Ask` of this moment."""
         waited = self.state.clock.seconds() - self.arrived
         patience = self.time_left
-        if self.route.stream:
+        if self.route.stream and not self.sink.started:
             longest = max(
                 STREAM_PATIENCE,
                 STREAM_PATIENCE_OBJECTIVES * self.route.objective,
@@ -196,7 +197,7 @@
             number=0,
             service=self.service,
             demand=self.facts.demand,
-            time_left=max(0.0, self.route.objective - waited),
+            time_left=self.objective_left(waited),
             patience=max(0.0, patience),
             priority=self.route.priority,
             excluded=tuple(self.excluded),
@@ -205,6 +206,16 @@
             may_leave=self.may_leave,
         )
 
+    def objective_left(self, waited):
+        """Return the seconds in which the request is still on time.
+
+        A stream that goes on is as urgent as a new one: its caller waits
+        for the next event, and what was made is lost if none comes.
+        """
+        if self.sink.started:
+            return self.route.objective
+        return max(0.0, self.route.objective - waited)
+
     async def try_server(self, number, placed):
         """Make an attempt at a server of this region."""
         self.state.timeline.note(
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -87,11 +87,13 @@
         number: The asking host's number.
         retry_after: Seconds after which there should be room.
         predicted: Seconds to an answer if it were admitted.
+        servers: Servers of the region that could take requests.
     """
 
     number: int
     retry_after: float
     predicted: float
+    servers: int
 
 
 class StartMessage(msgspec.Struct, array_like=True, tag="s", frozen=True):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -34,6 +34,10 @@
 """Part of a Retry-After by which callers are spread, so that those who are
 refused together do not return together."""
 
+NO_SERVER_WAIT = 1.0
+"""Seconds that a request is taken to wait where no server is open; one
+that is paused or cold is tried again within that time."""
+
 LEAST_RETRY = 0.25
 MOST_RETRY = 3.0
 """Bounds of a Retry-After in seconds. Sooner, the load that led to the
@@ -127,10 +131,12 @@
     Attributes:
         retry_after: Seconds after which there should be room.
         predicted: Seconds to an answer if it were admitted.
+        servers: Servers of this region that could take requests.
     """
 
     retry_after: float
     predicted: float
+    servers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,21 +327,22 @@
         """
         best, predicted = self.best_here(ask, LATE_URGENCY, now, cold_allowed)
         if best is NOTHING:
-            return self.refuse(ask, 1.0)
+            return self.refuse(ask, NO_SERVER_WAIT, 0)
         late = sum(
             ticket.urgency >= LATE_URGENCY and not ticket.started
             for ticket in self.work_of(best).tickets.values()
         )
         if predicted <= ask.patience and late < MOST_LATE:
             return self.admit(ask, best, LATE_URGENCY, predicted, now)
-        return self.refuse(ask, predicted)
+        servers = len(self.usable(ask, now, cold_allowed))
+        return self.refuse(ask, predicted, servers)
 
-    def refuse(self, ask, predicted):
+    def refuse(self, ask, predicted, servers):
         """Return a `Refused` that says when there should be room."""
         over = max(LEAST_RETRY, predicted - ask.time_left * HOME_SHARE)
         seconds = min(MOST_RETRY, over)
         spread = 1.0 + SPREAD * self.rng.random()
-        return Refused(seconds * spread, predicted)
+        return Refused(seconds * spread, predicted, servers)
 
     def admit(self, ask, server, urgency, predicted, now):
         """Count the request at *server* and return the `Placed`."""
