--- /dev/null
+++ b/benchmarks/entry_slopes.py
@@ -0,0 +1,161 @@
+"""Measure how the work of an entry process grows with its surroundings."""
+
+import random
+import time
+
+from hyssopspring.entry.messages import (
+    Heartbeat,
+    OpenTicket,
+    ServiceLoad,
+    Summary,
+    decode_message,
+    encode_message,
+)
+from hyssopspring.traffic.members import Member, Members
+from hyssopspring.traffic.placing import Ask, Placer
+from hyssopspring.traffic.routes import EngineSpec, Service
+from hyssopspring.traffic.servers import Registry, ServerEntry
+from hyssopspring.traffic.work import Demand
+
+ROUNDS = 2_000
+REPEATS = 5
+ENGINE = Service(
+    name="engine", engine=EngineSpec(slots=64, memory_tokens=289_720)
+)
+
+
+def best(work, rounds=ROUNDS):
+    """Return the least microseconds of one call over several repeats."""
+    least = float("inf")
+    for _ in range(REPEATS):
+        began = time.process_time()
+        for _ in range(rounds):
+            work()
+        least = min(least, time.process_time() - began)
+    return least / rounds * 1e6
+
+
+def heartbeat(tickets):
+    """Return a heartbeat that names *tickets* requests."""
+    rows = [
+        OpenTicket(n, f"i-{n:010d}", 2890, 9240, 50, 4, True)
+        for n in range(tickets)
+    ]
+    return Heartbeat(
+        "front-dar-kariakoo-1",
+        1_790_000_000_000,
+        "dar",
+        "dar-kariakoo",
+        "10.1.0.35:8144",
+        "10.1.0.35:7660",
+        "10.1.0.35:7675",
+        1.07,
+        100.0,
+        False,
+        0.4,
+        7,
+        500,
+        rows,
+    )
+
+
+def show_messages():
+    """Print size and time of the messages."""
+    for tickets in (0, 10, 50, 200):
+        message = heartbeat(tickets)
+        data = encode_message(message)
+        spent = best(lambda data=data: decode_message(data), 500)
+        print(f"heartbeat, {tickets} requests: {len(data)} B, {spent:.1f} us")
+    for services in (2, 10, 34):
+        loads = {f"s{n}": ServiceLoad(9, 0.1, 99) for n in range(services)}
+        data = encode_message(Summary("dar", loads))
+        spent = best(lambda data=data: decode_message(data), 500)
+        print(f"summary, {services} services: {len(data)} B, {spent:.1f} us")
+
+
+def make_placer(servers, tickets):
+    """Return a placer that knows *tickets* requests on each server."""
+    registry = Registry({"a": "north"})
+    for n in range(servers):
+        registry.put(
+            ServerEntry(
+                id=f"i-{n}",
+                service="engine",
+                address="127.0.0.1:1",
+                data_centre="a",
+            ),
+            0.0,
+        )
+    placer = Placer(
+        "north",
+        registry,
+        lambda name: ENGINE,
+        lambda service: 6.0,
+        random.Random(1),
+        lambda now: {"north"},
+    )
+    for n in range(servers * tickets):
+        placer.place(make_ask(n), 0.0)
+    for key in list(placer.tickets):
+        placer.note_start(*key, 0.1, 0.1)
+    return placer
+
+
+def make_ask(number):
+    """Return the ask of one request."""
+    parts = ((f"a{number % 4}", 2520), (f"b{number % 100}", 3780))
+    return Ask(
+        host="h",
+        number=number,
+        service="engine",
+        demand=Demand(
+            parts=(*parts, (f"c{number}", 2890)), tokens_in=9190, tokens_out=50
+        ),
+        time_left=60.0,
+        patience=60.0,
+    )
+
+
+def show_placing():
+    """Print the time to place one request."""
+    for servers in (2, 10, 45, 135):
+        for tickets in (0, 8):
+            placer = make_placer(servers, tickets)
+            ask = make_ask(1_000_000)
+
+            def work(placer=placer, ask=ask):
+                placer.place(ask, 1.0)
+
+            spent = best(work, 200)
+            print(f"place, {servers} servers of {tickets}: {spent:.0f} us")
+
+
+def show_members():
+    """Print the time to rank the hosts of a region."""
+    for hosts in (3, 20, 90):
+        members = Members(make_member(0))
+        for n in range(1, hosts):
+            members.learn(make_member(n))
+        for member in members.others.values():
+            member.heard_at = 1.0
+        spent = best(lambda members=members: members.placers(1.1), 200)
+        print(f"rank {hosts} hosts: {spent:.0f} us")
+
+
+def make_member(number):
+    """Return one host."""
+    return Member(
+        name=f"h{number}",
+        region="north",
+        data_centre="a",
+        front="",
+        control="",
+        relay="",
+        up_seconds=9.0,
+    )
+
+
+if __name__ == "__main__":
+    show_messages()
+    show_placing()
+    show_members()
