Take messages and requests between hosts from hosts of the system only

A datagram from anywhere could have changed what a host believes of the store, and a request with a relay order ran past the checks of callers. Red first: test_strangers_change_nothing answered 200 instead of 403 without the check.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -90,7 +90,18 @@
         }
 
     def receive(self, message, ip):
-        """Take one message of another host."""
+        """Take one message of another host.
+
+        Only a heartbeat may come from a host that is not known yet, and
+        it must come from the address that it names.
+        """
+        if isinstance(message, Heartbeat):
+            known = message.control.rpartition(":")[0] == ip
+        else:
+            known = self.members.is_known(ip)
+        if not known:
+            self.timeline.note(EventKind.PEER_REFUSED, why=f"from {ip}")
+            return
         self.handlers[type(message)](message)
 
     def beat(self):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -1,11 +1,13 @@
 """Requests that one host forwards to a host of another region."""
 
 import msgspec
+from twisted.internet import defer
 
 from ..core.events import EventKind
 from ..core.exceptions import ProtocolError
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
+from ..traffic.evidence import Finding
 from ..traffic.placing import Ask, Placed
 from .attempts import Attempt, Head, Sending
 from .connections import Lane
@@ -118,6 +120,9 @@
         if not header:
             self.handle_page(request)
             return
+        if not self.state.members.is_known(request.peer_ip):
+            respond_refusal(request, 403, "not a host of this system")
+            return
         try:
             order = decode_order(header[0])
         except ProtocolError as problem:
@@ -170,8 +175,6 @@
 
     def start(self):
         """Begin; the answer ends it."""
-        from twisted.internet import defer
-
         gone = self.request.notifyFinish()
         gone.addErrback(self.caller_gone)
         self.api.relayed.add(self)
@@ -204,8 +207,6 @@
             self.refuse(NotRun(Reason.OVERLOADED, decision.retry_after))
             return
         if self.sink.gone:
-            from ..traffic.evidence import Finding
-
             self.state.asking.note_end(number, Finding.CANCELLED)
             return
         outcome = await self.carry(number, decision, facts)
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -74,6 +74,7 @@
     def __init__(self, own):
         self.own = own
         self.others = {}
+        self.addresses = {ip_of(own)}
 
     def learn(self, member):
         """Take over the addresses of a host from the store or a peer."""
@@ -84,6 +85,15 @@
             if known is not None:
                 member.heard_at = known.heard_at
             self.others[member.name] = member
+            self.addresses.add(ip_of(member))
+
+    def is_known(self, ip):
+        """Whether a host of the system has the IP address *ip*.
+
+        Whoever else reaches a port between hosts could change what they
+        believe, or have requests run past all checks of callers.
+        """
+        return ip in self.addresses
 
     def live(self, now, *, region=NOTHING):
         """Return the hosts that are up and stay, this one included."""
@@ -142,9 +152,17 @@
         ]
         for member in gone:
             del self.others[member.name]
+        if gone:
+            known = (self.own, *self.others.values())
+            self.addresses = {ip_of(member) for member in known}
         return gone
 
 
+def ip_of(member):
+    """Return the IP address of a host."""
+    return member.control.rpartition(":")[0]
+
+
 def placer_rank(member):
     """Return the sort key by which hosts are asked to place."""
     return (
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -10,9 +10,15 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 from twisted.internet import defer, protocol, reactor, task
+from twisted.web.http_headers import Headers
 
 from hyssopspring.entry.callers import SERVE_ON
 from hyssopspring.entry.messages import StoreChange
+from hyssopspring.entry.relaying import (
+    ORDER_HEADER,
+    RelayOrder,
+    encode_order,
+)
 
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
@@ -420,3 +426,28 @@
     await hosts.until(lambda: resting.following.followers, within=4.0)
     hosts.store.put_json("op/config", configuration(5))
     await hosts.until(lambda: all(p.keeper.version == 5 for p in north))
+
+
+@pytest_twisted.ensureDeferred
+async def test_strangers_change_nothing(hosts):
+    """A request runs past all checks, or a change comes from nowhere.
+
+    Someone who is no host of the system reaches the ports between hosts.
+    """
+    north = hosts.processes["h-north"]
+    relay = north.members.own.relay
+    order = encode_order(
+        RelayOrder("x", "plain", False, True, 5.0, 1.0, 5.0, 0, [], "")
+    )
+    response = await hosts.agent.request(
+        b"POST",
+        f"http://{relay}/lookup/a".encode(),
+        Headers({ORDER_HEADER: [order], b"x-request-attempt-id": [b"r9"]}),
+    )
+    assert_that(response.code, Equals(403))
+    change = StoreChange("h-south", "op/", 0, [], [], False)
+    before = north.measures.events["peer_refused"]
+    north.membership.receive(change, "127.0.0.77")
+    assert_that(north.measures.events["peer_refused"], Equals(before + 1))
+    ran = [one for b in hosts.backends.values() for one in b.ran]
+    assert_that(ran, Equals([]))
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -89,3 +89,12 @@
     members.learn(make_member("h2", incarnation=5, front="new"))
     members.learn(make_member("h2", incarnation=1, front="old"))
     assert_that(members.others["h2"].front, Equals("new"))
+
+
+def test_addresses_of_forgotten_hosts_are_strangers(members):
+    """Another machine gets the address of a host that is gone."""
+    assert members.is_known("h2")
+    assert not members.is_known("h9")
+    members.forget_silent(100.0, 30.0)
+    assert not members.is_known("h2")
+    assert members.is_known("h1")
