Keep revisions apart by prefix, so that no lost change stays hidden

Hosts named one newest revision for both watches. A watch of servers that was ahead of the one of the configuration hid that the datagram with the configuration was lost, or too large to be sent; and a listing after lost history did not raise the revision, so that nobody asked for what it had removed. Change: a revision for each prefix; a host that missed something goes on to name its old one until it has a copy; a listing names the store's revision; copies are compressed.

--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -54,7 +54,7 @@
         False,
         0.4,
         7,
-        500,
+        (500, 510),
         rows,
     )
 
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -1,5 +1,7 @@
 """Keep configuration, servers and hosts current from the store."""
 
+import zlib
+
 import msgspec
 from twisted.internet import defer
 
@@ -42,8 +44,12 @@
 BATCH_BYTES = 6_000
 """Bytes of items that are passed on in one datagram."""
 
-PEER_TIMEOUT = 0.8
-"""Seconds for another host's copy of the store."""
+FASTEST = 1
+"""Level of compression of a copy; its text shrinks to an eighth, and the
+smallest hosts have links of 5 Mbit a second."""
+
+PEER_TIMEOUT = 1.5
+"""Seconds for another host's copy of the store, over its link."""
 
 PEER_PAUSE = 0.3
 """Seconds between two reads of other hosts' copies. It is also the time
@@ -56,13 +62,14 @@
     """A host's copy of the store.
 
     Attributes:
-        revision: Newest revision that it reflects.
+        revisions: Newest revision that it reflects, of what operators
+            wrote and of the servers.
         operator: Items that operators have written.
         servers: Entries of backend servers.
         hosts: Entries of hosts.
     """
 
-    revision: int
+    revisions: tuple[int, int]
     operator: list[StoredItem]
     servers: list[StoredItem]
     hosts: list[StoredItem]
@@ -124,7 +131,6 @@
         self.renew_due = 0.0
         self.renewing = False
         self.fetching = False
-        self.behind = False
         self.fetch_due = 0.0
         self.operator = Mirror(self.operator_wrote, self.operator_removed)
         self.servers = Mirror(self.server_wrote, self.server_removed)
@@ -194,44 +200,63 @@
             for removal in changes.removals
         ]
         rows.sort(key=lambda row: row.revision)
-        previous = self.revision
+        previous = self.mirrors[prefix].newest
         for batch in split_rows(rows):
-            message = StoreChange(
-                self.state.members.own.name,
-                prefix,
-                previous,
-                [row for row in batch if isinstance(row, StoredItem)],
-                [row for row in batch if isinstance(row, RemovedItem)],
-                outage,
-            )
-            previous = max(previous, batch[-1].revision)
-            self.spread(message)
+            newest = max(previous, batch[-1].revision)
+            self.spread(self.change_of(prefix, previous, batch, outage))
+            previous = newest
+
+    def change_of(self, prefix, previous, batch, outage):
+        """Return the `StoreChange` of a batch.
+
+        An item that is too large for a datagram is left out. The message
+        then names its revision as the one before, so that whoever gets it
+        knows that it lacks something, and reads a copy.
+        """
+        if sum(map(row_size, batch)) > BATCH_BYTES:
+            previous, batch = batch[-1].revision, []
+        return StoreChange(
+            self.state.members.own.name,
+            prefix,
+            previous,
+            [row for row in batch if isinstance(row, StoredItem)],
+            [row for row in batch if isinstance(row, RemovedItem)],
+            outage,
+        )
 
     @property
-    def revision(self):
-        """Newest revision of the store that this host has seen."""
-        return max(self.operator.newest, self.servers.newest)
+    def revisions(self):
+        """Newest revisions that this host has seen, by prefix.
+
+        They are kept apart, as the watches bring their changes in any
+        order: a later change of a server would hide that an earlier one
+        of the configuration was lost.
+        """
+        return self.operator.newest, self.servers.newest
 
     def take_change(self, message):
         """Take over what another host's watch has brought.
 
         A datagram may be lost. Then the next one follows on a revision
         that this host has not seen, and a whole copy is read instead.
+        Until it has come, the host goes on to name its old revision.
         """
         mirror = self.mirrors.get(message.prefix)
         if mirror is None:
             return
-        missed = message.previous > self.revision
+        seen = mirror.newest
         changes = Changes(
             tuple(entries(message.written)),
             tuple(Removal(row.key, row.revision) for row in message.removed),
             0,
         )
         mirror.apply(changes, outage=message.outage)
+        if message.previous <= seen:
+            return
+        mirror.newest = seen
         member = self.state.members.others.get(message.host)
-        if missed and member is not None and not self.fetching:
+        if member is not None and not self.fetching:
             self.fetching = True
-            self.behind = True
             self.spawn(self.read_host(member.relay))
 
     def spawn(self, coroutine):
@@ -379,7 +404,7 @@
         own.contact_age = self.state.contact.age
         if self.state.contact.failing_since is not NOTHING:
             own.contact_age = max(own.contact_age, FAILING_AGE)
-        own.revision = self.revision
+        own.revisions = self.revisions
         self.choose_watching(now)
         for server_id in self.state.registry.expire(now):
             self.state.timeline.note(EventKind.SERVER_GONE, server=server_id)
@@ -439,11 +464,10 @@
             )
             for member in (*self.state.members.others.values(), own)
         ]
-        return _ENCODER.encode(
-            Snapshot(
-                own.revision, items(self.operator), items(self.servers), hosts
-            )
+        copy = Snapshot(
+            self.revisions, items(self.operator), items(self.servers), hosts
         )
+        return zlib.compress(_ENCODER.encode(copy), FASTEST)
 
     def neighbour_is_newer(self, member):
         """Read a neighbour's copy if this host's stays behind it.
@@ -483,8 +507,10 @@
                 timeout=PEER_TIMEOUT,
                 clock=self.state.clock,
             )
-            snapshot = _SNAPSHOT.decode(data) if status == 200 else NOTHING
-        except (NoAnswerError, msgspec.DecodeError) as problem:
+            snapshot = NOTHING
+            if status == 200:
+                snapshot = _SNAPSHOT.decode(zlib.decompress(data))
+        except (NoAnswerError, msgspec.DecodeError, zlib.error) as problem:
             self.state.timeline.note(
                 EventKind.PEER_UNREAD, peer=address, why=problem
             )
@@ -495,27 +521,30 @@
             self.take_snapshot(snapshot)
 
     def take_snapshot(self, snapshot):
-        """Take over another host's copy if it is newer."""
+        """Take over what is newer in another host's copy."""
         for row in snapshot.hosts:
             self.host_wrote(Entry(row.key, row.value, row.revision))
-        newer = snapshot.revision > self.revision
-        missed = self.behind and snapshot.revision == self.revision
-        if not snapshot.operator or not (newer or missed):
-            return
-        self.behind = False
-        self.operator.replace(entries(snapshot.operator), 0)
-        self.servers.replace(entries(snapshot.servers), snapshot.revision)
+        rows = (snapshot.operator, snapshot.servers)
+        for mirror, revision, items_ in zip(
+            self.mirrors.values(), snapshot.revisions, rows, strict=True
+        ):
+            if revision > mirror.newest:
+                mirror.replace(entries(items_), revision)
+
+
+def row_size(row):
+    """Return the bytes that an item takes in a datagram."""
+    return len(row.key) + len(getattr(row, "value", b""))
 
 
 def split_rows(rows):
     """Yield lists of rows that each fit into a datagram.
 
-    A row that is too large for one goes alone; it is not sent, and the
-    other hosts read a whole copy.
+    A row that is too large for one stands alone.
     """
     batch, size = [], 0
     for row in rows:
-        length = len(row.key) + len(getattr(row, "value", b""))
+        length = row_size(row)
         if batch and size + length > BATCH_BYTES:
             yield batch
             batch, size = [], 0
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -153,7 +153,7 @@
             own.leaving,
             round(min(own.contact_age, 1e6), 1),
             own.version,
-            own.revision,
+            own.revisions,
             None if tickets is NOTHING else tickets,
         )
 
@@ -225,9 +225,9 @@
         member.up_seconds = message.up_seconds
         member.contact_age = message.contact_age
         member.version = message.version
-        member.revision = message.revision
+        member.revisions = message.revisions
         own = self.members.own
-        if message.version > own.version or message.revision > own.revision:
+        if member.is_ahead(own.version, own.revisions):
             self.changed(member)
         if message.tickets is not None:
             self.take_tickets(message, now)
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -164,7 +164,8 @@
         leaving: Whether it is about to stop.
         contact_age: Seconds since it heard the store.
         version: Version of its configuration.
-        revision: Revision of the store that it has seen.
+        revisions: Newest revisions that it has seen, of what operators
+            wrote and of the servers.
         tickets: Its requests in progress, or None if they are not told.
     """
 
@@ -180,7 +181,7 @@
     leaving: bool
     contact_age: float
     version: int
-    revision: int
+    revisions: tuple[int, int]
     tickets: list[OpenTicket] | None = None
 
 
@@ -242,7 +243,7 @@
     Attributes:
         host: Host whose watch it was.
         prefix: Prefix of the keys.
-        previous: Revision up to which the host knew all before.
+        previous: Newest revision below the prefix that the host knew.
         written: Items that were written.
         removed: Keys that were removed.
         outage: Whether the store had been away.
--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -247,7 +247,9 @@
             listing = await self.store.list(self.prefix)
             self.contact.heard()
             self.mirror.replace(
-                listing.entries, 0, outage=outage and self.mirror.known
+                listing.entries,
+                listing.revision,
+                outage=outage and self.mirror.known,
             )
             self.after = listing.revision
             return
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -41,7 +41,8 @@
         up_seconds: Seconds since its start.
         contact_age: Seconds since it heard the registry.
         version: Version of the configuration that it has.
-        revision: Revision of the registry that it has seen.
+        revisions: Newest revisions that it has seen, of what operators
+            wrote and of the servers.
     """
 
     name: str
@@ -57,7 +58,12 @@
     up_seconds: float = 0.0
     contact_age: float = 0.0
     version: int = 0
-    revision: int = 0
+    revisions: tuple = (0, 0)
+
+    def is_ahead(self, version, revisions):
+        """Whether it has something newer than what is given."""
+        pairs = zip(self.revisions, revisions, strict=True)
+        return self.version > version or any(a > b for a, b in pairs)
 
     def heard_within(self, seconds, now):
         """Whether a heartbeat has come within *seconds*."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,6 +3,7 @@
 import json
 import os
 import socket
+from base64 import b64decode
 
 import pytest
 import pytest_twisted
@@ -13,7 +14,7 @@
 from twisted.web.http_headers import Headers
 
 from hyssopspring.entry.callers import SERVE_ON
-from hyssopspring.entry.messages import StoreChange
+from hyssopspring.entry.messages import StoreChange, StoredItem
 from hyssopspring.entry.relaying import (
     ORDER_HEADER,
     RelayOrder,
@@ -451,3 +452,50 @@
     assert_that(north.measures.events["peer_refused"], Equals(before + 1))
     ran = [one for b in hosts.backends.values() for one in b.ran]
     assert_that(ran, Equals([]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_lost_change_is_not_hidden_by_a_later_one(hosts):
+    """A third of the hosts serve an old configuration for good.
+
+    The datagram with the new configuration is lost. A change of a server
+    that is newer has come by another watch, which had not seen the
+    configuration either; all hosts name the same newest revision.
+    """
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    second = hosts.processes["h-north-2"]
+    second.following.stop()
+    second.following.choose_watching = lambda now: None
+    take = second.following.take_change
+    second.membership.handlers[StoreChange] = lambda message: None
+    hosts.store.put_json("op/config", configuration(5))
+    north = hosts.processes["h-north"]
+    await hosts.until(lambda: north.keeper.version == 5)
+    server = hosts.store.items["servers/plain-north"]
+    known = second.following.servers.newest
+    later = StoredItem(
+        server["key"], b64decode(server["value"]), hosts.store.revision + 9
+    )
+    take(StoreChange("h-north", "servers/", known, [later], [], False))
+    await hosts.until(lambda: second.keeper.version == 5, within=4.0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_large_configuration_reaches_hosts_that_do_not_watch(hosts):
+    """A change that fits into no datagram is in force on a few hosts only.
+
+    The operator adds five hundred routes.
+    """
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    second = hosts.processes["h-north-2"]
+    second.following.stop()
+    second.following.choose_watching = lambda now: None
+    large = configuration(5)
+    first = large["routes"][0]
+    large["routes"] += [
+        {**first, "name": f"r{n}", "prefix": f"/r{n}/"} for n in range(500)
+    ]
+    hosts.store.put_json("op/config", large)
+    await hosts.until(lambda: second.keeper.version == 5, within=4.0)
