--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -158,9 +158,9 @@
 
         Args:
             lane: The `Lane`.
-            kept: Whether a kept connection may be used. It may have been
-                closed by the other side a moment ago, so it never carries
-                a request that must not run twice.
+            kept: Whether a kept connection may be used. A server may have
+                closed it a moment ago; a request that must not run twice
+                would then end with an unknown outcome.
         """
         if kept:
             connection = self.take_idle(lane)
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -262,7 +262,13 @@
         self.state.asking.note_start(number, now - began)
 
     async def try_region(self, away):
-        """Make an attempt through a host of another region."""
+        """Make an attempt through a host of another region.
+
+        A kept connection is used whatever the request: a new one costs a
+        round trip of 160 ms, and the other side keeps it five times as
+        long. Should it be dead all the same, the outcome is unknown, and
+        what must not run twice is not sent again.
+        """
         member = self.choose_host(away.region)
         if member is NOTHING:
             self.avoid_region(away.region)
