Let the last bytes of an answer leave before a stopping process ends

The process ended as soon as nothing was in progress, with the end of the stream still in the buffer. Change: 0.25 s between the end of the last request and the end of the process.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -48,6 +48,11 @@
 """Seconds for which a connection of another host may idle; the other side
 stops using it much sooner."""
 
+SEND_OUT = 0.25
+"""Seconds between the end of the last request and the end of the process.
+The end of an answer is still in the buffer of its connection then; a
+process that ended at once would cut an answer that was whole."""
+
 BACKLOG = 512
 
 
@@ -335,6 +340,7 @@
         while self.state.stopping_for < end and self.busy():
             self.factories[0].close_idle()
             await self.sleep(CHECK_EVERY)
+        await self.sleep(SEND_OUT)
         self.timeline.note(
             EventKind.STOPPED, active=len(self.callers.exchanges)
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -316,6 +316,12 @@
     assert_that(json.loads(body)["addresses"], Equals([front]))
 
 
+def note_time(result, times):
+    """Add the time of this moment to *times*, and pass *result* on."""
+    times.append(reactor.seconds())
+    return result
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_planned_stop_cuts_nothing(hosts):
     """A rolling restart cuts the streams of callers.
@@ -323,7 +329,8 @@
     The host is told to stop while a stream runs. It says that it is not
     ready, the directory of the other host names it no more, the stream
     ends whole, and new requests of callers that still hold its address
-    are refused as not run.
+    are refused as not run. The process does not end before the last bytes
+    of the stream have left it.
     """
     hosts.add_host("h-north-2", "north", 5)
     await hosts.settled()
@@ -353,8 +360,11 @@
     assert_that(status, Equals(503))
     ran = [one for b in hosts.backends.values() for one in b.ran]
     assert_that(ran, Equals(["r1"]))
+    ended_at = []
+    streaming.addCallback(note_time, ended_at)
     await stopped
     assert streaming.called
+    assert reactor.seconds() - ended_at[0] > 0.2
     status, _, body = await streaming
     assert_that((status, body.count(b"data: ")), Equals((200, 9)))
 
