Let a refusal of the placing host reach the host that asked

Ruled out: a wrong model of the engine (predictions of placed requests were as before), silent placing hosts (their heartbeats were heard).

--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -303,7 +303,12 @@
 def answer_message(number, decision):
     """Return the message of a decision."""
     if isinstance(decision, Refused):
-        return RefusalMessage(number, decision.retry_after, decision.predicted)
+        return RefusalMessage(
+            number,
+            decision.retry_after,
+            decision.predicted,
+            decision.servers,
+        )
     if isinstance(decision, Away):
         return GrantMessage(
             number, "", "", 5, decision.predicted, False, decision.region
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -114,7 +114,9 @@
             self.members.regions,
         )
         self.datagrams = Datagrams(
-            lambda message, ip: self.membership.receive(message, ip),
+            lambda message, ip: self.guarded(
+                lambda: self.membership.receive(message, ip)
+            ),
             lambda why: self.timeline.note(EventKind.PEER_REFUSED, why=why),
         )
         self.asking = Asking(
@@ -244,7 +246,10 @@
         self.loops.append(loop)
 
     def guarded(self, work):
-        """Call *work*; a failure must not end the periodic work."""
+        """Call *work*; a failure of it shows in the log and ends there.
+
+        It must end neither periodic work nor the receipt of messages.
+        """
         try:
             work()
         except Exception:  # noqa: BLE001 - all are written to the log
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,7 +9,7 @@
 import pytest_twisted
 from entry_hosts import Hosts, configuration
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Not
+from testtools.matchers import Contains, Equals, LessThan, Not
 from twisted.internet import defer, protocol, reactor, task
 from twisted.web.http_headers import Headers
 
@@ -57,11 +57,17 @@
 
 @pytest_twisted.async_yield_fixture
 async def hosts():
-    """Yield two regions that serve."""
+    """Yield two regions that serve, and check that nothing unexpected came.
+
+    An error that is only logged would hide behind the ways round a failed
+    host.
+    """
     made = Hosts(free_port())
     await made.start()
     yield made
     await made.stop()
+    errors = [line for line in made.lines if '"unexpected"' in line]
+    assert_that(errors, Equals([]))
 
 
 @pytest_twisted.ensureDeferred
@@ -509,3 +515,46 @@
     ]
     hosts.store.put_json("op/config", large)
     await hosts.until(lambda: second.keeper.version == 5, within=4.0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_refusal_of_the_placing_host_comes_at_once(hosts):
+    """Callers are sent to engines that are full, or wait 160 ms for a no.
+
+    Two hosts of a region; one places for both. The region's servers are
+    paused, so it refuses what the other asks. The refusal must reach the
+    caller of the other host, and none of the ways round a silent host be
+    taken.
+    """
+    hosts.add_host("h-north-2", "north", 2)
+    names = ("h-north", "h-north-2")
+    first = hosts.processes["h-north"]
+    second = hosts.processes["h-north-2"]
+    await hosts.until(
+        lambda: (
+            second.is_ready()
+            and second.members.others.keys() >= {"h-north", "h-south"}
+            and first.members.others.keys() >= {"h-north-2"}
+        )
+    )
+    now = reactor.seconds()
+    placer = second.members.placers(now)[0].name
+    other = names[1 - names.index(placer)]
+    for process in hosts.processes.values():
+        for name in ("plain-north", "plain-south"):
+            process.placer.evidence_of(name).paused_until = now + 30
+    status, _, _ = await hosts.send(other, "/lookup/a", identifier="r1")
+    assert_that(status, Equals(503))
+    ends = []
+
+    def ended():
+        lines = [json.loads(line) for line in hosts.lines]
+        ends[:] = [
+            line
+            for line in lines
+            if line["host"] == other and "took_ms" in line
+        ]
+        return bool(ends)
+
+    await hosts.until(ended)
+    assert_that(int(ends[0]["took_ms"]), LessThan(80))
