Count what is sent away against each server of another region

Cause: at the peak of dar its engines had 47 to 63 requests in 48 slots and its hosts refused 100 requests a second, while few engines of arusha and mwanza were busy. A region told one wait, that of its best server, and each request that was sent away raised it for the whole region, so about nine requests went there between two reports. The rule to stay at home looked at the time to the first event only, not at places in use. The parts of prompts were taken to be unread elsewhere each time.

Change: a report has wait and used places of each server, the best 24; the sender counts each request against the server that would take it, lets waits run down, and counts again what a report cannot know of yet. Places in use above 0.7 count in the comparison, here and away. Parts that were sent to a region within 8 s count as read there. Reading counts 2.5 times (1.5 before) in a comparison. A stream that has begun is placed although late. A forwarded request leaves its placement in the log.

--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -67,7 +67,9 @@
         spent = best(lambda data=data: decode_message(data), 500)
         print(f"heartbeat, {tickets} requests: {len(data)} B, {spent:.1f} us")
     for services in (2, 10, 34):
-        loads = {f"s{n}": ServiceLoad(9, 0.1, 99) for n in range(services)}
+        loads = {
+            f"s{n}": ServiceLoad(48, [(100, 50)] * 4) for n in range(services)
+        }
         data = encode_message(Summary("dar", loads))
         spent = best(lambda data=data: decode_message(data), 500)
         print(f"summary, {services} services: {len(data)} B, {spent:.1f} us")
--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -276,6 +276,7 @@
         sorted(ask.regions),
         list(ask.avoided),
         ask.may_leave,
+        ask.begun,
     )
 
 
@@ -297,6 +298,7 @@
         regions=frozenset(message.regions),
         avoided=tuple(message.avoided),
         may_leave=message.may_leave,
+        begun=message.begun,
     )
 
 
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -185,26 +185,36 @@
     def ask(self):
         """Return the `Ask` of this moment."""
         waited = self.state.clock.seconds() - self.arrived
-        patience = self.time_left
-        if self.route.stream and not self.sink.started:
-            longest = max(
-                STREAM_PATIENCE,
-                STREAM_PATIENCE_OBJECTIVES * self.route.objective,
-            )
-            patience = min(patience, longest * PATIENCE_SHARE - waited)
         return Ask(
             host="",
             number=0,
             service=self.service,
             demand=self.facts.demand,
             time_left=self.objective_left(waited),
-            patience=max(0.0, patience),
+            patience=self.patience(waited),
             priority=self.route.priority,
             excluded=tuple(self.excluded),
             regions=self.route.homes,
             avoided=tuple(self.avoided),
             may_leave=self.may_leave,
+            begun=self.sink.started,
+        )
+
+    def patience(self, waited):
+        """Return the seconds in which the next event is of use.
+
+        Args:
+            waited: Seconds since the request came.
+        """
+        if not self.route.stream:
+            return max(0.0, self.time_left)
+        if self.sink.started:
+            waited = self.state.clock.seconds() - self.last_data
+        longest = max(
+            STREAM_PATIENCE, STREAM_PATIENCE_OBJECTIVES * self.route.objective
         )
+        left = longest * PATIENCE_SHARE - waited
+        return max(0.0, min(self.time_left, left))
 
     def objective_left(self, waited):
         """Return the seconds in which the request is still on time.
@@ -341,6 +351,7 @@
             self.route.priority,
             list(self.excluded),
             self.last_event.decode("latin-1"),
+            self.sink.started,
         )
 
     def sending(self, headers, *, kept=False):
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -4,7 +4,7 @@
 from ..core.sentinels import NOTHING
 from ..traffic.evidence import Finding
 from ..traffic.members import Member
-from ..traffic.placing import RegionLoad
+from ..traffic.regions import RegionLoad, Room
 from ..traffic.work import Ticket
 from .messages import (
     AskMessage,
@@ -201,12 +201,7 @@
         loads = self.placer.summarize(self.clock.seconds())
         return Summary(
             self.members.own.region,
-            {
-                service: ServiceLoad(
-                    load.servers, round(load.wait, 4), load.room
-                )
-                for service, load in loads.items()
-            },
+            {service: told_load(load) for service, load in loads.items()},
         )
 
     def take_heartbeat(self, message):
@@ -275,13 +270,28 @@
         self.placer.take_load(
             message.region,
             {
-                service: RegionLoad(load.servers, load.wait, load.room, now)
+                service: heard_load(load)
                 for service, load in message.loads.items()
             },
             now,
         )
 
 
+def told_load(load):
+    """Return the `ServiceLoad` of a `RegionLoad`."""
+    rooms = [
+        (round(room.wait * 1000), round(room.used * 100))
+        for room in load.rooms
+    ]
+    return ServiceLoad(load.slots, rooms)
+
+
+def heard_load(load):
+    """Return the `RegionLoad` of a `ServiceLoad`."""
+    rooms = [Room(millis / 1000, part / 100) for millis, part in load.rooms]
+    return RegionLoad(load.slots, tuple(rooms))
+
+
 def member_of(message):
     """Return the `Member` that a heartbeat describes."""
     return Member(
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -41,6 +41,7 @@
         regions: Regions that may serve it; empty for all.
         avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
+        begun: Whether its caller holds a part of the answer already.
     """
 
     host: str
@@ -56,6 +57,7 @@
     regions: list[str]
     avoided: list[str]
     may_leave: bool
+    begun: bool
 
 
 class GrantMessage(msgspec.Struct, array_like=True, tag="g", frozen=True):
@@ -189,14 +191,14 @@
     """Load of one service in a region.
 
     Attributes:
-        servers: Servers that take requests.
-        wait: Seconds that a new request would wait at the best.
-        room: Requests that could start at once.
+        slots: Requests that one server runs at once.
+        rooms: For each server that takes requests, the best first, the
+            milliseconds that a new request would wait, and the percentage
+            of its places in use.
     """
 
-    servers: int
-    wait: float
-    room: int
+    slots: int
+    rooms: list[tuple[int, int]]
 
 
 class Summary(msgspec.Struct, array_like=True, tag="l", frozen=True):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -38,6 +38,7 @@
         priority: Rank among the routes of the service.
         excluded: Servers that it must not go to.
         last_event: Event after which a stream goes on.
+        begun: Whether the caller holds a part of the answer already.
     """
 
     route: str
@@ -50,6 +51,7 @@
     priority: int
     excluded: list[str]
     last_event: str
+    begun: bool
 
 
 _DECODER = msgspec.json.Decoder(RelayOrder)
@@ -172,6 +174,7 @@
         self.attempt = NOTHING
         self.arrived = self.state.clock.seconds()
         self.server_id = ""
+        self.id = ""
 
     def start(self):
         """Begin; the answer ends it."""
@@ -198,14 +201,24 @@
 
     async def run(self):
         """Place the request, make one attempt and pass its answer on."""
+        facts = self.state.codec.read_caller(self.request.requestHeaders)
+        self.id = facts.id.decode("latin-1")
         if not self.api.allowed(self.order):
             self.refuse(NotRun(Reason.RESIDENCY, 1.0))
             return
-        facts = self.state.codec.read_caller(self.request.requestHeaders)
         number, decision = await self.state.asking.place(self.ask(facts))
         if not isinstance(decision, Placed):
-            self.refuse(NotRun(Reason.OVERLOADED, decision.retry_after))
+            outcome = NotRun(Reason.OVERLOADED, decision.retry_after)
+            self.refuse(outcome, decision.predicted)
             return
+        self.state.timeline.note(
+            EventKind.PLACED,
+            request=self.id,
+            server=decision.server_id,
+            predicted=round(decision.predicted, 3),
+            urgency=decision.urgency,
+            peer=self.request.peer_ip,
+        )
         if self.sink.gone:
             self.state.asking.note_end(number, Finding.CANCELLED)
             return
@@ -224,6 +237,7 @@
             priority=self.order.priority,
             excluded=tuple(self.order.excluded),
             may_leave=False,
+            begun=self.order.begun,
         )
 
     async def carry(self, number, placed, facts):
@@ -272,7 +286,7 @@
         """End the answer as the outcome demands."""
         self.state.timeline.note(
             EventKind.RELAYED,
-            request=self.attempt.sending.id.decode("latin-1"),
+            request=self.id,
             server=self.server_id,
             outcome=outcome,
         )
@@ -291,8 +305,16 @@
         else:
             self.refuse(outcome)
 
-    def refuse(self, outcome):
+    def refuse(self, outcome, predicted=0.0):
         """Tell the sender that the request was not run."""
+        self.state.timeline.note(
+            EventKind.FORWARD_REFUSED,
+            request=self.id,
+            reason=outcome.reason,
+            predicted=round(predicted, 3),
+            retry_after=round(outcome.retry_after, 3),
+            peer=self.request.peer_ip,
+        )
         headers = [
             (OUTCOME, NOT_RUN),
             (REASON, str(outcome.reason).encode()),
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -1,19 +1,20 @@
 """Choose a server, another region, or a refusal for one request."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from ..core.sentinels import NOTHING
 from .coldrates import ColdRates
 from .evidence import Evidence, Finding
+from .regions import FarLoad, RegionLoad, Room, SentParts, untold
 from .servers import Usability
-from .work import Demand, Ticket, make_work
+from .work import CROWDED, Demand, Ticket, crowding, make_work
 
-__all__ = ["Ask", "Away", "Placed", "Placer", "RegionLoad", "Refused"]
+__all__ = ["Ask", "Away", "Placed", "Placer", "Refused"]
 
 HOME_SHARE = 0.6
-"""Part of the time to the objective up to which a request stays in its
-region whatever the others offer; sending it away costs a round trip and
-reads its shared parts again."""
+"""Part of the time to the objective after which a refused caller should
+find room; a request that returns has used none of it."""
+
 
 AWAY_SECONDS = 0.2
 """Seconds by which another region answers later: a round trip between
@@ -47,9 +48,9 @@
 """Seconds by which a server that always fails counts as worse: about an
 objective, so that it still gets what no other could begin in time."""
 
-UNTOLD_WAIT = 0.25
-"""Seconds that a request is taken to wait in a region that has not told
-its load yet."""
+MOST_TOLD = 24
+"""Servers of a service whose room is told to other regions, the best ones;
+a peak of one region is spread over no more between two reports."""
 
 LONGEST_TICKET = 40.0
 """Seconds after which a placed request whose end was not heard of is
@@ -76,6 +77,7 @@
         regions: Regions that may serve it; empty for all.
         avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
+        begun: Whether its caller holds a part of the answer already.
     """
 
     host: str
@@ -89,6 +91,7 @@
     regions: frozenset = frozenset()
     avoided: tuple = ()
     may_leave: bool = True
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,20 +143,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RegionLoad:
-    """What another region says of one service.
+class Offer:
+    """What a server here, or another region, would do for a request.
 
     Attributes:
-        servers: Servers that take requests.
-        wait: Seconds that a new request would wait at the best of them.
-        room: Requests that could start at once.
-        at: Time of arrival.
+        place: The `Server`, or the name of the region.
+        predicted: Seconds to the answer or first event.
+        cost: Seconds that count in a comparison.
     """
 
-    servers: int
-    wait: float
-    room: int
-    at: float
+    place: object
+    predicted: float
+    cost: float
+
+
+NO_OFFER = Offer(NOTHING, float("inf"), float("inf"))
 
 
 class Placer:
@@ -187,8 +191,9 @@
         self.evidence = {}
         self.tickets = {}
         self.cold_rates = ColdRates()
-        self.loads = {}
-        self.loads_at = {}
+        self.far = {}
+        self.told_at = {}
+        self.sent_parts = {}
 
     def place(self, ask, now, *, cold_allowed=True):
         """Decide on one request.
@@ -202,33 +207,49 @@
             `Placed`, `Away` or `Refused`.
         """
         urgency = urgency_of(ask)
-        best, predicted = self.best_here(ask, urgency, now, cold_allowed)
-        home = ask.time_left * HOME_SHARE
-        if best is not NOTHING and predicted <= home:
-            return self.admit(ask, best, urgency, predicted, now)
-        away, elsewhere = self.best_away(ask, now)
-        if best is not NOTHING and predicted <= min(
-            ask.time_left, elsewhere + 0.05
-        ):
-            return self.admit(ask, best, urgency, predicted, now)
-        if self.worth_sending(ask, away, elsewhere, best):
-            return self.send_away(ask, away, elsewhere)
+        here = self.best_here(ask, urgency, now, cold_allowed)
+        away = self.best_away(ask, now)
+        in_time = here.predicted <= ask.time_left
+        at_ease = here.predicted <= ask.time_left * HOME_SHARE
+        if at_ease and self.work_of(here.place).used() < CROWDED:
+            return self.admit(ask, here.place, urgency, here.predicted, now)
+        if in_time and here.cost <= away.cost:
+            return self.admit(ask, here.place, urgency, here.predicted, now)
+        if self.worth_sending(ask, away, here):
+            return self.send_away(ask, away, now)
+        if in_time:
+            return self.admit(ask, here.place, urgency, here.predicted, now)
+        if ask.begun:
+            return self.go_on(ask, here, away, now)
         return self.place_late(ask, now, cold_allowed)
 
+    def go_on(self, ask, here, away, now):
+        """Place a stream that has begun where it goes on first.
+
+        Its caller holds a part of the answer. A refusal would cut it, and
+        all that was made of it would be lost; the caller still takes an
+        event that comes late.
+        """
+        if min(here.predicted, away.predicted) > ask.patience:
+            return self.refuse(ask, NO_SERVER_WAIT, 0)
+        if away.predicted < here.predicted:
+            return self.send_away(ask, away, now)
+        urgency = urgency_of(ask)
+        return self.admit(ask, here.place, urgency, here.predicted, now)
+
     def best_here(self, ask, urgency, now, cold_allowed):
-        """Return the best server of this region and its prediction."""
-        best, least, predicted = NOTHING, 0.0, 0.0
+        """Return the `Offer` of this region's best server."""
+        best = NO_OFFER
         if ask.regions and self.region not in ask.regions:
-            return best, predicted
-        servers = self.usable(ask, now, cold_allowed)
-        for server in servers:
+            return best
+        for server in self.usable(ask, now, cold_allowed):
             work = self.work_of(server)
             cost = work.cost(ask.demand, urgency, now)
             cost += self.evidence_of(server.entry.id).error_rate * ERROR_COST
-            if best is NOTHING or cost < least:
-                best, least = server, cost
+            if cost < best.cost:
                 predicted = work.predict(ask.demand, urgency, now)
-        return best, predicted
+                best = Offer(server, predicted, cost)
+        return best
 
     def usable(self, ask, now, cold_allowed):
         """Return the servers that may get the request now."""
@@ -257,10 +278,10 @@
         return not self.cold_rates.free(server.entry.id, bound, now)
 
     def best_away(self, ask, now):
-        """Return the best other region and its prediction."""
-        best, least = NOTHING, float("inf")
+        """Return the `Offer` of the best other region."""
+        best = NO_OFFER
         if not ask.may_leave:
-            return best, least
+            return best
         for region in sorted(self.live_regions(now) - {self.region}):
             if ask.regions and region not in ask.regions:
                 continue
@@ -269,73 +290,78 @@
             load = self.load_of(region, ask.service, now)
             if not load.servers:
                 continue
-            seconds = AWAY_SECONDS + self.predict_away(ask, load)
-            if seconds < least:
-                best, least = region, seconds
-        return best, least
+            seconds = self.work_away(ask, region, now)
+            server = load.best(seconds, now)
+            predicted = AWAY_SECONDS + server.wait + seconds
+            cost = AWAY_SECONDS + server.cost(seconds)
+            if cost < best.cost:
+                best = Offer(region, predicted, cost)
+        return best
 
     def load_of(self, region, service, now):
-        """Return the load of a service in another region.
+        """Return the `FarLoad` of a service in another region.
 
         A region whose hosts are heard while its report is missing may
         well serve the request; it is taken to be fairly busy.
         """
-        told_at = self.loads_at.get(region, NOTHING)
+        loads = self.far.setdefault(region, {})
+        told_at = self.told_at.get(region, NOTHING)
         if told_at is not NOTHING and now - told_at <= SUMMARY_LIFE:
-            none = RegionLoad(0, 0.0, 0, now)
-            return self.loads[region].get(service, none)
+            return loads.get(service) or FarLoad()
         servers = self.registry.candidates(service, region, now)
-        return RegionLoad(len(servers), UNTOLD_WAIT, len(servers), now)
-
-    def predict_away(self, ask, load):
-        """Return the seconds that another region would need."""
-        service = self.service_of(ask.service)
-        work = make_work(service, 1)
-        return load.wait + work.predict(ask.demand, 5, 0.0)
-
-    def worth_sending(self, ask, away, elsewhere, best):
+        slots = max((one.entry.slots for one in servers), default=1)
+        load = loads.setdefault(service, FarLoad())
+        load.take(untold(slots, len(servers)), now)
+        return load
+
+    def work_away(self, ask, region, now):
+        """Return the seconds of work that a request brings to a region."""
+        work = make_work(self.service_of(ask.service), 1)
+        sent = self.sent_parts.setdefault(region, SentParts())
+        return work.alone(sent.fresh_tokens(ask.demand, now))
+
+    def worth_sending(self, ask, away, here):
         """Whether another region serves the request better.
 
         It must meet the objective there, or have no server here at all.
         """
-        if away is NOTHING or elsewhere > ask.patience:
+        if away is NO_OFFER or away.predicted > ask.patience:
             return False
-        if best is NOTHING:
+        if here is NO_OFFER:
             return True
-        return elsewhere <= ask.time_left * AWAY_SHARE
+        return away.predicted <= ask.time_left * AWAY_SHARE
 
-    def send_away(self, ask, region, predicted):
-        """Choose another region, and count on its load at once.
-
-        The region's own report comes with a lag; without the count all
-        requests until then would follow the first.
-        """
-        load = self.loads.get(region, {}).get(ask.service)
-        if load is None:
-            return Away(region, predicted)
-        own = self.predict_away(ask, replace(load, wait=0.0))
-        wait = load.wait + own / max(1, load.servers)
-        room = max(0, load.room - 1)
-        self.loads[region][ask.service] = replace(load, wait=wait, room=room)
-        return Away(region, predicted)
+    def send_away(self, ask, away, now):
+        """Choose another region, and count on its load at once."""
+        load = self.load_of(away.place, ask.service, now)
+        load.count(self.work_away(ask, away.place, now), now)
+        self.sent_parts[away.place].note(ask.demand.parts, now)
+        return Away(away.place, away.predicted)
 
     def place_late(self, ask, now, cold_allowed):
         """Admit a request that will be late behind all others, or refuse.
 
         Refused requests go at once: their callers may come back when
-        there is room, and the engine's time goes to those on time.
+        there is room, and the engine's time goes to those on time. Late
+        ones stay in their region: sent to others, they fill the servers
+        that could still serve bound requests on time.
         """
-        best, predicted = self.best_here(ask, LATE_URGENCY, now, cold_allowed)
-        if best is NOTHING:
+        here = self.best_here(ask, LATE_URGENCY, now, cold_allowed)
+        if here is NO_OFFER:
             return self.refuse(ask, NO_SERVER_WAIT, 0)
+        if here.predicted <= ask.patience and not self.has_late(here.place):
+            urgency = LATE_URGENCY
+            return self.admit(ask, here.place, urgency, here.predicted, now)
+        servers = len(self.usable(ask, now, cold_allowed))
+        return self.refuse(ask, here.predicted, servers)
+
+    def has_late(self, server):
+        """Whether enough late requests wait at a server already."""
         late = sum(
             ticket.urgency >= LATE_URGENCY and not ticket.started
-            for ticket in self.work_of(best).tickets.values()
+            for ticket in self.work_of(server).tickets.values()
         )
-        if predicted <= ask.patience and late < MOST_LATE:
-            return self.admit(ask, best, LATE_URGENCY, predicted, now)
-        servers = len(self.usable(ask, now, cold_allowed))
-        return self.refuse(ask, predicted, servers)
+        return late >= MOST_LATE
 
     def refuse(self, ask, predicted, servers):
         """Return a `Refused` that says when there should be room."""
@@ -458,34 +484,36 @@
 
     def summarize(self, now):
         """Return the `RegionLoad` of this region by service."""
-        loads = {}
+        slots = {}
+        rooms = {}
         for server in self.registry.servers.values():
-            if server.region != self.region:
+            if server.region != self.region or not self.tells(server, now):
                 continue
             name = server.entry.service
-            load = loads.get(name) or RegionLoad(0, 60.0, 0, now)
-            loads[name] = self.add_load(load, server, now)
-        return loads
-
-    def add_load(self, load, server, now):
-        """Return *load* with one more server."""
+            work = self.work_of(server)
+            slots[name] = work.slots
+            room = Room(work.wait(now), work.used())
+            rooms.setdefault(name, []).append(room)
+        return {
+            name: RegionLoad(slots[name], best_rooms(found))
+            for name, found in rooms.items()
+        }
+
+    def tells(self, server, now):
+        """Whether other regions may count on a server."""
         server_id = server.entry.id
         if self.registry.usability(server_id, now) is not Usability.READY:
-            return load
-        if not self.evidence_of(server_id).open(now):
-            return load
-        work = self.work_of(server)
-        return RegionLoad(
-            load.servers + 1,
-            min(load.wait, work.wait(now)),
-            load.room + work.room(),
-            now,
-        )
+            return False
+        return self.evidence_of(server_id).open(now)
 
     def take_load(self, region, loads, now):
         """Take over another region's report."""
-        self.loads[region] = loads
-        self.loads_at[region] = now
+        known = self.far.setdefault(region, {})
+        for service in [one for one in known if one not in loads]:
+            del known[service]
+        for service, load in loads.items():
+            known.setdefault(service, FarLoad()).take(load, now)
+        self.told_at[region] = now
 
     def work_of(self, server):
         """Return the model of a server's work."""
@@ -510,3 +538,9 @@
     Ranks 2 to 6 leave room for late ones behind and for none before.
     """
     return min(6, 2 + max(0, ask.priority) * 2)
+
+
+def best_rooms(rooms):
+    """Return the rooms that other regions are told of."""
+    ranked = sorted(rooms, key=lambda room: room.wait + crowding(room.used))
+    return tuple(ranked[:MOST_TOLD])
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -5,7 +5,14 @@
 
 from ..core.sentinels import NOTHING
 
-__all__ = ["Demand", "EngineWork", "PlainWork", "Ticket", "make_work"]
+__all__ = [
+    "Demand",
+    "EngineWork",
+    "PlainWork",
+    "Ticket",
+    "crowding",
+    "make_work",
+]
 
 PREFILL_RATE = 34_000.0
 """Prompt tokens that an engine reads in a second, to begin with. Chunks of
@@ -49,6 +56,30 @@
 """Seconds by which a full batch counts as worse than an empty one; it
 spreads requests over servers that would be equally quick to begin."""
 
+CROWDED = 0.7
+"""Part of a server's places from which on each further request counts
+much more: the next ones must wait for an end, in whatever order they
+come, and the less urgent are overtaken or dropped midway."""
+
+CROWD_COST = 1.2
+"""Seconds by which a server counts as worse for each whole of its places
+above `CROWDED`; a full one so counts 0.36 s more, about the way to another
+region and the reading of shared parts there."""
+
+
+def crowding(used):
+    """Return the seconds by which a server counts as worse.
+
+    Args:
+        used: Part of its places that are taken; may exceed 1.
+    """
+    return used * BATCH_COST + max(0.0, used - CROWDED) * CROWD_COST
+
+
+READING_COST = 1.5
+"""Part by which the reading of a prompt counts more in a comparison of
+servers: it delays all who wait behind as well."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Demand:
@@ -110,6 +141,10 @@
     tickets: dict = field(default_factory=dict)
     seconds: float = PLAIN_SECONDS
 
+    def alone(self, fresh):
+        """Return the seconds to an answer of a server that is idle."""
+        return self.seconds
+
     def predict(self, demand, urgency, now):
         """Return the seconds until an answer would come."""
         waiting = max(0, len(self.tickets) + 1 - self.slots)
@@ -117,8 +152,7 @@
 
     def cost(self, demand, urgency, now):
         """Return the seconds that count in a comparison of servers."""
-        load = len(self.tickets) / self.slots
-        return self.predict(demand, urgency, now) + load * BATCH_COST
+        return self.predict(demand, urgency, now) + crowding(self.used())
 
     def begin(self, ticket, demand):
         """Count a placed request."""
@@ -136,9 +170,9 @@
         """Return the seconds that a new request would wait."""
         return self.predict(NOTHING, 5, now) - self.seconds
 
-    def room(self):
-        """Return how many requests could start at once."""
-        return max(0, self.slots - len(self.tickets))
+    def used(self):
+        """Return the part of the slots that are taken."""
+        return len(self.tickets) / self.slots
 
 
 @dataclass(slots=True, eq=False)
@@ -236,6 +270,14 @@
             return whole + ticket.predicted
         return max(LEAST_LEFT, whole - (now - ticket.started_at))
 
+    def alone(self, fresh):
+        """Return the seconds to a first event of an engine that is idle.
+
+        Args:
+            fresh: Tokens of the prompt that it must read.
+        """
+        return FIRST_SECONDS + fresh / PREFILL_RATE
+
     def predict(self, demand, urgency, now):
         """Return the seconds until the first event would come."""
         fresh = self.fresh_tokens(demand)
@@ -244,14 +286,11 @@
         return FIRST_SECONDS + reading + self.slot_wait(tokens, now)
 
     def cost(self, demand, urgency, now):
-        """Return the seconds that count in a comparison of servers.
-
-        Reading parts again delays all who wait behind as well, so it
-        counts one and a half times.
-        """
+        """Return the seconds that count in a comparison of servers."""
         again = self.fresh_tokens(demand) / self.rate(now)
-        batch = len(self.tickets) / self.slots * BATCH_COST
-        return self.predict(demand, urgency, now) + 0.5 * again + batch
+        crowd = crowding(self.used())
+        again *= READING_COST
+        return self.predict(demand, urgency, now) + again + crowd
 
     def begin(self, ticket, demand):
         """Count a placed request; its parts will be cached."""
@@ -307,9 +346,11 @@
         """Return the seconds that a new request would wait."""
         return self.ahead(5, now) / self.rate(now) + self.slot_wait(1000, now)
 
-    def room(self):
-        """Return how many requests could start at once."""
-        return max(0, self.slots - len(self.tickets))
+    def used(self):
+        """Return the part of the slots, or of the memory, that is taken."""
+        tokens = sum(ticket.tokens for ticket in self.tickets.values())
+        memory = tokens / (self.memory * MEMORY_USED)
+        return max(len(self.tickets) / self.slots, memory)
 
 
 def make_work(service, slots):
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -16,7 +16,7 @@
 from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.work import Demand
 
-__all__ = ["Load", "Outcome", "Shape", "emulate"]
+__all__ = ["QUOTE", "REVIEW", "Kind", "Load", "Outcome", "Shape", "emulate"]
 
 STEP = 0.00518
 STEP_PER_REQUEST = 0.0000367
@@ -29,6 +29,9 @@
 ONE_WAY = 0.08
 """Seconds between two regions."""
 
+LONGEST_PAUSE = 0.3
+"""Seconds between two events after which a stream counts as late."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Kind:
@@ -43,6 +46,7 @@
         objective: Seconds to its first event.
         patience: Seconds after which its caller has gone.
         priority: Its rank.
+        regions: Regions that may serve it; empty for all.
     """
 
     name: str
@@ -53,6 +57,7 @@
     objective: float
     patience: float
     priority: int
+    regions: frozenset = frozenset()
 
 
 REVIEW = Kind(
@@ -88,6 +93,8 @@
         kinds: Each `Kind`.
         policy: "placer", or "nearest" for the least loaded engine of the
             caller's own region.
+        slots: Requests that an engine runs at once.
+        memory: Tokens that its memory holds.
     """
 
     engines: dict
@@ -95,6 +102,8 @@
     seconds: float = 20.0
     kinds: tuple = (REVIEW, QUOTE)
     policy: str = "placer"
+    slots: int = SLOTS
+    memory: int = MEMORY
 
 
 @dataclass(slots=True, eq=False)
@@ -113,6 +122,8 @@
         left_out: Tokens still to be made.
         first_at: Time of its first event at its caller, or 0.
         refused: Whether it was refused.
+        dropped_at: Time since when its stream stands still, or 0.
+        stalled: Whether its stream has stood still for too long.
     """
 
     kind: Kind
@@ -126,11 +137,13 @@
     left_out: int = 0
     first_at: float = 0.0
     refused: bool = False
+    dropped_at: float = 0.0
+    stalled: bool = False
 
     @property
     def in_time(self):
-        """Whether its first event met its objective."""
-        if not self.first_at:
+        """Whether its events met its objective and the longest pause."""
+        if not self.first_at or self.stalled:
             return False
         return self.first_at - self.at <= self.kind.objective
 
@@ -169,9 +182,10 @@
 class Engine:
     """One engine: reads prompts in chunks between steps of its batch."""
 
-    def __init__(self, name, outcome):
+    def __init__(self, name, outcome, shape):
         self.name = name
         self.outcome = outcome
+        self.shape = shape
         self.waiting = []
         self.running = []
         self.cached = OrderedDict()
@@ -203,13 +217,19 @@
     def read(self, now):
         """Read one chunk of the first waiting prompt; return seconds."""
         self.waiting = [
-            one for one in self.waiting if now - one.at <= one.kind.patience
+            one
+            for one in self.waiting
+            if one.dropped_at or now - one.at <= one.kind.patience
         ]
-        used = sum(one.demand.tokens_in for one in self.running)
-        if not self.waiting or len(self.running) >= SLOTS:
+        if not self.waiting:
             return 0.0
         load = self.waiting[0]
-        if used + load.demand.tokens_in > MEMORY:
+        if len(self.running) >= self.shape.slots and not self.drop_one(
+            load, now
+        ):
+            return 0.0
+        used = sum(one.demand.tokens_in for one in self.running)
+        if used + load.demand.tokens_in > self.shape.memory:
             return 0.0
         if load.left_in < 0:
             load.left_in = self.uncached(load)
@@ -219,10 +239,32 @@
         if load.left_in <= 0:
             self.waiting.remove(load)
             self.running.append(load)
-            self.started.append(load)
+            self.begin(load, now)
             self.remember(load, used)
         return chunk / READ_RATE
 
+    def begin(self, load, now):
+        """Note the first event, or the end of a pause."""
+        if not load.dropped_at:
+            self.started.append(load)
+        elif now - load.dropped_at > LONGEST_PAUSE:
+            load.stalled = True
+
+    def drop_one(self, load, now):
+        """Put the newest of the least urgent back for a more urgent one.
+
+        Returns:
+            Whether there was one to put back.
+        """
+        last = max(self.running, key=lambda one: (one.urgency, one.number))
+        if last.urgency <= load.urgency:
+            return False
+        self.running.remove(last)
+        last.dropped_at = now
+        last.left_in = -1
+        self.add(last)
+        return True
+
     def uncached(self, load):
         """Return the tokens to read, and count those read again."""
         known = 0
@@ -242,7 +284,7 @@
         for part, tokens in load.demand.parts:
             self.cached[part] = tokens
             self.cached.move_to_end(part)
-        while sum(self.cached.values()) > MEMORY - used:
+        while sum(self.cached.values()) > self.shape.memory - used:
             self.cached.popitem(last=False)
 
 
@@ -260,7 +302,7 @@
         self.outcome = Outcome()
         service = Service(
             name="engine",
-            engine=EngineSpec(slots=SLOTS, memory_tokens=MEMORY),
+            engine=EngineSpec(slots=shape.slots, memory_tokens=shape.memory),
         )
         self.registry = Registry({name: name for name in shape.engines})
         self.engines = {}
@@ -269,7 +311,7 @@
             names = [f"{region}-{n}" for n in range(count)]
             self.by_region[region] = names
             for name in names:
-                self.engines[name] = Engine(name, self.outcome)
+                self.engines[name] = Engine(name, self.outcome, shape)
                 self.registry.put(
                     ServerEntry(
                         id=name,
@@ -291,6 +333,7 @@
             for region in shape.engines
         }
         self.moving = []
+        self.telling = []
         self.summary_due = 0.0
         self.at_engine = {}
 
@@ -302,6 +345,7 @@
             if now >= self.summary_due:
                 self.summary_due = now + SUMMARY_EVERY
                 self.summarize(now)
+            self.hear(now)
             if now < self.shape.seconds:
                 self.arrive(now)
             self.deliver(now)
@@ -357,6 +401,7 @@
             time_left=max(0.0, load.kind.objective - waited - load.delay),
             patience=max(0.0, load.kind.patience * 0.85 - waited),
             priority=load.kind.priority,
+            regions=load.kind.regions,
             may_leave=may_leave,
         )
         decision = self.placers[region].place(ask, now)
@@ -404,9 +449,17 @@
         engine.ended.clear()
 
     def summarize(self, now):
-        """Let each region tell the others its load."""
-        for region, placer in self.placers.items():
-            loads = placer.summarize(now)
-            for other, told in self.placers.items():
+        """Let each region tell the others its load, which takes a while."""
+        self.telling += [
+            (now + ONE_WAY, region, placer.summarize(now))
+            for region, placer in self.placers.items()
+        ]
+
+    def hear(self, now):
+        """Let the regions hear what has reached them."""
+        heard = [row for row in self.telling if row[0] <= now]
+        self.telling = [row for row in self.telling if row[0] > now]
+        for _, region, loads in heard:
+            for other, placer in self.placers.items():
                 if other != region:
-                    told.take_load(region, dict(loads), now)
+                    placer.take_load(region, dict(loads), now)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -454,7 +454,7 @@
     north = hosts.processes["h-north"]
     relay = north.members.own.relay
     order = encode_order(
-        RelayOrder("x", "plain", False, True, 5.0, 1.0, 5.0, 0, [], "")
+        RelayOrder("x", "plain", False, True, 5.0, 1.0, 5.0, 0, [], "", False)
     )
     response = await hosts.agent.request(
         b"POST",
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from hyssopspring_fakes.emulation import Shape, emulate
+from hyssopspring_fakes.emulation import QUOTE, REVIEW, Shape, emulate
 
 EVEN = {"dar": 1.0, "arusha": 1.0, "mwanza": 1.0}
 
@@ -87,3 +87,51 @@
     nearest = play(CALM, seed, policy="nearest")
     assert outcome.share() > 0.97
     assert outcome.tokens_shared_again < 0.85 * nearest.tokens_shared_again
+
+
+MANY_REVIEWS = dataclasses.replace(REVIEW, rate=138.0, choices=(4, 289))
+BOUND_QUOTES = dataclasses.replace(
+    QUOTE,
+    rate=133.0,
+    choices=(40, 19),
+    regions=frozenset(("dar", "arusha")),
+)
+DAR_PEAK = Shape(
+    engines={"dar": 20, "arusha": 15, "mwanza": 10},
+    weights=scaled({"dar": 5.6, "arusha": 0.34, "mwanza": 0.34}, 1.7),
+    seconds=6.0,
+    kinds=(MANY_REVIEWS, BOUND_QUOTES),
+    slots=48,
+    memory=303_376,
+)
+"""Half-day peaks of a larger fleet: one region has 2.8 times its mean, the
+others 0.17, and the whole load is 1.7 times its mean; quotes may be served
+in two regions of three."""
+
+HALF_OF_DAR = dataclasses.replace(
+    DAR_PEAK, engines={"dar": 10, "arusha": 15, "mwanza": 10}
+)
+"""One of the two data centres of that region is evacuated meanwhile."""
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_peak_of_a_large_region_fills_the_others(seed):
+    """Callers are refused in one region while engines elsewhere are idle.
+
+    Its engines are full, those of the other regions have five requests in
+    48 slots. Counting what is sent away against each told server, and
+    going where parts were sent before, brings the peak to all engines.
+    """
+    outcome = play(DAR_PEAK, seed)
+    assert outcome.share() > 0.97
+    assert outcome.refused() < 0.01
+
+
+def test_half_of_a_region_at_its_peak_serves_the_urgent():
+    """An evacuation at the peak: more work than 35 engines can read.
+
+    The urgent quotes are served; of the reviews as many as can be.
+    """
+    outcome = play(HALF_OF_DAR)
+    assert outcome.share("quote") > 0.86
+    assert outcome.share("review") > 0.6
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -13,8 +13,8 @@
     Placed,
     Placer,
     Refused,
-    RegionLoad,
 )
+from hyssopspring.traffic.regions import RegionLoad, Room
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.work import Demand
@@ -92,7 +92,8 @@
 
 def tell(placer, region, now=0.0, *, servers=2, wait=0.0):
     """Let *region* report its load."""
-    loads = {name: RegionLoad(servers, wait, 20, now) for name in SERVICES}
+    rooms = (Room(wait, 0.1),) * servers
+    loads = {name: RegionLoad(20, rooms) for name in SERVICES}
     placer.take_load(region, loads, now)
 
 
@@ -144,6 +145,20 @@
     assert len(waits) > 10
 
 
+def test_a_stream_that_has_begun_goes_on_although_late(placer, ask):
+    """A caller's quote is cut in the middle while servers are busy.
+
+    Its server has failed and another is to go on with it. Nobody can do so
+    within the objective, and a new request would be refused; this one's
+    caller has read half of the answer and still waits.
+    """
+    while not isinstance(placer.place(ask(), 0.0), Refused):
+        pass
+    assert_that(placer.place(ask(begun=True), 0.0), IsInstance(Placed))
+    hopeless = ask(begun=True, patience=0.01)
+    assert_that(placer.place(hopeless, 0.0), IsInstance(Refused))
+
+
 def test_no_request_leaves_its_homes(placer, ask):
     """A bound request reaches a region where its data must not be.
 
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,69 @@
+"""What a region believes of the servers of others, between reports."""
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, HasLength
+
+from hyssopspring.traffic.regions import (
+    REMEMBERED,
+    REPORT_LAG,
+    FarLoad,
+    RegionLoad,
+    Room,
+    SentParts,
+)
+from hyssopspring.traffic.work import Demand
+
+WORK = 0.3
+"""Seconds of one request at an engine."""
+
+
+def told(*rooms, slots=48, now=0.0):
+    """Return a `FarLoad` that has just heard of *rooms*."""
+    load = FarLoad()
+    load.take(RegionLoad(slots, tuple(rooms)), now)
+    return load
+
+
+def test_a_peak_is_spread_over_all_servers_that_were_told():
+    """Half of the peak is kept at home although another region is idle.
+
+    A region counts what it sends between two reports. Counted against the
+    region as a whole its best server seems to fill alone.
+    """
+    load = told(*[Room(0.0, 0.0)] * 4)
+    for _ in range(4):
+        load.count(WORK, 0.0)
+    waits = [server.wait for server in load.servers]
+    assert_that(waits, Equals([WORK] * 4))
+
+
+def test_what_was_sent_runs_down():
+    """Work that was sent a while ago no longer keeps requests away."""
+    load = told(Room(0.5, 0.2))
+    assert_that(load.best(WORK, 0.2).wait, Equals(0.3))
+    assert_that(load.best(WORK, 2.0).wait, Equals(0.0))
+
+
+def test_a_report_does_not_hide_what_is_on_its_way():
+    """A region is sent twice what it can take, after each report.
+
+    A report left before the last requests arrived there. Taken as it is,
+    it would offer the same room again.
+    """
+    load = told(Room(0.0, 0.0))
+    load.count(WORK, 0.0)
+    load.take(RegionLoad(48, (Room(0.0, 0.0),)), REPORT_LAG / 2)
+    assert_that(load.servers[0].wait, Equals(WORK))
+    load.take(RegionLoad(48, (Room(0.1, 0.0),)), REPORT_LAG * 2)
+    assert_that(load.servers[0].wait, Equals(0.1))
+    assert_that(load.sent, HasLength(0))
+
+
+def test_parts_that_were_sent_are_known_for_a_while():
+    """The same shared parts are read in two regions by turns."""
+    demand = Demand(parts=(("shared", 600), ("own", 100)), tokens_in=700)
+    sent = SentParts()
+    assert_that(sent.fresh_tokens(demand, 0.0), Equals(700))
+    sent.note(demand.parts[:1], 0.0)
+    assert_that(sent.fresh_tokens(demand, 1.0), Equals(100))
+    assert_that(sent.fresh_tokens(demand, REMEMBERED), Equals(700))
