--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -11,8 +11,9 @@
     decode_message,
     encode_message,
 )
+from hyssopspring.traffic.decisions import Ask
 from hyssopspring.traffic.members import Member, Members
-from hyssopspring.traffic.placing import Ask, Placer
+from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.work import Demand
--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -6,8 +6,8 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
+from ..traffic.decisions import Ask, Away, Placed, Refused
 from ..traffic.evidence import Finding
-from ..traffic.placing import Ask, Away, Placed, Refused
 from ..traffic.servers import Usability
 from ..traffic.work import Demand
 from .messages import (
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -8,8 +8,8 @@
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
+from ..traffic.decisions import Ask, Away, Placed
 from ..traffic.evidence import Finding
-from ..traffic.placing import Ask, Away, Placed
 from .attempts import Attempt, Sending, silence_limit
 from .connections import Lane
 from .relaying import (
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -8,8 +8,8 @@
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink, first_value
+from ..traffic.decisions import Ask, Placed
 from ..traffic.evidence import Finding
-from ..traffic.placing import Ask, Placed
 from .attempts import Attempt, Head, Sending, silence_limit
 from .connections import Lane
 from .web import respond_refusal
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -1,20 +1,22 @@
-"""Choose a server, another region, or a refusal for one request."""
+"""Place requests: at a server, in another region, or refuse them."""
 
 from dataclasses import dataclass
 
 from ..core.sentinels import NOTHING
 from .coldrates import ColdRates
+from .decisions import Away, Placed, Refused
 from .evidence import Evidence, Finding
 from .regions import FarLoad, RegionLoad, Room, SentParts, untold
 from .servers import Usability
-from .work import CROWDED, Demand, Ticket, crowding, make_work
+from .work import CROWDED, Ticket, crowding, make_work
 
-__all__ = ["Ask", "Away", "Placed", "Placer", "Refused"]
+__all__ = ["Placer"]
 
 HOME_SHARE = 0.6
-"""Part of the time to the objective after which a refused caller should
-find room; a request that returns has used none of it."""
-
+"""Part of the time to the objective up to which a request stays in its
+region while places are free there: sending it away reads its shared parts
+once more and costs bytes between regions. A refused caller is told to come
+back when as much of its time should do."""
 
 AWAY_SECONDS = 0.2
 """Seconds by which another region answers later: a round trip between
@@ -61,90 +63,6 @@
 few times a second, and who is silent so long may be cut off."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Ask:
-    """What must be known of a request to place it.
-
-    Attributes:
-        host: Host that carries it out.
-        number: The host's number for it.
-        service: Service that it needs.
-        demand: Its `Demand`.
-        time_left: Seconds in which it would meet its objective.
-        patience: Seconds in which an answer is of use at all.
-        priority: Rank among the routes of the service; 0 is highest.
-        excluded: Identifiers of servers that it must not go to.
-        regions: Regions that may serve it; empty for all.
-        avoided: Regions that have refused it already.
-        may_leave: Whether it may be sent to another region.
-        begun: Whether its caller holds a part of the answer already.
-    """
-
-    host: str
-    number: int
-    service: str
-    demand: Demand = Demand()
-    time_left: float = 1.0
-    patience: float = 5.0
-    priority: int = 5
-    excluded: tuple = ()
-    regions: frozenset = frozenset()
-    avoided: tuple = ()
-    may_leave: bool = True
-    begun: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Placed:
-    """Send it to a server.
-
-    Attributes:
-        server_id: The server.
-        address: Its ``ip:port``.
-        urgency: Rank for the server; 0 goes first.
-        predicted: Seconds to the answer or first event.
-        cold: Whether the server is cold, so that the placement must be
-            used at once or not at all.
-        copy_from: Address of a server from which it is to copy parts of
-            the prompt that it has not cached, or an empty string.
-    """
-
-    server_id: str
-    address: str
-    urgency: int
-    predicted: float
-    cold: bool = False
-    copy_from: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Away:
-    """Send it to a host of another region.
-
-    Attributes:
-        region: The region.
-        predicted: Seconds to the answer or first event.
-    """
-
-    region: str
-    predicted: float
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """Refuse it at once.
-
-    Attributes:
-        retry_after: Seconds after which there should be room.
-        predicted: Seconds to an answer if it were admitted.
-        servers: Servers of this region that could take requests.
-    """
-
-    retry_after: float
-    predicted: float
-    servers: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Offer:
     """What a server here, or another region, would do for a request.
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -10,8 +10,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from hyssopspring.traffic.decisions import Ask, Away, Placed
 from hyssopspring.traffic.evidence import Finding
-from hyssopspring.traffic.placing import Ask, Away, Placed, Placer
+from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.work import Demand
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -6,7 +6,7 @@
 
 from hyssopspring.entry.asking import answer_message, decision_of
 from hyssopspring.entry.messages import decode_message, encode_message
-from hyssopspring.traffic.placing import Away, Placed, Refused
+from hyssopspring.traffic.decisions import Away, Placed, Refused
 
 DECISIONS = [
     Placed("server", "127.0.0.1:80", 3, 0.25),
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -6,14 +6,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, IsInstance
 
+from hyssopspring.traffic.decisions import Ask, Away, Placed, Refused
 from hyssopspring.traffic.evidence import Finding
-from hyssopspring.traffic.placing import (
-    Ask,
-    Away,
-    Placed,
-    Placer,
-    Refused,
-)
+from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.regions import RegionLoad, Room
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.servers import Registry, ServerEntry
