Keep the memory in use of an engine as a running sum

Three sums over all requests of a server were made for each placement. The sum is counted up and down with each request now, and a test holds it against what is in progress after ends that were heard twice or not at all.

--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -480,9 +480,10 @@
         if work is None or not work.is_for(service.engine):
             known = work
             work = make_work(service, server.entry.slots)
-            if known is not None:
-                work.tickets.update(known.tickets)
             self.work[server.entry.id] = work
+            if known is not None:
+                for ticket in known.tickets.values():
+                    work.begin(ticket, NOTHING)
         return work
 
     def evidence_of(self, server_id):
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -211,6 +211,7 @@
     Attributes:
         spec: The `EngineSpec`.
         tickets: `Ticket` by host and number.
+        held: Tokens of memory that they take.
         cached: Tokens by part, the least recently used first.
         pace: Observed time of reading over the predicted one.
         paced_at: Time of the last observation.
@@ -220,6 +221,7 @@
 
     spec: EngineSpec
     tickets: dict = field(default_factory=dict)
+    held: int = 0
     cached: OrderedDict = field(default_factory=OrderedDict)
     pace: float = 1.0
     paced_at: float = 0.0
@@ -299,9 +301,8 @@
         see streams stand still. So a request waits for the ends of as
         many others as its slot and its memory need.
         """
-        used = sum(ticket.tokens for ticket in self.tickets.values())
         slots = len(self.tickets) + 1 - self.slots
-        memory = used + tokens - self.memory * MEMORY_USED
+        memory = self.held + tokens - self.memory * MEMORY_USED
         if slots <= 0 and memory <= 0:
             return 0.0
         seconds = 0.0
@@ -366,6 +367,7 @@
         if not any(not other.started for other in self.tickets.values()):
             self.head_since = ticket.placed_at
         self.tickets[ticket.host, ticket.number] = ticket
+        self.held += ticket.tokens
         if demand is NOTHING:
             return
         for part, tokens in demand.parts:
@@ -375,8 +377,7 @@
 
     def trim(self):
         """Forget the parts that the engine has dropped by now."""
-        used = sum(ticket.tokens for ticket in self.tickets.values())
-        room = max(0, self.memory - used)
+        room = max(0, self.memory - self.held)
         total = sum(self.cached.values())
         while self.cached and total > room:
             total -= self.cached.popitem(last=False)[1]
@@ -403,7 +404,9 @@
             ticket: The `Ticket`.
             now: Time at which its answer was whole, or `NOTHING`.
         """
-        self.tickets.pop((ticket.host, ticket.number), None)
+        known = self.tickets.pop((ticket.host, ticket.number), None)
+        if known is not None:
+            self.held -= known.tokens
         if now is NOTHING or not ticket.started or not ticket.tokens_out:
             return
         met = (now - ticket.started_at) / ticket.tokens_out
@@ -417,8 +420,7 @@
 
     def used(self):
         """Return the part of the slots, or of the memory, that is taken."""
-        tokens = sum(ticket.tokens for ticket in self.tickets.values())
-        memory = tokens / (self.memory * MEMORY_USED)
+        memory = self.held / (self.memory * MEMORY_USED)
         return max(len(self.tickets) / self.slots, memory)
 
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -365,3 +365,23 @@
         if isinstance(placer.place(ask(), 1.0), Refused):
             return
     raise AssertionError("a hundred prompts were placed at two engines")
+
+
+def test_the_memory_in_use_is_the_sum_of_what_is_in_progress(placer, ask):
+    """An engine looks full, or empty, for as long as it lives.
+
+    The tokens in use are counted up and down with each request; an end
+    that is heard twice or not at all must not leave a trace in the count.
+    """
+    for number in range(1, 9):
+        placer.place(ask(), number * 0.1)
+        if number % 2:
+            placer.note_end("h1", number, "e1", Finding.ANSWERED, 1.0)
+            placer.note_end("h1", number, "e1", Finding.ANSWERED, 1.0)
+    placer.keep_only("h1", {8}, 5.0, older_than=0.7)
+    for work in placer.work.values():
+        tokens = sum(ticket.tokens for ticket in work.tickets.values())
+        assert_that(work.held, Equals(tokens))
+    assert_that(len(placer.tickets), Equals(1))
+    placer.forget_host("h1")
+    assert_that({one.held for one in placer.work.values()}, Equals({0}))
