--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -118,7 +118,7 @@
 def test_a_peak_of_a_large_region_fills_the_others(seed):
     """Callers are refused in one region while engines elsewhere are idle.
 
-    Its engines are full, those of the other regions have five requests in
+    Its engines are full, those of the other regions seem to have five in
     48 slots. Counting what is sent away against each told server, and
     going where parts were sent before, brings the peak to all engines.
     """
