Let hosts that start together learn of all others; never pass a 403 on

Hosts read in the store who registered before them. Before rosters they met the rest by heartbeats; with rosters the placing host of a region may know nobody of another one, its roster came from a stranger there and was dropped, and what an ordinary host learned stayed with it. The host that a request was forwarded to then took the sender for a stranger, and its 403 went to the caller as if a server had given it.

Ruled out: forgotten hosts (none was silent for 30 s).

Change: a placing host introduces itself with a heartbeat before each roster; who gets it and does not place answers with a roster of its own. The refusal of a stranger says that the request has not run, so its sender goes elsewhere.

Red first: an emulation of hosts that register one after the other (up to 40 of 59 others stayed unknown for good); now all know all within 8 s, with 2, 3 and 20 hosts a region.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -173,6 +173,9 @@
                 self.datagrams.send_all(roster, wanting)
         if far and self.places(now):
             self.far_contacts = self.choose_far(others, now)
+            # A roster is believed only from a host that is known; the
+            # heartbeat makes this one known.
+            self.datagrams.send_all(self.heartbeat(), self.far_contacts)
             roster = self.rosters.roster(own, now)
             self.datagrams.send_all(roster, self.far_contacts)
 
@@ -291,11 +294,21 @@
             self.take_tickets(message, now)
 
     def take_roster(self, message):
-        """Note which hosts live; answer a host of another region."""
+        """Note which hosts live; answer a host of another region.
+
+        Right after a start that one may know just a few hosts here, and
+        not the one that places. It learns of the others by the roster.
+        """
         self.rosters.take(message)
         sender = self.members.others.get(message.host)
-        if sender is not None and sender.region != self.members.own.region:
-            self.datagrams.send(self.heartbeat(), sender.control)
+        own = self.members.own.region
+        if sender is None or sender.region == own:
+            return
+        self.datagrams.send(self.heartbeat(), sender.control)
+        now = self.clock.seconds()
+        if not self.places(now):
+            roster = self.rosters.roster(own, now)
+            self.datagrams.send(roster, sender.control)
 
     def take_tickets(self, message, now):
         """Make the work of a host agree with what it says."""
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -120,7 +120,14 @@
             self.handle_page(request)
             return
         if not self.state.members.is_known(request.peer_ip):
-            respond_refusal(request, 403, "not a host of this system")
+            # A host that has just started may be a stranger for a moment.
+            # It must not take this for the answer of a server.
+            respond_refusal(
+                request,
+                403,
+                "not a host of this system",
+                [(OUTCOME, NOT_RUN), (REASON, str(Reason.REFUSED).encode())],
+            )
             return
         try:
             order = decode_order(header[0])
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -462,6 +462,8 @@
         Headers({ORDER_HEADER: [order], b"x-request-attempt-id": [b"r9"]}),
     )
     assert_that(response.code, Equals(403))
+    outcome = response.headers.getRawHeaders("hyssop-outcome")
+    assert_that(outcome, Equals(["not-run"]))
     change = StoreChange("h-south", "op/", 0, [], [], False)
     before = north.measures.events["peer_refused"]
     north.membership.receive(change, "127.0.0.77")
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -132,8 +132,12 @@
         for region in REGIONS:
             for number in range(hosts_in_region):
                 self.add(f"{region}-{number}", region, number, 1)
+        self.start_reading()
+
+    def start_reading(self):
+        """Let each host read all others in the store."""
         for host in self.hosts.values():
-            self.introduce(host)
+            self.introduce(host, self.hosts.values())
 
     def add(self, name, region, number, incarnation):
         """Start a host."""
@@ -147,9 +151,9 @@
         )
         return host
 
-    def introduce(self, host):
-        """Let a host read the addresses of the others in the store."""
-        for other in self.hosts.values():
+    def introduce(self, host, others):
+        """Let a host read the addresses of others in the store."""
+        for other in others:
             own = other.members.own
             host.members.learn(
                 Member(
@@ -210,6 +214,17 @@
         return known and len(placers) == 1
 
 
+class StartingNetwork(Network):
+    """Hosts that read the store while the others still register there."""
+
+    def start_reading(self):
+        """Let each host read those that have registered before it."""
+        hosts = list(self.hosts.values())
+        self.rng.shuffle(hosts)
+        for number, host in enumerate(hosts):
+            self.introduce(host, hosts[:number])
+
+
 @pytest.fixture
 def network():
     """Return 120 hosts that have run for five seconds."""
@@ -226,6 +241,23 @@
             assert_that(host.live(region), Equals(network.names(region)))
 
 
+@pytest.mark.parametrize("hosts_in_region", [2, 3, 20])
+def test_hosts_that_start_together_learn_of_all_others(hosts_in_region):
+    """Requests are answered 403 by a host of another region.
+
+    All hosts start at once. Each reads in the store those that registered
+    before it; the first knows nobody. A host that forwards a request is
+    taken for a stranger where it is not known.
+    """
+    network = StartingNetwork(hosts_in_region)
+    network.run(8.0)
+    everyone = set(network.hosts)
+    for name, host in network.hosts.items():
+        assert_that({name, *host.members.others}, Equals(everyone))
+    for region in REGIONS:
+        assert network.agree(region)
+
+
 def test_what_a_host_spends_does_not_grow_with_the_hosts():
     """Idle hosts need a twentieth of a core for heartbeats alone.
 
@@ -319,7 +351,7 @@
 def test_a_host_that_nobody_knows_becomes_known_to_all(network):
     """A host that is added serves nobody, as the directory lacks it."""
     added = network.add("north-99", "north", 99, 1)
-    network.introduce(added)
+    network.introduce(added, network.hosts.values())
     network.run(6.0)
     for region in REGIONS:
         for name in network.names(region):
@@ -336,7 +368,7 @@
     old.up = False
     network.run(1.5)
     again = network.add("north-7", "north", 7, 0)
-    network.introduce(again)
+    network.introduce(again, network.hosts.values())
     network.run(4.0)
     assert "north-7" in network.hosts["north-8"].live("north")
     assert_that(again.live("north"), Equals(network.names("north")))
