Spread what the placing host sends, so that other regions hear it

Ruled out: strangers (217 refused datagrams); ranks (the emulation agrees).

Change: other regions first; then six hosts at a time, 20 ms apart. Rosters of the region each second and of others every two; who leaves is told at once, who fell silent is named as gone by those whom it reported to. Hosts that have just started name all that the store lists in the directory: they have heard the same three by then. The line `placed` names the host that placed.

--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -283,6 +283,11 @@
         if member is not None:
             self.datagrams.send(message, member.control)
 
+    def placer_of(self, number):
+        """Return the name of the host that placed a request."""
+        work = self.work.get(number)
+        return work.placer if work is not None else ""
+
     def open_tickets(self):
         """Return an `OpenTicket` for each request in progress."""
         return [
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -238,6 +238,7 @@
             predicted=round(placed.predicted, 3),
             urgency=placed.urgency,
             copy_from=placed.copy_from,
+            placed_by=self.state.asking.placer_of(number),
         )
         headers = self.state.codec.server_headers(
             self.request.requestHeaders,
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -28,10 +28,20 @@
 HEARTBEAT_EVERY = 0.5
 """Seconds between heartbeats to the hosts of the region."""
 
-FAR_BEATS = 2
+ROSTER_BEATS = 2
+"""Heartbeat intervals between two rosters of this region. Who is about to
+leave is told at once."""
+
+FAR_BEATS = 4
 """Heartbeat intervals between two rosters of or to another region."""
 
-FAR_SILENCE = 3.3
+AT_ONCE = 6
+PAUSE = 0.02
+"""Hosts to which the same is sent at once, and seconds to the next ones. A
+host that sent to its whole region in one go filled the link of 20 Mbit/s
+of a small host, and what it sent last, to other regions, was always lost."""
+
+FAR_ANSWER = 6.5
 """Seconds within which a host of another region must answer a report: the
 third in a row is without an answer by then."""
 
@@ -133,8 +143,11 @@
             self.heartbeat(Report.HEARTBEATS),
             [one for one in probed if one not in contacts],
         )
+        self.beats += 1
+        if self.beats % FAR_BEATS == 0 and self.places(now):
+            self.report_far(now)
         reporting = self.members.reporting(now)
-        self.datagrams.send_all(
+        self.send_to_many(
             self.heartbeat(),
             [one for one in reporting if one not in contacts],
         )
@@ -162,28 +175,49 @@
     def send_rosters(self, reporting, now):
         """Tell who lives, to those that count on this host for it."""
         wanting = [one for one in reporting if one.wants is Report.ROSTERS]
-        own = self.members.own.region
-        self.beats += 1
-        far = self.beats % FAR_BEATS == 0
+        regions = []
+        if self.beats % ROSTER_BEATS == 0:
+            regions.append(self.members.own.region)
+        if self.beats % FAR_BEATS == 1:
+            regions += self.other_regions()
+        for region in regions if wanting else ():
+            self.send_to_many(self.rosters.roster(region, now), wanting)
+
+    def other_regions(self):
+        """Return the other regions of which hosts are known."""
         known = {member.region for member in self.members.others.values()}
-        others = sorted(known - {own}) if far else []
-        if wanting:
-            for region in (own, *others):
-                roster = self.rosters.roster(region, now)
-                self.datagrams.send_all(roster, wanting)
-        if far and self.places(now):
-            self.far_contacts = self.choose_far(others, now)
-            # A roster is believed only from a host that is known; the
-            # heartbeat makes this one known.
-            self.datagrams.send_all(self.heartbeat(), self.far_contacts)
-            roster = self.rosters.roster(own, now)
-            self.datagrams.send_all(roster, self.far_contacts)
+        return sorted(known - {self.members.own.region})
+
+    def report_far(self, now):
+        """Tell a few hosts of each other region who lives here.
+
+        A roster is believed only from a host that is known; the heartbeat
+        makes this one known.
+        """
+        self.far_contacts = self.choose_far(self.other_regions(), now)
+        self.datagrams.send_all(self.heartbeat(), self.far_contacts)
+        roster = self.rosters.roster(self.members.own.region, now)
+        self.datagrams.send_all(roster, self.far_contacts)
+
+    def send_to_many(self, message, members):
+        """Send *message* to hosts of the region, a few at a time."""
+        for first in range(0, len(members), AT_ONCE):
+            some = members[first : first + AT_ONCE]
+            if not first:
+                self.datagrams.send_all(message, some)
+                continue
+            self.clock.callLater(
+                PAUSE * first / AT_ONCE,
+                self.datagrams.send_all,
+                message,
+                some,
+            )
 
     def choose_far(self, regions, now):
         """Return the hosts of other regions to report to."""
         chosen = []
         for region in regions:
-            chosen += self.members.contacts(now, region, CONTACTS, FAR_SILENCE)
+            chosen += self.members.contacts(now, region, CONTACTS, FAR_ANSWER)
             probed = self.members.probed(now, region, self.beats // FAR_BEATS)
             chosen += [one for one in probed if one not in chosen]
         return chosen
@@ -279,6 +313,7 @@
         if member is None or message.incarnation != member.incarnation:
             return
         member.heard_at = now
+        leaves = message.leaving and not member.leaving
         member.wants = message.report
         if message.report is not Report.NONE:
             member.reported_at = now
@@ -287,12 +322,27 @@
         member.contact_age = message.contact_age
         member.version = message.version
         member.revisions = message.revisions
+        if leaves:
+            self.tell_leaving(member, now)
         own = self.members.own
         if member.is_ahead(own.version, own.revisions):
             self.changed(member)
         if message.tickets is not None:
             self.take_tickets(message, now)
 
+    def tell_leaving(self, member, now):
+        """Tell at once that a host is about to leave.
+
+        It serves on for little longer than callers keep an answer of the
+        directory, which must not name it any more.
+        """
+        wanting = [
+            one
+            for one in self.members.reporting(now)
+            if one.wants is Report.ROSTERS
+        ]
+        self.send_to_many(self.rosters.about(member, now), wanting)
+
     def take_roster(self, message):
         """Note which hosts live; answer a host of another region.
 
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -313,7 +313,7 @@
             data_centre: Its data centre.
         """
         now = self.reactor.seconds()
-        live = [member for member in self.members.live(now) if member.version]
+        live = self.members.named(now)
         homes = self.homes_of(name)
         choices = (
             [one for one in live if one.region == region],
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -229,6 +229,7 @@
             urgency=decision.urgency,
             copy_from=decision.copy_from,
             peer=self.request.peer_ip,
+            placed_by=self.state.asking.placer_of(number),
         )
         if self.sink.gone:
             self.state.asking.note_end(number, Finding.CANCELLED)
--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -15,6 +15,10 @@
 """Ages are told in tenths of a second, up to this one; a host that was not
 heard for that long counts as gone."""
 
+GONE_FOR = 10.0
+"""Seconds for which a host that fell silent is named as gone, in several
+rosters; also the age that its last word is then taken to have."""
+
 MOST_ASKED = 40
 """Hosts that are asked for at once; the answer is a datagram of 6 KB. The
 rest are asked for with the next roster."""
@@ -27,6 +31,7 @@
     OUT_OF_CONTACT = 2
     UNSETTLED = 4
     UNCONFIGURED = 8
+    GONE = 16
 
 
 class Rosters:
@@ -47,17 +52,25 @@
         self.clock = clock
 
     def roster(self, region, now):
-        """Return the `Roster` of the hosts of *region* that are up."""
+        """Return the `Roster` of the hosts of *region*.
+
+        Those that fell silent of late are named as gone: this host heard
+        them itself, so it knows sooner than who is told of them.
+        """
         members = self.members
         rows = [
-            RosterRow(one.id, age_tenths(one, now), state_of(one))
+            row_of(one, now, gone=not members.is_up(one, now))
             for one in members.others.values()
-            if one.region == region and members.is_up(one, now)
+            if one.region == region and told_of(one, now)
         ]
         if region == members.own.region:
             rows.append(RosterRow(members.own.id, 0, state_of(members.own)))
         return Roster(members.own.name, rows)
 
+    def about(self, member, now):
+        """Return a `Roster` of one host."""
+        return Roster(self.members.own.name, [row_of(member, now)])
+
     def take(self, message):
         """Take over a roster, and ask for the hosts that are not known."""
         now = self.clock.seconds()
@@ -94,12 +107,27 @@
             self.members.learn(member_of(entry), spoke_at=now)
 
 
+def told_of(member, now):
+    """Whether a host was heard of lately enough to tell of it."""
+    last = member.last_word_at
+    return last is not NOTHING and now - last < GONE_FOR
+
+
+def row_of(member, now, *, gone=False):
+    """Return the `RosterRow` of a host that was heard or told of."""
+    state = state_of(member) | (HostState.GONE if gone else 0)
+    return RosterRow(member.id, age_tenths(member, now), int(state))
+
+
 def take_row(member, row, now):
     """Take over what a roster says of a host.
 
     What the host itself has said of late is newer.
     """
     heard = now - row.age_tenths / TENTHS
+    if HostState.GONE in HostState(row.state):
+        forget_word(member, heard)
+        return
     if member.told_at is NOTHING or heard > member.told_at:
         member.told_at = heard
     if member.heard_at is not NOTHING and member.heard_at >= heard:
@@ -113,6 +141,12 @@
     member.version = max(1, member.version) if configured else 0
 
 
+def forget_word(member, heard):
+    """Take a host for gone of which nothing was heard since *heard*."""
+    if member.told_at is not NOTHING:
+        member.told_at = min(member.told_at, heard - GONE_FOR)
+
+
 def state_of(member):
     """Return the `HostState` of a host."""
     states = (
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -12,19 +12,25 @@
 """Seconds without a heartbeat after which a host counts as gone: four
 heartbeats of its region are lost or late by then."""
 
-TOLD_SILENCE = 3.2
+TOLD_SILENCE = 5.2
 """Seconds after which a host of the region counts as gone that only other
-hosts tell of. When all that tell of it go at once, the next ones are found,
-heard and tell of it within 2.3 s."""
+hosts tell of, unless these say so. When all that tell of it go at once,
+the next ones are found, heard and tell of it in 5.0 s at most."""
 
-FAR_SILENCE = 5.0
+FAR_SILENCE = 8.0
 """Seconds after which a host of another region counts as gone: word of it
-passes through two hosts, each of which speaks once a second, and one word
-may be lost."""
+passes through two hosts, each of which speaks every two seconds, and one
+word may be lost."""
 
-REGION_SILENCE = 3.0
+REGION_SILENCE = 4.8
 """Seconds without word of any host of a region after which nothing is sent
-there: it may be cut off."""
+there: it may be cut off. Word of it is up to 4.2 s old on hosts that do
+not place."""
+
+LEARNING = 3.0
+"""Seconds after a start in which the hosts that the store names are taken
+to live too. Only those would be named to callers else that a host has
+heard by then, which are the same three for all hosts of a region."""
 
 REGIONS_FOR = 0.1
 """Seconds for which the regions with live hosts are kept: each placement
@@ -44,6 +50,9 @@
 ASK_AGAIN = 3.0
 """Seconds after which a host that did not answer is reported to again."""
 
+AGE_ERROR = 0.2
+"""Seconds by which the age of a word is wrong that other hosts tell."""
+
 RESTART_SILENCE = 1.2
 """Seconds without word of a start of a host after which an earlier number
 of a start is believed: a host that runs is heard twice a second."""
@@ -202,10 +211,25 @@
             found = [one for one in found if one.region == region]
         return found
 
+    def named(self, now, region=NOTHING):
+        """Return the hosts that callers of the directory are told of."""
+        found = [one for one in self.live(now, region=region) if one.version]
+        if self.own.up_seconds >= LEARNING or self.own.leaving:
+            return found
+        unheard = [
+            member
+            for member in self.others.values()
+            if member.last_word_at is NOTHING
+            and region in (NOTHING, member.region)
+        ]
+        return found + unheard
+
     def is_up(self, member, now):
         """Whether another host was heard of lately."""
         if member.heard_within(SILENCE, now):
             return True
+        if heard_here_last(member):
+            return False
         if member.region == self.own.region:
             return member.told_within(TOLD_SILENCE, now)
         return member.told_within(FAR_SILENCE, now)
@@ -344,6 +368,19 @@
     return member.control.rpartition(":")[0]
 
 
+def heard_here_last(member):
+    """Whether its last word was a report to this host.
+
+    A report is sent twice a second, so its absence tells. No other host
+    may have heard it later.
+    """
+    if member.told_at is NOTHING or member.heard_at is NOTHING:
+        return False
+    if member.reported_at != member.heard_at:
+        return False
+    return member.told_at <= member.heard_at + AGE_ERROR
+
+
 def supersedes(member, known, spoke_at):
     """Whether *member* is a newer start of the host that is *known*."""
     if member.incarnation >= known.incarnation:
