Admit only what is predicted in time with a learned margin

Change: per service, the margin that covers 85 in 100 of the errors met, learned by one step an observation, 0 to 0.2 s; `--without margin` switches it off.

--- a/src/hyssopspring/traffic/mechanisms.py
+++ b/src/hyssopspring/traffic/mechanisms.py
@@ -18,6 +18,7 @@
     AFFINITY = "what was sent to a region is not taken as cached there"
     AWAY = "no request leaves its region unless no server is open there"
     LATE = "what cannot be on time is refused"
+    MARGIN = "what is predicted just in time is taken to be in time"
     ERRORS = "how often a server fails does not count"
 
     @property
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -7,6 +7,7 @@
 from .decisions import Placed, Refused, urgency_of
 from .decoding import DecodingFigures
 from .evidence import Evidence, Finding
+from .margins import Margin
 from .mechanisms import Mechanism
 from .models import make_work
 from .offers import NO_LIMIT, NO_OFFER, Offer
@@ -131,6 +132,7 @@
         self.work = {}
         self.figures = {}
         self.decoding = {}
+        self.margins = {}
         self.evidence = {}
         self.views = {}
         self.tickets = {}
@@ -156,7 +158,7 @@
         if not cold_allowed:
             servers = self.turned(servers)
         here = self.best_of(servers, ask, urgency, now)
-        in_time = here.predicted <= ask.time_left
+        in_time = here.predicted + self.margin(ask) <= ask.time_left
         if in_time and here.cost <= AWAY_SECONDS:
             # No other region can be better: the way alone costs more.
             return self.admit(ask, here, urgency, now)
@@ -171,6 +173,12 @@
             return self.go_on(ask, here, away, now)
         return self.place_late(servers, ask, now)
 
+    def margin(self, ask):
+        """Return the seconds by which a prediction must be in time."""
+        if Mechanism.MARGIN in self.off:
+            return 0.0
+        return self.margin_of(ask.service).seconds
+
     def turned(self, views):
         """Return servers in an order that begins anywhere.
 
@@ -365,6 +373,10 @@
         if ticket is None or ticket.started:
             return
         work = self.work.get(ticket.server_id)
+        server = self.registry.servers.get(ticket.server_id)
+        if server is not None and ticket.urgency < LATE_URGENCY:
+            margin = self.margin_of(server.entry.service)
+            margin.learn(ticket.predicted, seconds)
         if work is not None:
             work.start(ticket, seconds, now)
             self.evidence_of(ticket.server_id).note_answer(now)
@@ -523,6 +535,10 @@
                     work.begin(ticket, NOTHING)
         return work
 
+    def margin_of(self, service):
+        """Return the `Margin` of a service."""
+        return self.margins.setdefault(service, Margin())
+
     def figures_of(self, service):
         """Return the `ReadingFigures` of a service."""
         return self.figures.setdefault(service, ReadingFigures())
--- /dev/null
+++ b/tests/test_margins.py
@@ -0,0 +1,39 @@
+"""The margin by which predictions must be in time."""
+
+import random
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from hyssopspring.traffic.margins import COVERED, LARGEST, Margin
+
+OBSERVATIONS = 4000
+
+
+def test_the_margin_covers_most_errors():
+    """Callers are admitted just in time and begin too late.
+
+    Predictions are exceeded by up to 0.1 s, evenly spread; the margin must
+    come near the value that covers all but a few of them, and stay there.
+    """
+    rng = random.Random(1)
+    margin = Margin()
+    for _ in range(OBSERVATIONS):
+        margin.learn(0.5, 0.5 + rng.random() * 0.1)
+    assert abs(margin.seconds - COVERED * 0.1) < 0.02
+
+
+def test_calm_times_need_no_margin():
+    """Callers are refused although engines are idle."""
+    margin = Margin(seconds=LARGEST)
+    for _ in range(OBSERVATIONS):
+        margin.learn(0.5, 0.45)
+    assert_that(margin.seconds, Equals(0.0))
+
+
+def test_a_stalled_engine_does_not_refuse_all():
+    """One engine that stalls for minutes makes the margin grow for good."""
+    margin = Margin()
+    for _ in range(OBSERVATIONS):
+        margin.learn(0.1, 60.0)
+    assert_that(margin.seconds, Equals(LARGEST))
