--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -383,6 +383,19 @@
         assert_that(named, Equals(network.names("west")))
 
 
+def test_hosts_that_start_together_reach_other_regions_soon():
+    """Callers of a full region are refused for seconds after an outage.
+
+    All hosts start at once. Until they have heard of the other regions,
+    none can send a request there.
+    """
+    network = StartingNetwork(20)
+    network.run(2.0)
+    now = network.clock.seconds()
+    for host in network.hosts.values():
+        assert_that(host.members.regions(now), Equals(set(REGIONS)))
+
+
 def test_hosts_that_heard_nobody_find_one_another(network):
     """A region stays in two halves after a cut, each with its own placer.
 
