--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -2,7 +2,7 @@
 
 from ..core.events import EventKind
 from ..traffic.evidence import Finding
-from ..traffic.members import LEARNING, Report
+from ..traffic.members import Report
 from ..traffic.regions import RegionLoad, Room
 from ..traffic.work import RANKS, Ticket
 from .hostentries import member_of
@@ -144,7 +144,7 @@
             [one for one in probed if one not in contacts],
         )
         self.beats += 1
-        if self.due(FAR_BEATS) and self.places(now):
+        if self.beats % FAR_BEATS == 0 and self.places(now):
             self.report_far(now)
         reporting = self.members.reporting(now)
         self.send_to_many(
@@ -176,22 +176,13 @@
         """Tell who lives, to those that count on this host for it."""
         wanting = [one for one in reporting if one.wants is Report.ROSTERS]
         regions = []
-        if self.due(ROSTER_BEATS):
+        if self.beats % ROSTER_BEATS == 0:
             regions.append(self.members.own.region)
-        if self.due(FAR_BEATS, turn=1):
+        if self.beats % FAR_BEATS == 1:
             regions += self.other_regions()
         for region in regions if wanting else ():
             self.send_to_many(self.rosters.roster(region, now), wanting)
 
-    def due(self, beats, *, turn=0):
-        """Whether something is to be done that is done every few beats.
-
-        Right after a start it is done at each: after an outage of all
-        hosts none could send a request to another region for five seconds.
-        """
-        starting = self.members.own.up_seconds < LEARNING
-        return starting or self.beats % beats == turn
-
     def other_regions(self):
         """Return the other regions of which hosts are known."""
         known = {member.region for member in self.members.others.values()}
--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -19,8 +19,8 @@
 """Seconds for which a host that fell silent is named as gone, in several
 rosters; also the age that its last word is then taken to have."""
 
-MOST_ASKED = 100
-"""Hosts that are asked for at once; the answer is a datagram of 14 KB. The
+MOST_ASKED = 40
+"""Hosts that are asked for at once; the answer is a datagram of 6 KB. The
 rest are asked for with the next roster."""
 
 
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -6,14 +6,7 @@
 from ..core.hashing import hash_text, short_id
 from ..core.sentinels import NOTHING
 
-__all__ = [
-    "CONTACT_AGE",
-    "LEARNING",
-    "SETTLED",
-    "Member",
-    "Members",
-    "Report",
-]
+__all__ = ["CONTACT_AGE", "SETTLED", "Member", "Members", "Report"]
 
 SILENCE = 2.6
 """Seconds without a heartbeat after which a host counts as gone: four
