--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -246,7 +246,7 @@
         at all: its host has decided by itself. Answered in the order in
         which they came, a placing host that cannot keep up answers all of
         them too late; 22 in 100 requests were on time in an emulation of
-        a peak that it misses by a twentieth, and 87 with the newest first.
+        a peak that it misses by an eighth, and 88 with the newest first.
         """
         if not self.questions:
             self.clock.callLater(0, self.guarded, self.answer_some)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -115,7 +115,7 @@
 
     The same peak. The host that places for the busy region needs 2 ms for
     a choice, as a weak one beside its own work does, or 3 ms, which is
-    more than it has for the 350 questions a second. Most requests must be
+    more than it has for the 370 questions a second. Most requests must be
     placed with its knowledge all the same.
     """
     outcome = play(MOSTLY_DAR, choice_seconds=choice)
