Tell on the lines when a server ends under a request, and name its repeats

A caller's repeats bear identifiers of their own, and a line did not say whether a server had ended or only broken off an answer. The line server_ended says both: a server that refuses connections right after it broke off is gone, and the fingerprint is made of caller, path and body. No decision depends on it yet.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -47,6 +47,7 @@
     SERVER_UNREADABLE = (410, "entry of a backend server is none")
     PEER_UNREAD = (409, "another host's copy of the store was not read")
     UNANSWERED = (411, "questions of other hosts left out, as too old")
+    SERVER_ENDED = (412, "backend server ended while a request was there")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
     WATCHING = (502, "host watches the store for its region")
--- a/src/hyssopspring/core/hashing.py
+++ b/src/hyssopspring/core/hashing.py
@@ -1,5 +1,7 @@
 """Hashes that are the same on every host."""
 
+import hashlib
+
 import xxhash
 
 SEED_BITS = 0xFFFFFFFFFFFFFFFF
@@ -18,3 +20,16 @@
 def hash_bytes(data):
     """Return a 64-bit hash of *data*."""
     return xxhash.xxh3_64_intdigest(data)
+
+
+def digest_of(parts):
+    """Return 32 hexadecimal digits that stand for a series of bytes.
+
+    Unlike the other hashes it cannot be met on purpose: whoever found
+    another request with the same digest could have it refused.
+    """
+    digest = hashlib.blake2b(digest_size=16)
+    for part in parts:
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -161,6 +161,8 @@
         self.finding = Finding.CANCELLED
         self.events = 0
         self.first_seen = False
+        self.sent_at = 0.0
+        self.ended_at = 0.0
         self.abandon_reason = NOTHING
         self.was_silent = False
         self.cause = ""
@@ -172,6 +174,18 @@
         self.work.addErrback(self.failed)
         return self.work
 
+    @property
+    def broke_off(self):
+        """Whether the other side ended it before it was answered whole."""
+        if not self.sent or self.abandon_reason is not NOTHING:
+            return False
+        return bool(self.cause)
+
+    @property
+    def ran_for(self):
+        """Seconds from when it was sent to when it broke off."""
+        return self.ended_at - self.sent_at
+
     def abandon(self, reason, *, silent=False):
         """Give the attempt up and close its connection.
 
@@ -212,6 +226,7 @@
             persistent=True,
         )
         self.sent = True
+        self.sent_at = self.clock.seconds()
         return self.connection.request(request)
 
     def check_echo(self, head):
@@ -299,6 +314,7 @@
     def failed(self, failure):
         """Return the outcome that a failure allows to claim."""
         self.cause = repr(failure.value)
+        self.ended_at = self.clock.seconds()
         if self.connection is not NOTHING:
             self.connection.transport.abortConnection()
         if self.abandon_reason is not NOTHING:
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -3,7 +3,7 @@
 import socket
 from dataclasses import dataclass
 
-from twisted.internet import defer, protocol
+from twisted.internet import defer, error, protocol
 from twisted.web._newclient import HTTP11ClientProtocol
 
 from ..core.addresses import split_address
@@ -214,6 +214,22 @@
         )
         return made
 
+    def is_refused(self, lane):
+        """Return a deferred that says whether nobody listens at *lane*.
+
+        A connection that can be opened is kept like any other.
+        """
+        made = self.connect(lane)
+
+        def opened(connection):
+            self.keep(lane, connection)
+            return False
+
+        def failed(failure):
+            return bool(failure.check(error.ConnectionRefusedError))
+
+        return made.addCallbacks(opened, failed)
+
     def keep(self, lane, connection):
         """Keep a connection whose answer has come whole."""
         limit = lane.kept_for
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -260,6 +260,7 @@
         )
         outcome = await self.carry(placed.predicted)
         self.state.asking.note_end(number, self.attempt.finding)
+        await self.state.endings.examine(self.attempt, self.request.peer_ip)
         if not isinstance(outcome, Answered) or outcome.status >= 500:
             self.excluded.append(placed.server_id)
         if self.attempt.finding is Finding.UNREACHED:
@@ -346,6 +347,7 @@
             list(self.excluded),
             self.last_event.decode("latin-1"),
             self.sink.started,
+            self.request.peer_ip,
         )
 
     def sending(self, headers, *, kept=False):
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -28,6 +28,7 @@
 from .callers import FINISH_MARGIN, SERVE_ON, CallerApi
 from .connections import Connections
 from .datagrams import LONGEST, Datagrams
+from .endings import Endings
 from .farhosts import FarHosts
 from .following import Following
 from .lines import LineWriter
@@ -153,6 +154,9 @@
                 settings.retry_extra,
                 settings.retry_window,
             ),
+            endings=Endings(
+                connections, self.registry, self.reactor, self.timeline
+            ),
             codec=headers,
         )
 
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -42,6 +42,7 @@
         excluded: Servers that it must not go to.
         last_event: Event after which a stream goes on.
         begun: Whether the caller holds a part of the answer already.
+        caller: IP address of the caller.
     """
 
     route: str
@@ -55,6 +56,7 @@
     excluded: list[str]
     last_event: str
     begun: bool
+    caller: str = ""
 
 
 _DECODER = msgspec.json.Decoder(RelayOrder)
@@ -280,6 +282,7 @@
         )
         outcome = await self.attempt.run()
         self.state.asking.note_end(number, self.attempt.finding)
+        await self.state.endings.examine(self.attempt, self.order.caller)
         return outcome
 
     def open_stream(self, answer, response):
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -24,6 +24,7 @@
         far_hosts: `FarHosts` of other regions.
         contact: `Contact` with the store.
         retries: `RetryWindow`.
+        endings: `Endings` of backend servers.
         codec: Reads and writes the headers of callers and servers.
         stopping_since: Time of the signal to stop, or `NOTHING`.
     """
@@ -40,6 +41,7 @@
     far_hosts: object
     contact: object
     retries: object
+    endings: object
     codec: object
     stopping_since: object = NOTHING
 
--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import task
 
-from .listening import listen_http
+from .listening import cut_connections, listen_http
 
 __all__ = ["FakeBackend"]
 
@@ -20,6 +20,9 @@
         seen: Headers of each request that arrived, by lower-case name.
         mood: How it behaves: "well", "silent", "cut", "error", "full",
             "reset" or "foreign" (the answer is to another request).
+        crashed_by: Body of a request under which the server ends as soon
+            as it begins to run it, or None.
+        crash_after: Seconds from then to its end.
         events: Events of a stream.
         cut_after: Events after which a stream is cut, in the mood "cut".
         gap: Seconds between events.
@@ -37,10 +40,14 @@
         self.events = 4
         self.cut_after = 2
         self.gap = 0.0
+        self.crashed_by = None
+        self.crash_after = 0.01
+        self.up = False
         self.port = None
 
     def start(self):
         """Listen; return ``ip:port``."""
+        self.up = True
         self.port = listen_http(self.reactor, self.address, self.serve)
         return f"{self.address}:{self.port.getHost().port}"
 
@@ -62,8 +69,23 @@
         request.notifyFinish().addErrback(
             lambda _: self.stopped.append(identifier.decode())
         )
+        if self.crashed_by is not None and self.is_crashed_by(request):
+            self.reactor.callLater(self.crash_after, self.crash)
+            return
         self.run(request, headers, identifier)
 
+    def is_crashed_by(self, request):
+        """Whether the server ends when it begins to run *request*."""
+        request.content.seek(0)
+        return request.content.read() == self.crashed_by
+
+    def crash(self):
+        """End without a word: nobody listens any more, all is reset."""
+        if self.up:
+            self.up = False
+            self.port.stopListening()
+            cut_connections(self.port)
+
     def run(self, request, headers, identifier):
         """Run one request."""
         if self.mood == "silent":
@@ -119,4 +141,6 @@
 
     async def stop(self):
         """Stop listening."""
-        await self.port.stopListening()
+        if self.up:
+            self.up = False
+            await self.port.stopListening()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,7 +5,10 @@
 import msgspec
 import pytest
 import pytest_twisted
+from entry_hosts import Hosts, free_port
 from hypothesis import settings
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
 from twisted.internet import reactor
 from twisted.web.client import FileBodyProducer
 from twisted.web.http_headers import Headers
@@ -77,3 +80,18 @@
 def caller(fleet):
     """Return a caller of the fleet."""
     return Caller(fleet)
+
+
+@pytest_twisted.async_yield_fixture
+async def hosts():
+    """Yield two regions that serve, and check that nothing unexpected came.
+
+    An error that is only logged would hide behind the ways round a failed
+    host.
+    """
+    made = Hosts(free_port())
+    await made.start()
+    yield made
+    await made.stop()
+    errors = [line for line in made.lines if '"unexpected"' in line]
+    assert_that(errors, Equals([]))
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -1,6 +1,8 @@
 """Entry hosts, servers and a store on loopback, for tests."""
 
+import os
 import random
+import socket
 import time
 from io import BytesIO
 
@@ -25,6 +27,36 @@
 LONGEST_WAIT = 8.0
 
 
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+"""Ports below those from which the system takes the ports of connections;
+a listener among them would meet a connection now and then."""
+
+PORTS_A_HOST = 5
+ADDRESSES = [f"127.0.0.{20 + number}" for number in range(7)]
+
+
+def is_free(port):
+    """Whether *port* can be listened at on all addresses of the hosts."""
+    for address in ADDRESSES:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((address, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_port():
+    """Return the first of the ports of a host, all of them free."""
+    start = FIRST_PORT + os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
+    for port in range(start, LAST_PORT + FIRST_PORT, PORTS_A_HOST):
+        ports = range(port, port + PORTS_A_HOST)
+        if all(is_free(one) for one in ports):
+            return port
+    raise AssertionError("no free ports")
+
+
 class Hosts:
     """Two regions with an entry host, an engine and a server each."""
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,13 +1,11 @@
 """Entry hosts, servers and a store on loopback: what callers see."""
 
 import json
-import os
-import socket
 from base64 import b64decode
 
 import pytest
 import pytest_twisted
-from entry_hosts import Hosts, configuration
+from entry_hosts import configuration
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, LessThan, Not
 from twisted.internet import defer, protocol, reactor, task
@@ -25,51 +23,6 @@
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
 
 
-FIRST_PORT, LAST_PORT = 20_000, 32_000
-"""Ports below those from which the system takes the ports of connections;
-a listener among them would meet a connection now and then."""
-
-PORTS_A_HOST = 5
-ADDRESSES = [f"127.0.0.{20 + number}" for number in range(7)]
-
-
-def is_free(port):
-    """Whether *port* can be listened at on all addresses of the hosts."""
-    for address in ADDRESSES:
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((address, port))
-            except OSError:
-                return False
-    return True
-
-
-def free_port():
-    """Return the first of the ports of a host, all of them free."""
-    start = FIRST_PORT + os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
-    for port in range(start, LAST_PORT + FIRST_PORT, PORTS_A_HOST):
-        ports = range(port, port + PORTS_A_HOST)
-        if all(is_free(one) for one in ports):
-            return port
-    raise AssertionError("no free ports")
-
-
-@pytest_twisted.async_yield_fixture
-async def hosts():
-    """Yield two regions that serve, and check that nothing unexpected came.
-
-    An error that is only logged would hide behind the ways round a failed
-    host.
-    """
-    made = Hosts(free_port())
-    await made.start()
-    yield made
-    await made.stop()
-    errors = [line for line in made.lines if '"unexpected"' in line]
-    assert_that(errors, Equals([]))
-
-
 @pytest_twisted.ensureDeferred
 async def test_a_request_is_served_whole(hosts):
     """The server's status, body and stamp arrive unchanged."""
