--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -48,6 +48,8 @@
     PEER_UNREAD = (409, "another host's copy of the store was not read")
     UNANSWERED = (411, "questions of other hosts left out, as too old")
     SERVER_ENDED = (412, "backend server ended while a request was there")
+    REQUEST_BLOCKED = (413, "request that ends servers is sent to none")
+    CRASH_UNSAVED = (414, "ends under a request not written to the store yet")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
     WATCHING = (502, "host watches the store for its region")
--- a/src/hyssopspring/core/outcomes.py
+++ b/src/hyssopspring/core/outcomes.py
@@ -35,6 +35,8 @@
     BAD_ANSWER = "bad_answer"
     TRUNCATED = "truncated_answer"
     SERVER_ERROR = "server_error"
+    CRASHES_SERVERS = "crashes_servers"
+    SUSPECTED = "suspected_of_crashes"
     CALLER_GONE = "caller_gone"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CLAIM_IN_PROGRESS = "key_in_progress"
--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -365,6 +365,7 @@
         list(ask.avoided),
         ask.may_leave,
         ask.begun,
+        ask.apart,
     )
 
 
@@ -388,6 +389,7 @@
         avoided=tuple(message.avoided),
         may_leave=message.may_leave,
         begun=message.begun,
+        apart=message.apart,
     )
 
 
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -161,6 +161,7 @@
         self.finding = Finding.CANCELLED
         self.events = 0
         self.first_seen = False
+        self.first_at = NOTHING
         self.sent_at = 0.0
         self.ended_at = 0.0
         self.abandon_reason = NOTHING
@@ -186,6 +187,13 @@
         """Seconds from when it was sent to when it broke off."""
         return self.ended_at - self.sent_at
 
+    @property
+    def begun_for(self):
+        """Seconds from the first of its answer to its end, or `NOTHING`."""
+        if self.first_at is NOTHING:
+            return NOTHING
+        return self.ended_at - self.first_at
+
     def abandon(self, reason, *, silent=False):
         """Give the attempt up and close its connection.
 
@@ -246,6 +254,7 @@
         """Tell once that the answer has begun."""
         if not self.first_seen:
             self.first_seen = True
+            self.first_at = self.clock.seconds()
             self.started()
 
     async def take_whole(self, response, head):
--- /dev/null
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -0,0 +1,221 @@
+"""Tell hosts under which requests servers have ended."""
+
+from ..core.events import EventKind
+from ..core.sentinels import NOTHING
+from ..traffic.crashes import End, Suspect
+from .messages import EndRow, SuspectRow, Suspects
+
+__all__ = ["CrashSharing", "row_of", "suspect_of"]
+
+SUMMING_HOSTS = 3
+"""Hosts of a region that hear of each first end: those that place, and that
+others report to. All others hear of a request from its second end on."""
+
+ROWS_AT_ONCE = 100
+"""Requests in one datagram, at most 30 KB of them."""
+
+EXPIRE_EVERY = 5.0
+"""Seconds between looks for what is too old; to look takes 2 ms at most."""
+
+TELL_AGAIN = 1.0
+"""Seconds before a host is told all again that still knows something else:
+the word on its way needs less."""
+
+
+class CrashSharing:
+    """Keep what hosts know of such requests the same.
+
+    News is sent on at once, over the hosts that place to other regions, so
+    that a region cut off from one hears it by way of a third. Heartbeats
+    bear a digest of what a host knows; a host that was cut off, or has just
+    started, is told all by the first that hears another digest from it.
+
+    Args:
+        crashes: The `Crashes`.
+        members: The `Members`.
+        datagrams: The `Datagrams`.
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+        far_contacts: Called for the hosts of other regions to tell, none if
+            this host does not place.
+        save: Called with a `Suspect` of which the store is to know.
+    """
+
+    def __init__(
+        self, crashes, members, datagrams, clock, timeline, far_contacts, save
+    ):
+        self.crashes = crashes
+        self.members = members
+        self.datagrams = datagrams
+        self.clock = clock
+        self.timeline = timeline
+        self.far_contacts = far_contacts
+        self.save = save
+        self.told = {}
+        self.expire_due = 0.0
+
+    def server_ended(self, fingerprint, server, peer_ip=""):
+        """Note that a server ended here as a request began on it.
+
+        Args:
+            fingerprint: The request.
+            server: The start of a server.
+            peer_ip: Address of the host that had sent the request on, or
+                an empty string. It decides on the next try, at once.
+        """
+        now = self.clock.seconds()
+        end = End(server, now, self.members.own.name)
+        if not self.crashes.note_end(fingerprint, end, now):
+            return
+        suspect = self.crashes.suspects[fingerprint]
+        self.tell([suspect], now)
+        if peer_ip:
+            self.tell_ip([suspect], peer_ip, now)
+        if suspect.matters_to_all:
+            self.save(suspect)
+
+    def ran_well(self, fingerprint):
+        """Note that a request has run well on a server."""
+        now = self.clock.seconds()
+        if self.crashes.note_run(fingerprint, now):
+            self.tell([self.crashes.suspects[fingerprint]], now)
+
+    def verdict(self, fingerprint):
+        """Return the `Verdict` on a request."""
+        return self.crashes.verdict(fingerprint, self.clock.seconds())
+
+    def evidence(self, fingerprint):
+        """Return the ends under a request, in words for a log line."""
+        now = self.clock.seconds()
+        suspect = self.crashes.suspects.get(fingerprint)
+        ends = suspect.ends.values() if suspect is not None else ()
+        return ", ".join(
+            f"{end.server} {now - end.at:.1f} s ago by {end.host}"
+            for end in sorted(ends, key=lambda end: -end.at)
+        )
+
+    def tick(self):
+        """Forget what is old, and block what has been found."""
+        now = self.clock.seconds()
+        if now >= self.expire_due:
+            self.expire_due = now + EXPIRE_EVERY
+            self.crashes.expire(now)
+        for suspect in self.crashes.judge(now):
+            self.note_blocked(suspect)
+            self.tell([suspect], now)
+            self.save(suspect)
+
+    def note_blocked(self, suspect):
+        """Put a blocked request on the time line."""
+        self.timeline.note(
+            EventKind.REQUEST_BLOCKED,
+            fingerprint=suspect.fingerprint,
+            evidence=self.evidence(suspect.fingerprint),
+        )
+
+    def tell(self, suspects, now, *, region=True):
+        """Send news on.
+
+        Args:
+            suspects: Each `Suspect`.
+            now: The time.
+            region: Whether the hosts of this region are to hear it.
+        """
+        message = self.message(suspects, now)
+        self.datagrams.send_all(message, self.far_contacts())
+        if not region:
+            return
+        if any(one.matters_to_all for one in suspects):
+            name = self.members.own.region
+            others = self.members.others.values()
+            near = [one for one in others if one.region == name]
+        else:
+            near = [
+                one
+                for one in self.members.placers(now)[:SUMMING_HOSTS]
+                if one is not self.members.own
+            ]
+        self.datagrams.send_all(message, near)
+
+    def tell_ip(self, suspects, ip, now):
+        """Send news to the host with an address."""
+        for member in self.members.others.values():
+            if member.control.rpartition(":")[0] == ip:
+                self.datagrams.send(
+                    self.message(suspects, now), member.control
+                )
+
+    def message(self, suspects, now):
+        """Return the message on *suspects*."""
+        return Suspects(
+            self.members.own.name,
+            [row_of(one, now) for one in suspects[:ROWS_AT_ONCE]],
+        )
+
+    def take(self, message):
+        """Take over what another host tells, and send on what is news."""
+        now = self.clock.seconds()
+        news = []
+        for row in message.rows:
+            told = suspect_of(row, now)
+            if self.crashes.merge(told, now):
+                news.append(self.crashes.suspects[told.fingerprint])
+        if not news:
+            return
+        for suspect in news:
+            if suspect.blocked:
+                self.note_blocked(suspect)
+        sender = self.members.others.get(message.host)
+        near = sender is not None and sender.region == self.members.own.region
+        self.tell(news, now, region=not near)
+
+    def compare(self, member, digest):
+        """Tell a host all if it knows something else."""
+        now = self.clock.seconds()
+        if digest == self.crashes.digest:
+            self.told.pop(member.name, None)
+            return
+        since = self.told.get(member.name, NOTHING)
+        if since is not NOTHING and now - since < TELL_AGAIN:
+            return
+        known = self.crashes.told_to_all()
+        if known:
+            self.told[member.name] = now
+            self.datagrams.send(self.message(known, now), member.control)
+
+    def knows_any(self):
+        """Whether any request is to be looked at at all."""
+        return bool(self.crashes.suspects)
+
+
+def row_of(suspect, now):
+    """Return the `SuspectRow` of a `Suspect`, in ages."""
+    cleared = -1
+    if suspect.cleared_at is not NOTHING:
+        cleared = millis(now - suspect.cleared_at)
+    return SuspectRow(
+        suspect.fingerprint,
+        [
+            EndRow(end.server, millis(now - end.at), end.host)
+            for end in suspect.ends.values()
+        ],
+        suspect.blocked,
+        cleared,
+    )
+
+
+def suspect_of(row, now):
+    """Return the `Suspect` of a `SuspectRow`, in times of this host."""
+    ends = {
+        end.server: End(end.server, now - end.age_ms / 1000, end.host)
+        for end in row.ends
+    }
+    cleared = NOTHING
+    if row.cleared_age_ms >= 0:
+        cleared = now - row.cleared_age_ms / 1000
+    return Suspect(row.fingerprint, ends, row.blocked, cleared)
+
+
+def millis(seconds):
+    """Return whole milliseconds, none below 0."""
+    return max(0, round(seconds * 1000))
--- a/src/hyssopspring/entry/endings.py
+++ b/src/hyssopspring/entry/endings.py
@@ -2,12 +2,19 @@
 
 from ..core.events import EventKind
 from ..core.hashing import digest_of
+from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import first_value
+from ..traffic.crashes import EARLY, Verdict, is_early
+from ..traffic.evidence import Finding
 from ..traffic.servers import Usability
-from .connections import Lane
 
-__all__ = ["Endings", "fingerprint_of"]
+__all__ = [
+    "HELD_RETRY_AFTER",
+    "REFUSED_VERDICTS",
+    "Endings",
+    "fingerprint_of",
+]
 
 PROBE_KEPT = 1.0
 """Seconds for which what was found of a server holds: all that was there
@@ -15,6 +22,17 @@
 again."""
 
 
+HELD_RETRY_AFTER = 0.5
+"""Seconds after which a request may come back of which it is not decided
+yet whether servers end under it; word of all that ended is there by then."""
+
+REFUSED_VERDICTS = {
+    Verdict.HELD: Reason.SUSPECTED,
+    Verdict.BLOCKED: Reason.CRASHES_SERVERS,
+}
+"""Verdicts under which a request goes to no server, and what is told."""
+
+
 def fingerprint_of(caller, method, headers, uri, body):
     """Return what repeats of a request have in common.
 
@@ -40,9 +58,11 @@
         registry: The `Registry`.
         clock: The runtime's clock.
         timeline: The `Timeline`.
+        sharing: The `CrashSharing`.
     """
 
-    def __init__(self, connections, registry, clock, timeline):
+    def __init__(self, connections, registry, clock, timeline, sharing):
+        self.sharing = sharing
         self.connections = connections
         self.registry = registry
         self.clock = clock
@@ -68,29 +88,30 @@
         self.clock.callLater(PROBE_KEPT, self.found.pop, lane.key, None)
         return refused
 
-    async def examine(self, attempt, caller):
-        """Note on the time line that a server ended with a request.
+    async def examine(self, attempt, caller, predicted, *, sent_by=""):
+        """Note whether a server ended under a request, or ran it well.
 
         Args:
             attempt: The `Attempt` that has ended.
             caller: IP address of the caller.
-
-        Returns:
-            The fingerprint of the request, or `NOTHING` if its server has
-            not ended under it.
+            predicted: Seconds in which it was to begin.
+            sent_by: IP address of the host that had sent the request on,
+                or an empty string.
         """
-        if not attempt.broke_off:
-            return NOTHING
-        lane = Lane(attempt.lane.key, attempt.lane.address)
-        if not await self.has_ended(lane):
-            return NOTHING
+        if attempt.broke_off and await self.has_ended(attempt.lane):
+            self.note_ended(attempt, caller, predicted, sent_by)
+        elif self.sharing.knows_any() and ran_well(attempt):
+            self.sharing.ran_well(fingerprint_at(attempt, caller))
+
+    def note_ended(self, attempt, caller, predicted, sent_by):
+        """Note that a server ended under a request."""
         sending = attempt.sending
-        fingerprint = fingerprint_of(
-            caller,
-            sending.method,
-            sending.headers,
-            sending.uri,
-            sending.body,
+        lane = attempt.lane
+        fingerprint = fingerprint_at(attempt, caller)
+        early = is_early(
+            ran_for=attempt.ran_for,
+            predicted=predicted,
+            begun_for=attempt.begun_for,
         )
         self.timeline.note(
             EventKind.SERVER_ENDED,
@@ -102,5 +123,33 @@
             body=digest_of((sending.body,))[:8],
             ran_ms=int(attempt.ran_for * 1000),
             events=attempt.events,
+            early=early,
         )
-        return fingerprint
+        if early:
+            self.sharing.server_ended(
+                fingerprint, self.start_of(lane.key), sent_by
+            )
+        else:
+            self.sharing.ran_well(fingerprint)
+
+    def start_of(self, server_id):
+        """Return the name of this start of a server."""
+        server = self.registry.servers.get(server_id)
+        if server is None or not server.entry.born:
+            return server_id
+        return f"{server_id}/{server.entry.born}"
+
+
+def fingerprint_at(attempt, caller):
+    """Return the fingerprint of the request of an `Attempt`."""
+    sending = attempt.sending
+    return fingerprint_of(
+        caller, sending.method, sending.headers, sending.uri, sending.body
+    )
+
+
+def ran_well(attempt):
+    """Whether an attempt shows that its server could run the request."""
+    if attempt.finding is Finding.ANSWERED:
+        return True
+    return attempt.begun_for is not NOTHING and attempt.begun_for > EARLY
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -8,10 +8,12 @@
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
+from ..traffic.crashes import Verdict
 from ..traffic.decisions import Ask, Away, Placed
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Sending, silence_limit
 from .connections import Lane
+from .endings import HELD_RETRY_AFTER, REFUSED_VERDICTS, fingerprint_of
 from .relaying import (
     ORDER_HEADER,
     RelayOrder,
@@ -45,6 +47,9 @@
 """Seconds after which to come back when no server could be reached; a
 registry or a connection is current again by then."""
 
+FINAL_REASONS = (Reason.DEADLINE, Reason.CALLER_GONE)
+"""Reasons after which no other attempt is of use."""
+
 EVENT_ID = b"id:"
 
 
@@ -91,6 +96,7 @@
         self.moving = False
         self.placement = NOTHING
         self.kept = NOTHING
+        self.known_fingerprint = ""
         self.last_event = facts.last_event
         self.last_event_at = NOTHING
         self.first_at = NOTHING
@@ -153,10 +159,17 @@
     async def next_try(self):
         """Place the request, make an attempt, return its outcome."""
         self.tries += 1
+        refusal = self.refused_for_crashes()
+        if refusal is not NOTHING:
+            return refusal
         number, decision = await self.placed()
         if self.sink.gone or self.time_left < LEAST_TIME:
             self.state.asking.note_end(number, Finding.CANCELLED)
             return NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER)
+        refusal = self.refused_for_crashes()
+        if refusal is not NOTHING:
+            self.state.asking.note_end(number, Finding.CANCELLED)
+            return refusal
         if isinstance(decision, Placed):
             return await self.try_server(number, decision)
         if isinstance(decision, Away):
@@ -165,6 +178,46 @@
         self.note_refusal(decision)
         return NotRun(Reason.OVERLOADED, decision.retry_after)
 
+    @property
+    def fingerprint(self):
+        """What the caller's repeats of this request have in common."""
+        if not self.known_fingerprint:
+            sending = self.sending(self.request.requestHeaders)
+            self.known_fingerprint = fingerprint_of(
+                self.request.peer_ip,
+                sending.method,
+                sending.headers,
+                sending.uri,
+                sending.body,
+            )
+        return self.known_fingerprint
+
+    def verdict(self):
+        """Return the `Verdict` on this request."""
+        if not self.state.sharing.knows_any():
+            return Verdict.FREE
+        return self.state.sharing.verdict(self.fingerprint)
+
+    def refused_for_crashes(self):
+        """Return a `NotRun` if servers end under this request, or `NOTHING`.
+
+        It would end one more, and all that runs there.
+        """
+        verdict = self.verdict()
+        if verdict not in REFUSED_VERDICTS:
+            return NOTHING
+        reason = REFUSED_VERDICTS[verdict]
+        self.refused = True
+        self.state.timeline.note(
+            EventKind.NOT_RUN,
+            request=self.id,
+            reason=reason,
+            route=self.route.name,
+            fingerprint=self.fingerprint,
+            evidence=self.state.sharing.evidence(self.fingerprint),
+        )
+        return NotRun(reason, HELD_RETRY_AFTER)
+
     async def placed(self):
         """Return the number and the decision for the next attempt."""
         if self.placement is NOTHING:
@@ -201,8 +254,13 @@
             avoided=tuple(self.avoided),
             may_leave=self.may_leave,
             begun=self.sink.started,
+            apart=self.apart(),
         )
 
+    def apart(self):
+        """Return the fingerprint if the request must run apart, or ""."""
+        return self.fingerprint if self.verdict() is Verdict.ALONE else ""
+
     def patience(self, waited):
         """Return the seconds in which the next event is of use.
 
@@ -260,7 +318,9 @@
         )
         outcome = await self.carry(placed.predicted)
         self.state.asking.note_end(number, self.attempt.finding)
-        await self.state.endings.examine(self.attempt, self.request.peer_ip)
+        await self.state.endings.examine(
+            self.attempt, self.request.peer_ip, placed.predicted
+        )
         if not isinstance(outcome, Answered) or outcome.status >= 500:
             self.excluded.append(placed.server_id)
         if self.attempt.finding is Finding.UNREACHED:
@@ -413,6 +473,8 @@
             return False
         if self.time_left < LEAST_TIME * 2:
             return False
+        if not self.sink.gone and self.verdict() in REFUSED_VERDICTS:
+            return False
         if self.arrivals == 0 or self.retry_paid:
             self.retry_paid = False
             return True
@@ -425,9 +487,11 @@
                 return True
             self.kept = self.attempt.answer
             return False
+        if outcome.reason in REFUSED_VERDICTS.values():
+            return True
         if isinstance(outcome, NotRun):
             return self.refused
-        if outcome.reason in (Reason.DEADLINE, Reason.CALLER_GONE):
+        if outcome.reason in FINAL_REASONS:
             return True
         return not self.may_run_again()
 
@@ -452,6 +516,9 @@
             return
         if self.attempt is NOTHING or self.attempt.abandon_reason:
             return
+        if not self.sink.gone and self.verdict() is Verdict.BLOCKED:
+            self.attempt.abandon(Reason.CRASHES_SERVERS)
+            return
         if not self.route.repeatable or self.retry_paid:
             return
         with_this = self.runs + 1
@@ -556,6 +623,9 @@
         """Tell the caller that there is no answer, at once."""
         if isinstance(outcome, NotRun) and self.runs == 0:
             headers = [(b"retry-after", b"%.3f" % outcome.retry_after)]
+            if outcome.reason is Reason.CRASHES_SERVERS:
+                # To come back within minutes would be in vain.
+                headers = []
             respond_refusal(self.request, 503, str(outcome.reason), headers)
         else:
             status = 504 if outcome.reason is Reason.DEADLINE else 502
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -8,7 +8,13 @@
 from ..stores.keyvalues import Applied
 from ..traffic.members import SETTLED
 from .copies import Copies
-from .hostentries import MEMBERS_PREFIX, decode_host, encode_host
+from .crashstore import CRASHES_PREFIX
+from .hostentries import (
+    MEMBERS_PREFIX,
+    OWN_PREFIX,
+    decode_host,
+    encode_host,
+)
 from .mirrors import Follower, Mirror
 
 __all__ = ["Following"]
@@ -49,14 +55,26 @@
         applied: Called when the configuration has changed.
         found_hosts: Called when the hosts in the store were read.
         spread: Called with a `StoreChange` for the hosts of the region.
+        found_crash: Called with the `Entry` of a request under which
+            servers ended.
     """
 
-    def __init__(self, state, store, layout, applied, found_hosts, spread):
+    def __init__(
+        self,
+        state,
+        store,
+        layout,
+        applied,
+        found_hosts,
+        spread,
+        found_crash,
+    ):
         self.state = state
         self.store = store
         self.layout = layout
         self.applied = applied
         self.found_hosts = found_hosts
+        self.found_crash = found_crash
         self.evacuated = set()
         self.lease = NOTHING
         self.renew_due = 0.0
@@ -268,17 +286,32 @@
     def host_removed(self, key, outage):
         """Do nothing: heartbeats tell which hosts live."""
 
-    async def read_hosts(self):
-        """Read the hosts that are in the store."""
+    async def read_own(self):
+        """Read what hosts have written to the store, in one call."""
         try:
-            listing = await self.store.list(MEMBERS_PREFIX)
+            listing = await self.store.list(OWN_PREFIX)
         except KeyValueError as problem:
             self.state.contact.failed(problem)
             return
         self.state.contact.heard()
-        self.hosts.replace(listing.entries, listing.revision)
+        hosts = [
+            entry
+            for entry in listing.entries
+            if entry.key.startswith(MEMBERS_PREFIX)
+        ]
+        self.hosts.replace(hosts, listing.revision)
+        for entry in listing.entries:
+            if entry.key.startswith(CRASHES_PREFIX):
+                self.crash_wrote(entry)
         self.found_hosts()
 
+    def crash_wrote(self, entry):
+        """Take over a request under which servers ended."""
+        try:
+            self.found_crash(entry)
+        except ProtocolError as problem:
+            self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
+
     def tick(self):
         """Do the periodic work."""
         now = self.state.clock.seconds()
@@ -323,7 +356,7 @@
         result = await self.store.put(key, encode_host(own), lease)
         if isinstance(result, Applied):
             self.lease = lease
-            await self.read_hosts()
+            await self.read_own()
 
     async def leave(self):
         """Remove this host's entry from the store."""
--- a/src/hyssopspring/entry/hostentries.py
+++ b/src/hyssopspring/entry/hostentries.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "MEMBERS_PREFIX",
+    "OWN_PREFIX",
     "HostEntry",
     "decode_host",
     "encode_host",
@@ -14,6 +15,7 @@
     "member_of",
 ]
 
+OWN_PREFIX = "hyssop/"
 MEMBERS_PREFIX = "hyssop/hosts/"
 
 
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -19,6 +19,7 @@
     StartMessage,
     StoreChange,
     Summary,
+    Suspects,
     ToldRoom,
 )
 from .rosters import Rosters
@@ -79,6 +80,7 @@
         changed: Called with a `Member` that has newer state than this
             host.
         store_changed: Called with a `StoreChange` of another host.
+        sharing: The `CrashSharing`.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         timeline,
         changed,
         store_changed,
+        sharing,
     ):
         self.members = members
         self.asking = asking
@@ -99,6 +102,7 @@
         self.clock = clock
         self.timeline = timeline
         self.changed = changed
+        self.sharing = sharing
         self.beats = 0
         self.far_contacts = []
         self.was_live = set()
@@ -115,6 +119,7 @@
             EndMessage: self.take_end,
             Summary: self.take_summary,
             StoreChange: store_changed,
+            Suspects: sharing.take,
         }
 
     def receive(self, message, ip):
@@ -263,6 +268,7 @@
             own.revisions,
             report,
             tickets,
+            self.sharing.crashes.digest,
         )
 
     def notice_gone(self, now):
@@ -276,6 +282,12 @@
         self.was_live = live
         self.members.forget_silent(now, FORGET_AFTER)
 
+    def far_hosts_to_tell(self):
+        """Return the hosts of other regions to tell news, if this places."""
+        if not self.places(self.clock.seconds()):
+            return []
+        return self.far_contacts
+
     def spread(self, message):
         """Send *message* to all other hosts of the region."""
         region = self.members.own.region
@@ -327,6 +339,7 @@
         own = self.members.own
         if member.is_ahead(own.version, own.revisions):
             self.changed(member)
+        self.sharing.compare(member, message.crashes)
         if message.tickets is not None:
             self.take_tickets(message, now)
 
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "AskMessage",
     "EndMessage",
+    "EndRow",
     "GrantMessage",
     "Heartbeat",
     "Records",
@@ -25,6 +26,8 @@
     "StoreChange",
     "StoredItem",
     "Summary",
+    "SuspectRow",
+    "Suspects",
     "ToldRoom",
     "decode_message",
     "encode_message",
@@ -50,6 +53,8 @@
         avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
         begun: Whether its caller holds a part of the answer already.
+        apart: Fingerprint of a request that must run apart from others
+            like it, or an empty string.
     """
 
     host: str
@@ -67,6 +72,7 @@
     avoided: list[str]
     may_leave: bool
     begun: bool
+    apart: str = ""
 
 
 class GrantMessage(msgspec.Struct, array_like=True, tag="g", frozen=True):
@@ -182,6 +188,8 @@
             wrote and of the servers.
         report: `Report`: what it wants from who gets this.
         tickets: Its requests in progress, or None if they are not told.
+        crashes: Digest of what it knows of requests under which servers
+            ended.
     """
 
     host: str
@@ -199,6 +207,7 @@
     revisions: tuple[int, int]
     report: Report
     tickets: list[OpenTicket] | None = None
+    crashes: int = 0
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
@@ -336,6 +345,48 @@
     outage: bool
 
 
+class EndRow(msgspec.Struct, array_like=True, frozen=True):
+    """A server that ended as a request began on it.
+
+    Attributes:
+        server: The start of a server.
+        age_ms: Milliseconds since its end.
+        host: Host that saw it.
+    """
+
+    server: str
+    age_ms: int
+    host: str
+
+
+class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
+    """A request under which servers ended.
+
+    Attributes:
+        fingerprint: What its repeats have in common.
+        ends: `EndRow` of each server.
+        blocked: Whether it is held to be the cause.
+        cleared_age_ms: Milliseconds since it ran well, or -1.
+    """
+
+    fingerprint: str
+    ends: list[EndRow]
+    blocked: bool = False
+    cleared_age_ms: int = -1
+
+
+class Suspects(msgspec.Struct, array_like=True, tag="x", frozen=True):
+    """Tell of requests under which servers ended.
+
+    Attributes:
+        host: Name of the sender.
+        rows: `SuspectRow` of each request.
+    """
+
+    host: str
+    rows: list[SuspectRow]
+
+
 Message = (
     AskMessage
     | GrantMessage
@@ -348,6 +399,7 @@
     | Records
     | Summary
     | StoreChange
+    | Suspects
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -18,6 +18,7 @@
 from ..platform.pages import DirectoryPages
 from ..platform.settings import PATH_VARIABLE, read_settings
 from ..platform.store import PlatformStore
+from ..traffic.crashes import Crashes
 from ..traffic.mechanisms import parse_off
 from ..traffic.members import Member, Members
 from ..traffic.placing import Placer
@@ -27,6 +28,8 @@
 from .asking import Asking
 from .callers import FINISH_MARGIN, SERVE_ON, CallerApi
 from .connections import Connections
+from .crashsharing import CrashSharing
+from .crashstore import CrashStore
 from .datagrams import LONGEST, Datagrams
 from .endings import Endings
 from .farhosts import FarHosts
@@ -88,6 +91,7 @@
         self.settings = settings
         self.reactor = reactor
         self.rng = rng
+        self.wall = wall
         self.began = reactor.seconds()
         self.lines = LineWriter(reactor, write)
         self.measures = Measures(self.gauges)
@@ -108,6 +112,7 @@
         settings = self.settings
         self.keeper = ConfigurationKeeper()
         self.registry = Registry(settings.regions)
+        self.crashes = Crashes()
         self.members = Members(own_member(settings, int(wall() * 1000)))
         self.placer = Placer(
             settings.region,
@@ -135,6 +140,15 @@
             self.guarded,
         )
         connections = Connections(self.reactor, settings.address)
+        sharing = CrashSharing(
+            self.crashes,
+            self.members,
+            self.datagrams,
+            self.reactor,
+            self.timeline,
+            lambda: self.membership.far_hosts_to_tell(),
+            lambda suspect: self.crash_store.save(suspect),
+        )
         self.state = EntryState(
             settings=settings,
             clock=self.reactor,
@@ -155,8 +169,13 @@
                 settings.retry_window,
             ),
             endings=Endings(
-                connections, self.registry, self.reactor, self.timeline
+                connections,
+                self.registry,
+                self.reactor,
+                self.timeline,
+                sharing,
             ),
+            sharing=sharing,
             codec=headers,
         )
 
@@ -172,6 +191,15 @@
             applied=self.configured,
             found_hosts=lambda: self.membership.beat(),
             spread=lambda message: self.membership.spread(message),
+            found_crash=lambda entry: self.crash_store.load(entry),
+        )
+        self.crash_store = CrashStore(
+            store,
+            self.crashes,
+            self.reactor,
+            self.wall,
+            self.timeline,
+            self.following.spawn,
         )
         self.membership = Membership(
             self.members,
@@ -182,6 +210,7 @@
             self.timeline,
             self.following.copies.neighbour_is_newer,
             self.following.copies.take_change,
+            self.state.sharing,
         )
         self.callers = CallerApi(self.state)
         self.relay = RelayApi(self.state, self.following.copies.snapshot)
@@ -280,6 +309,8 @@
         """Do the work of a heartbeat interval."""
         self.members.own.up_seconds = self.reactor.seconds() - self.began
         self.following.tick()
+        self.state.sharing.tick()
+        self.crash_store.tick()
         self.membership.beat()
 
     def gauges(self):
@@ -289,6 +320,7 @@
             "requests_in_progress": len(self.callers.exchanges),
             "relayed_in_progress": len(self.relay.relayed),
             "questions_left_out_total": self.asking.left_out,
+            "requests_suspected": len(self.crashes.suspects),
             "requests_placed": len(self.placer.tickets),
             "hosts_live": len(self.members.live(now)),
             "servers_known": len(self.registry.servers),
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -10,10 +10,12 @@
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink, first_value
+from ..traffic.crashes import Verdict
 from ..traffic.decisions import Ask, Placed
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Head, Sending, silence_limit
 from .connections import Lane
+from .endings import HELD_RETRY_AFTER, REFUSED_VERDICTS, fingerprint_of
 from .web import respond_refusal
 
 __all__ = ["ORDER_HEADER", "RelayApi", "RelayOrder", "encode_order"]
@@ -218,6 +220,8 @@
         if not self.api.allowed(self.order):
             self.refuse(NotRun(Reason.RESIDENCY, 1.0))
             return
+        if self.refuse_for_crashes():
+            return
         number, decision = await self.state.asking.place(self.ask(facts))
         if not isinstance(decision, Placed):
             outcome = NotRun(Reason.OVERLOADED, decision.retry_after)
@@ -233,12 +237,42 @@
             peer=self.request.peer_ip,
             placed_by=self.state.asking.placer_of(number),
         )
-        if self.sink.gone:
+        if self.sink.gone or self.refuse_for_crashes():
             self.state.asking.note_end(number, Finding.CANCELLED)
             return
         outcome = await self.carry(number, decision, facts)
         self.conclude(outcome)
 
+    def verdict(self):
+        """Return the `Verdict` on this request."""
+        if not self.order.caller or not self.state.sharing.knows_any():
+            return Verdict.FREE
+        return self.state.sharing.verdict(self.fingerprint())
+
+    def fingerprint(self):
+        """Return what the caller's repeats have in common."""
+        self.request.content.seek(0)
+        return fingerprint_of(
+            self.order.caller,
+            self.request.method,
+            self.request.requestHeaders,
+            self.request.uri,
+            self.request.content.read(),
+        )
+
+    def refuse_for_crashes(self):
+        """Refuse a request under which servers end; return whether.
+
+        Checked here as well: its sender may not have heard of it yet.
+        """
+        verdict = self.verdict()
+        if verdict not in REFUSED_VERDICTS:
+            return False
+        reason = REFUSED_VERDICTS[verdict]
+        evidence = self.state.sharing.evidence(self.fingerprint())
+        self.refuse(NotRun(reason, HELD_RETRY_AFTER), evidence=evidence)
+        return True
+
     def ask(self, facts):
         """Return the `Ask`; it stays in this region."""
         return Ask(
@@ -252,8 +286,13 @@
             excluded=tuple(self.order.excluded),
             may_leave=False,
             begun=self.order.begun,
+            apart=self.apart(),
         )
 
+    def apart(self):
+        """Return the fingerprint if the request must run apart, or ""."""
+        return self.fingerprint() if self.verdict() is Verdict.ALONE else ""
+
     async def carry(self, number, placed, facts):
         """Make the attempt and return its outcome."""
         self.server_id = placed.server_id
@@ -282,7 +321,12 @@
         )
         outcome = await self.attempt.run()
         self.state.asking.note_end(number, self.attempt.finding)
-        await self.state.endings.examine(self.attempt, self.order.caller)
+        await self.state.endings.examine(
+            self.attempt,
+            self.order.caller,
+            placed.predicted,
+            sent_by=self.request.peer_ip,
+        )
         return outcome
 
     def open_stream(self, answer, response):
@@ -322,7 +366,7 @@
         else:
             self.refuse(outcome)
 
-    def refuse(self, outcome, predicted=0.0):
+    def refuse(self, outcome, predicted=0.0, evidence=""):
         """Tell the sender that the request was not run."""
         self.state.timeline.note(
             EventKind.FORWARD_REFUSED,
@@ -331,6 +375,7 @@
             predicted=round(predicted, 3),
             retry_after=round(outcome.retry_after, 3),
             peer=self.request.peer_ip,
+            evidence=evidence,
         )
         headers = [
             (OUTCOME, NOT_RUN),
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -25,6 +25,7 @@
         contact: `Contact` with the store.
         retries: `RetryWindow`.
         endings: `Endings` of backend servers.
+        sharing: `CrashSharing` of requests under which servers ended.
         codec: Reads and writes the headers of callers and servers.
         stopping_since: Time of the signal to stop, or `NOTHING`.
     """
@@ -42,6 +43,7 @@
     contact: object
     retries: object
     endings: object
+    sharing: object
     codec: object
     stopping_since: object = NOTHING
 
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -182,4 +182,8 @@
         text += f", predicted {record.details['predicted']} s"
     if "version" in record.details:
         text += f", at version {record.details['version']}"
+    if record.details.get("evidence"):
+        text += f", servers ended under it: {record.details['evidence']}"
+    if "retry_after" not in record.details:
+        return text
     return f"{text}, come back in {record.details['retry_after']} s"
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -24,6 +24,8 @@
         avoided: Regions that have refused it already.
         may_leave: Whether it may be sent to another region.
         begun: Whether its caller holds a part of the answer already.
+        apart: Fingerprint of a request that must run apart from others
+            like it, or an empty string.
     """
 
     host: str
@@ -38,6 +40,7 @@
     avoided: tuple = ()
     may_leave: bool = True
     begun: bool = False
+    apart: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -155,6 +155,8 @@
         """
         urgency = urgency_of(ask)
         servers = self.usable(ask, now, cold_allowed)
+        if ask.apart:
+            servers = self.apart(servers, ask.apart)
         if not cold_allowed:
             servers = self.turned(servers)
         here = self.best_of(servers, ask, urgency, now)
@@ -173,6 +175,23 @@
             return self.go_on(ask, here, away, now)
         return self.place_late(servers, ask, now)
 
+    def apart(self, views, fingerprint):
+        """Return the servers at which no other suspected request is.
+
+        Two servers have ended as this one was about to begin. Beside
+        another suspected one, the next end would not show which of them
+        was the cause; and while it is at a server itself, a second server
+        would end for nothing.
+        """
+        at = {
+            ticket.server_id: ticket.apart
+            for ticket in self.tickets.values()
+            if ticket.apart
+        }
+        if fingerprint in at.values():
+            return []
+        return [view for view in views if view.server.entry.id not in at]
+
     def margin(self, ask):
         """Return the seconds by which a prediction must be in time."""
         if Mechanism.MARGIN in self.off:
@@ -354,6 +373,7 @@
             tokens_out=ask.demand.tokens_out,
             urgency=urgency,
             predicted=offer.predicted,
+            apart=ask.apart,
         )
         self.others.note_read(entry.service, ask.demand, now)
         self.drop(ask.host, ask.number, now)
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -150,6 +150,8 @@
         reading: Seconds of reading at an ordinary pace.
         lost: Whether it must have been read although no event came.
         read_before: Seconds that its server had read when it began.
+        apart: Fingerprint of a request that runs apart from others like
+            it, or an empty string.
     """
 
     host: str
@@ -167,6 +169,7 @@
     reading: float = 0.0
     lost: bool = False
     read_before: float = 0.0
+    apart: str = ""
 
     @property
     def waiting(self):
--- /dev/null
+++ b/tests/networks.py
@@ -0,0 +1,248 @@
+"""Hosts on an emulated network, without requests.
+
+The hosts are those of a fleet of three regions with 65 hosts each; the
+ways between them are 0.2 ms and 80 ms, and three datagrams in a thousand
+are lost. Time is the test's own.
+"""
+
+import random
+from collections import Counter
+
+from twisted.internet import task
+
+from hyssopspring.core.addresses import split_address
+from hyssopspring.entry.crashsharing import CrashSharing
+from hyssopspring.entry.datagrams import Datagrams
+from hyssopspring.entry.membership import HEARTBEAT_EVERY, Membership
+from hyssopspring.traffic.crashes import Crashes
+from hyssopspring.traffic.members import Member, Members
+
+REGIONS = ("north", "south", "west")
+NEAR_SECONDS = 0.0002
+FAR_SECONDS = 0.08
+LOSS = 0.003
+LINK_BYTES = 12_000
+"""Bytes that a host can send within one step of the clock, 20 ms, before
+its link loses the rest. A link of 20 Mbit/s carries 50,000 in that time;
+what requests need must stay free."""
+
+
+class Quiet:
+    """A placer, its questions and a time line of a host without requests."""
+
+    def __init__(self):
+        self.forgotten = []
+        self.events = Counter()
+
+    def open_tickets(self):
+        """Return no request."""
+        return []
+
+    def forget_host(self, name, now):
+        """Note a host whose work is forgotten."""
+        self.forgotten.append(name)
+
+    def sweep(self, now):
+        """Do nothing."""
+
+    def summarize(self, now):
+        """Return no load."""
+        return {}
+
+    def take_load(self, region, loads, now):
+        """Do nothing."""
+
+    def keep_only(self, host, numbers, now, *, older_than):
+        """Do nothing."""
+
+    def note(self, kind, **details):
+        """Count an event."""
+        self.events[kind] += 1
+
+
+class Host:
+    """One host on the emulated network."""
+
+    def __init__(self, network, name, region, number, incarnation):
+        self.network = network
+        self.region = region
+        self.up = True
+        self.burst_at = -1.0
+        self.burst = 0
+        self.began = network.clock.seconds()
+        ip = f"10.{REGIONS.index(region)}.{number // 200}.{number % 200}"
+        own = Member(
+            name=name,
+            region=region,
+            data_centre=f"{region}-{'ab'[number % 2]}",
+            front=f"{ip}:1",
+            control=f"{ip}:2",
+            relay=f"{ip}:3",
+            capacity=2.15 if number < 6 else 0.52,
+            incarnation=incarnation,
+            version=1,
+        )
+        self.members = Members(own)
+        self.quiet = Quiet()
+        self.datagrams = Datagrams(self.receive, self.refuse)
+        self.datagrams.transport = self
+        self.saved = []
+        self.sharing = CrashSharing(
+            Crashes(),
+            self.members,
+            self.datagrams,
+            network.clock,
+            self.quiet,
+            lambda: self.membership.far_hosts_to_tell(),
+            self.saved.append,
+        )
+        self.membership = Membership(
+            self.members,
+            self.quiet,
+            self.quiet,
+            self.datagrams,
+            network.clock,
+            self.quiet,
+            lambda member: None,
+            lambda change: None,
+            self.sharing,
+        )
+
+    def receive(self, message, ip):
+        """Take one message."""
+        self.membership.receive(message, ip)
+
+    def refuse(self, why):
+        """Fail on a datagram that is none."""
+        raise AssertionError(why)
+
+    def write(self, data, address):
+        """Send one datagram, unless the link is full."""
+        now = self.network.clock.seconds()
+        if now != self.burst_at:
+            self.burst_at, self.burst = now, 0
+        self.burst += len(data)
+        if self.burst <= LINK_BYTES:
+            self.network.carry(self, data, address)
+
+    def beat(self):
+        """Do the work of a heartbeat interval."""
+        if self.up:
+            now = self.network.clock.seconds()
+            self.members.own.up_seconds = now - self.began
+            self.sharing.tick()
+            self.membership.beat()
+
+    def live(self, region):
+        """Return the names of the live hosts of a region."""
+        now = self.network.clock.seconds()
+        found = self.members.live(now, region=region)
+        return {member.name for member in found}
+
+
+class Network:
+    """Hosts and the ways between them."""
+
+    def __init__(self, hosts_in_region):
+        self.clock = task.Clock()
+        self.rng = random.Random(1)
+        self.hosts = {}
+        self.by_ip = {}
+        self.cut = set()
+        self.cut_pairs = set()
+        for region in REGIONS:
+            for number in range(hosts_in_region):
+                self.add(f"{region}-{number}", region, number, 1)
+        self.start_reading()
+
+    def start_reading(self):
+        """Let each host read all others in the store."""
+        for host in self.hosts.values():
+            self.introduce(host, self.hosts.values())
+
+    def add(self, name, region, number, incarnation):
+        """Start a host."""
+        host = Host(self, name, region, number, incarnation)
+        self.hosts[name] = host
+        self.by_ip[split_address(host.members.own.control)[0]] = host
+        loop = task.LoopingCall(host.beat)
+        loop.clock = self.clock
+        self.clock.callLater(
+            self.rng.random() * HEARTBEAT_EVERY, loop.start, HEARTBEAT_EVERY
+        )
+        return host
+
+    def introduce(self, host, others):
+        """Let a host read the addresses of others in the store."""
+        for other in others:
+            own = other.members.own
+            host.members.learn(
+                Member(
+                    name=own.name,
+                    region=own.region,
+                    data_centre=own.data_centre,
+                    front=own.front,
+                    control=own.control,
+                    relay=own.relay,
+                    capacity=own.capacity,
+                    incarnation=own.incarnation,
+                )
+            )
+
+    def carry(self, sender, data, address):
+        """Carry a datagram to its destination, or lose it."""
+        other = self.by_ip.get(address[0])
+        if other is None or self.rng.random() < LOSS:
+            return
+        if not (sender.up and other.up) or self.cut & {sender, other}:
+            return
+        if frozenset((sender.region, other.region)) in self.cut_pairs:
+            return
+        near = sender.region == other.region
+        self.clock.callLater(
+            NEAR_SECONDS if near else FAR_SECONDS,
+            self.deliver,
+            other,
+            data,
+            split_address(sender.members.own.control),
+        )
+
+    def deliver(self, host, data, address):
+        """Hand a datagram to a host that still runs."""
+        if host.up and host not in self.cut:
+            host.datagrams.datagramReceived(data, address)
+
+    def run(self, seconds):
+        """Let time pass."""
+        self.clock.pump([0.02] * round(seconds * 50))
+
+    def names(self, region):
+        """Return the names of the hosts of a region that run."""
+        return {
+            name
+            for name, host in self.hosts.items()
+            if host.up and host.region == region
+        }
+
+    def placer_of(self, host):
+        """Return the `Host` that *host* would ask first."""
+        first = host.members.placers(self.clock.seconds())[0]
+        return self.hosts[first.name]
+
+    def agree(self, region):
+        """Whether all hosts of a region know who lives, and who places."""
+        hosts = [self.hosts[name] for name in self.names(region)]
+        placers = {self.placer_of(host) for host in hosts}
+        known = all(host.live(region) == self.names(region) for host in hosts)
+        return known and len(placers) == 1
+
+
+class StartingNetwork(Network):
+    """Hosts that read the store while the others still register there."""
+
+    def start_reading(self):
+        """Let each host read those that have registered before it."""
+        hosts = list(self.hosts.values())
+        self.rng.shuffle(hosts)
+        for number, host in enumerate(hosts):
+            self.introduce(host, hosts[:number])
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,255 @@
+"""Which requests servers end under, decided without network."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from hyssopspring.traffic.crashes import (
+    EARLY,
+    EARLY_WAIT,
+    ENDS_TO_BLOCK,
+    KEPT,
+    MOST_SUSPECTS,
+    SETTLE,
+    Crashes,
+    End,
+    Suspect,
+    Verdict,
+    is_early,
+)
+
+LATER = SETTLE + 0.1
+
+
+@pytest.fixture
+def crashes():
+    """Return what a host knows that has seen no server end."""
+    return Crashes()
+
+
+def note(crashes, fingerprint, servers, at=0.0):
+    """Note that *servers* ended as a request began on them."""
+    for server in servers:
+        crashes.note_end(fingerprint, End(server, at, "h"), at)
+
+
+def test_the_third_end_blocks_a_request(crashes):
+    """Servers end under one request for as long as its caller comes back."""
+    note(crashes, "bad", "ab")
+    assert_that(crashes.verdict("bad", LATER), Equals(Verdict.ALONE))
+    note(crashes, "bad", "c", 1.0)
+    assert_that(crashes.verdict("bad", 1.0), Equals(Verdict.HELD))
+    assert_that(crashes.verdict("bad", 1.0 + LATER), Equals(Verdict.BLOCKED))
+    assert_that(crashes.verdict("good", 1.0 + LATER), Equals(Verdict.FREE))
+
+
+def test_what_ended_beside_the_cause_is_still_served(crashes):
+    """Everybody's drafts are refused for minutes after one bad request.
+
+    Three servers end under one request, and others had been sent to the
+    same three. Nothing tells them apart yet, so none is blocked; the next
+    end, of a server at which only one of them was, shows the cause.
+    """
+    for fingerprint in ("bad", "beside", "beside too"):
+        note(crashes, fingerprint, "abc")
+    assert_that(crashes.judge(LATER), Equals([]))
+    for fingerprint in ("bad", "beside"):
+        verdict = crashes.verdict(fingerprint, LATER)
+        assert_that(verdict, Equals(Verdict.ALONE))
+    note(crashes, "bad", "d", 1.0)
+    blocked = crashes.judge(1.0 + LATER)
+    assert_that([one.fingerprint for one in blocked], Equals(["bad"]))
+    for fingerprint in ("beside", "beside too"):
+        verdict = crashes.verdict(fingerprint, 1.0 + LATER)
+        assert_that(verdict, Equals(Verdict.FREE))
+
+
+def test_two_causes_at_the_same_servers_are_both_found(crashes):
+    """One of two bad requests hides behind the other."""
+    note(crashes, "bad", "abcd")
+    note(crashes, "worse", "abc")
+    crashes.judge(LATER)
+    note(crashes, "worse", "efg", 1.0)
+    assert_that(crashes.verdict("worse", 2.0), Equals(Verdict.BLOCKED))
+    assert_that(crashes.verdict("bad", 2.0), Equals(Verdict.BLOCKED))
+
+
+def test_a_blocked_request_stays_blocked_whatever_others_meet(crashes):
+    """A bad request is sent on, as another has seen more ends by now."""
+    note(crashes, "bad", "abcd")
+    note(crashes, "unlucky", "abc")
+    crashes.judge(LATER)
+    note(crashes, "unlucky", "vwxyz", 1.0)
+    crashes.judge(1.0 + LATER)
+    assert_that(crashes.verdict("bad", 2.0), Equals(Verdict.BLOCKED))
+
+
+def test_a_request_that_was_answered_begins_anew(crashes):
+    """A request that ran well is refused, as servers ended near it."""
+    note(crashes, "good", "ab")
+    assert crashes.note_run("good", 1.0)
+    note(crashes, "good", "c", 2.0)
+    assert_that(crashes.verdict("good", 2.0 + LATER), Equals(Verdict.FREE))
+    assert not crashes.note_run("never seen", 3.0)
+
+
+def test_a_request_is_tried_again_after_a_while(crashes):
+    """A request is refused for good that newer servers run well."""
+    note(crashes, "bad", "abc")
+    crashes.judge(LATER)
+    crashes.expire(KEPT)
+    assert_that(crashes.verdict("bad", KEPT), Equals(Verdict.BLOCKED))
+    crashes.expire(KEPT + 1.0)
+    assert_that(crashes.verdict("bad", KEPT + 1.0), Equals(Verdict.FREE))
+    assert_that((crashes.digest, crashes.by_server), Equals((0, {})))
+    assert not crashes.note_end("bad", End("a", 0.0, "h"), KEPT + 1.0)
+
+
+def test_memory_is_bounded_and_keeps_what_matters(crashes):
+    """A host runs out of memory while servers end by the hundred."""
+    note(crashes, "bad", "abc")
+    crashes.judge(LATER)
+    for number in range(MOST_SUSPECTS * 2):
+        note(crashes, f"near {number}", [f"s{number // 64}"], 1.0)
+    assert_that(len(crashes.suspects), Equals(MOST_SUSPECTS))
+    assert_that(crashes.verdict("bad", 2.0), Equals(Verdict.BLOCKED))
+
+
+@pytest.mark.parametrize(
+    ("ran_for", "begun_for", "early"),
+    [
+        (0.1, None, True),
+        (0.2 + EARLY_WAIT + 0.1, None, False),
+        (3.0, 0.1, True),
+        (3.0, EARLY + 0.1, False),
+    ],
+)
+def test_what_has_run_for_a_while_is_not_the_cause(ran_for, begun_for, early):
+    """A stream is refused whose servers were stopped midway."""
+    begun = begun_for if begun_for is not None else Suspect("").cleared_at
+    found = is_early(ran_for=ran_for, predicted=0.2, begun_for=begun)
+    assert_that(found, Equals(early))
+
+
+ROWS = st.lists(
+    st.tuples(
+        st.sampled_from(["r1", "r2", "r3"]),
+        st.sampled_from("abcdef"),
+        st.sampled_from(["h1", "h2"]),
+    ),
+    max_size=20,
+)
+
+
+@given(ROWS, st.randoms(use_true_random=False))
+def test_hosts_that_hear_the_same_know_the_same(rows, rng):
+    """One host blocks a request that another lets through.
+
+    Word of an end comes doubled and in any order.
+    """
+    hosts = Crashes(), Crashes()
+    for host in hosts:
+        told = [*rows, *rows]
+        rng.shuffle(told)
+        for fingerprint, server, seen_by in told:
+            end = End(server, 0.0, seen_by)
+            host.merge(Suspect(fingerprint, {server: end}), 0.0)
+        host.judge(LATER)
+    first, second = hosts
+    assert_that(first.digest, Equals(second.digest))
+    for fingerprint in ("r1", "r2", "r3"):
+        assert_that(
+            first.verdict(fingerprint, LATER),
+            Equals(second.verdict(fingerprint, LATER)),
+        )
+
+
+class Servers:
+    """Servers that end under one request, and now and then by themselves.
+
+    Each tick some requests are at each server. All that are at one that
+    ends are suspected, as if they had just begun; what is to run alone is
+    at a server without others like it. A request that meets an end comes
+    again, with the bad one among them, so the same few meet often.
+    """
+
+    def __init__(self, seed, count):
+        self.rng = random.Random(seed)
+        self.crashes = Crashes()
+        self.count = count
+        self.starts = 0
+        self.now = 0.0
+        self.sent_after_third = 0
+        self.ends_of_bad = 0
+        self.coming = []
+        self.refused = set()
+        self.served = 0
+
+    def tick(self, number):
+        """Let one second pass."""
+        self.now += 1.0
+        self.crashes.judge(self.now)
+        new = [f"good {number}-{one}" for one in range(2 * self.count)]
+        requests = [*self.coming, *new, "bad"]
+        self.coming = []
+        at = {server: [] for server in range(self.count)}
+        for request in requests:
+            self.place(request, at)
+        for server, here in at.items():
+            self.run(server, here, self.rng.random() < 0.02)
+
+    def place(self, request, at):
+        """Send a request to a server, unless it is refused."""
+        verdict = self.crashes.verdict(request, self.now)
+        if verdict in (Verdict.BLOCKED, Verdict.HELD):
+            self.refused.add(request)
+            return
+        servers = list(at)
+        if verdict is Verdict.ALONE:
+            servers = [one for one in at if not self.has_suspect(at[one])]
+        if not servers:
+            self.coming.append(request)
+            return
+        at[self.rng.choice(servers)].append(request)
+        if request == "bad" and self.ends_of_bad >= ENDS_TO_BLOCK:
+            self.sent_after_third += 1
+
+    def has_suspect(self, here):
+        """Whether another that must run alone is among *here*."""
+        return any(
+            self.crashes.verdict(one, self.now) is Verdict.ALONE
+            for one in here
+        )
+
+    def run(self, server, here, ends):
+        """Run what is at a server; it may end."""
+        if "bad" not in here and not ends:
+            self.served += len(here)
+            for request in here:
+                self.crashes.note_run(request, self.now)
+            return
+        self.starts += 1
+        self.ends_of_bad += "bad" in here
+        for request in here:
+            end = End(f"{server}/{self.starts}", self.now, "h")
+            self.crashes.note_end(request, end, self.now)
+            if request != "bad":
+                self.coming.append(request)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_the_cause_is_found_and_nobody_else_is_refused(seed):
+    """Others are refused in place of the request that ends servers.
+
+    Six requests are at each of four servers, one of them bad; one server
+    in fifty ends by itself each second.
+    """
+    servers = Servers(seed, count=4)
+    for number in range(40):
+        servers.tick(number)
+    assert_that(servers.sent_after_third, LessThan(4))
+    assert_that(servers.refused, Equals({"bad"}))
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -1,14 +1,20 @@
 """Requests under which servers end: what callers and servers see."""
 
 import json
+from base64 import b64decode
 
 import pytest
 import pytest_twisted
 from entry_hosts import BROKEN
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Contains, Equals, LessThan
+from twisted.internet import defer
+from twisted.web.http_headers import Headers
 
 from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.crashstore import CRASHES_PREFIX
+from hyssopspring.entry.endings import fingerprint_of
+from hyssopspring.records import cause_of, read_records
 
 CRASHING = b"draft that no server survives"
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
@@ -128,8 +134,9 @@
 
     A server ends as soon as it begins to run one request. The host sends
     it to another, which ends too; its caller comes back to other hosts,
-    and each of them begins anew: nothing remembers under which request
-    servers have ended. All that runs beside it ends with them.
+    and each began anew, as identifiers differ and no host remembered under
+    which request servers had ended: 28 sends after the third end. Shown by
+    lines that name what repeats share, and by this test without a memory.
     """
     plain, engines = Crashes(hosts, "plain"), Crashes(hosts, "engine")
     again = [
@@ -165,3 +172,189 @@
     """Return the log lines of one kind of event, decoded."""
     lines = map(json.loads, hosts.lines)
     return [line for line in lines if line.get("event") == event]
+
+
+async def block(crashes, send, path, **headers):
+    """Send the request until it is refused everywhere."""
+    for number in range(12):
+        host = ("h-north", "h-south")[number % 2]
+        await crashes.settled()
+        status, _ = await send(host, path, 100 + number, CRASHING, **headers)
+        crashes.restart()
+        if status == 503:
+            return
+    raise AssertionError("never refused")
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_blocked_request_is_refused_at_once_and_for_good(hosts, send):
+    """Its caller comes back in vain, or is told that it may have run.
+
+    Nothing of this try ran, so it is told so; no time to come back is
+    named, and the line says which servers ended and which host saw it.
+    """
+    crashes = Crashes(hosts, "plain")
+    await block(crashes, send, "/post/a")
+    await hosts.until(lambda: known_as_bad(hosts))
+    sent = crashes.sent
+    for host in ("h-north", "h-south"):
+        status, headers = await send(host, "/post/a", host, CRASHING)
+        assert_that(status, Equals(503))
+        assert_that(headers.getRawHeaders(b"retry-after"), Equals(None))
+    assert_that(crashes.sent, Equals(sent))
+    await hosts.until(lambda: evidence_of(hosts, "rh-south"))
+    ended = {one.name for one in crashes.servers if not one.up}
+    assert any(name in evidence_of(hosts, "rh-south") for name in ended)
+    records = read_records(hosts.lines)
+    mine = [one for one in records if one.request == "rh-south"]
+    assert_that(cause_of(mine), Contains("servers ended under it"))
+
+
+def all_of(hosts):
+    """Return the entry processes."""
+    return hosts.processes.values()
+
+
+def known_as_bad(hosts):
+    """Whether every host has one request blocked."""
+    return all(
+        any(one.blocked for one in process.crashes.suspects.values())
+        for process in all_of(hosts)
+    )
+
+
+def evidence_of(hosts, identifier):
+    """Return the evidence on the line of a refusal, or an empty string."""
+    for line in lines_of(hosts, "not_run"):
+        if line["request"] == identifier:
+            return line["evidence"]
+    return ""
+
+
+@pytest_twisted.ensureDeferred
+async def test_others_are_served_while_a_request_is_blocked(hosts, send):
+    """Another path, or another body, is refused in its place."""
+    crashes = Crashes(hosts, "plain")
+    await block(crashes, send, "/post/a")
+    await crashes.settled()
+    for path, body in (("/post/b", b""), ("/post/a", b"another draft")):
+        for host in ("h-north", "h-south"):
+            status, _ = await send(host, path, f"{host}{path}", body)
+            assert_that(status, Equals(200))
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"caller": "10.0.0.2"},
+        {"method": b"PUT"},
+        {"headers": Headers({b"host": [b"b.example"]})},
+        {"uri": b"/post/a?x=1"},
+        {"body": b"bodY"},
+    ],
+)
+def test_another_caller_path_or_body_is_another_request(changed):
+    """One caller's request is refused, as another's ends servers."""
+    same = {
+        "caller": "10.0.0.1",
+        "method": b"POST",
+        "headers": Headers({b"Host": [b"a.example"]}),
+        "uri": b"/post/a",
+        "body": b"body",
+    }
+    again = {**same, "headers": Headers({b"host": [b"A.example"]})}
+    assert_that(fingerprint_of(**same), Equals(fingerprint_of(**again)))
+    assert fingerprint_of(**same) != fingerprint_of(**{**same, **changed})
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_another_region_ran_is_blocked(hosts, send):
+    """Servers of one region end, and the region of its callers goes on.
+
+    The route is bound to the south; callers of the north are sent there.
+    """
+    crashes = Crashes(hosts, "plain")
+    for number in range(12):
+        await crashes.settled()
+        await send("h-north", "/bound/a", number, CRASHING)
+        crashes.restart()
+    assert_that(crashes.ended, LessThan(3 + MOST_RETRIES + 1))
+    await hosts.until(lambda: known_as_bad(hosts))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_host_that_starts_alone_reads_what_is_blocked(hosts, send):
+    """All hosts end at once, and the first one back ends servers again."""
+    crashes = Crashes(hosts, "plain")
+    await block(crashes, send, "/post/a")
+    await hosts.until(lambda: stored_as_blocked(hosts.store))
+    for name in list(hosts.processes):
+        await hosts.processes.pop(name).close()
+    hosts.add_host("h-alone", "north", 2)
+    await hosts.until(hosts.processes["h-alone"].is_ready)
+    await hosts.until(lambda: hosts.processes["h-alone"].crashes.suspects)
+    sent = crashes.sent
+    status, _ = await send("h-alone", "/post/a", 1, CRASHING)
+    assert_that((status, crashes.sent), Equals((503, sent)))
+
+
+def stored_as_blocked(store):
+    """Whether the store holds a request that is blocked."""
+    return any(
+        json.loads(b64decode(item["value"]))["row"][2]
+        for key, item in store.items.items()
+        if key.startswith(CRASHES_PREFIX)
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_servers_that_only_break_off_block_nothing(hosts, send):
+    """A request is refused whose servers live on."""
+    crashes = Crashes(hosts, "plain")
+    for backend in crashes.servers:
+        backend.mood = "reset"
+    for number in range(6):
+        host = ("h-north", "h-south")[number % 2]
+        await send(host, "/post/a", number, b"a draft")
+    for process in all_of(hosts):
+        assert_that(process.crashes.suspects, Equals({}))
+
+
+@pytest_twisted.ensureDeferred
+async def test_servers_that_were_to_leave_block_nothing(hosts, send):
+    """A request is refused that was at servers when they were released.
+
+    A server says that it leaves, goes on with what it has, and ends.
+    """
+    crashes = Crashes(hosts, "plain")
+    for number in range(4):
+        await crashes.settled()
+        waiting = [one for one in crashes.servers if one.up]
+        for backend in waiting:
+            backend.crashed_by, backend.mood = b"-", "silent"
+        answer = send("h-north", "/post/a", number, b"a draft")
+        answer = defer.ensureDeferred(answer)
+        await hosts.until(lambda up=waiting: any(one.ran for one in up))
+        (at,) = [one for one in waiting if one.ran]
+        hosts.store.put_json(f"servers/{at.name}", entry_of(hosts, at))
+        north = hosts.processes["h-north"].registry
+        await hosts.until(
+            lambda one=at, known=north: is_leaving(known, one.name)
+        )
+        at.crash()
+        await answer
+        crashes.restart()
+    for process in all_of(hosts):
+        assert_that(process.crashes.suspects, Equals({}))
+
+
+def entry_of(hosts, backend):
+    """Return the entry of a server that leaves."""
+    item = hosts.store.items[f"servers/{backend.name}"]
+    entry = json.loads(b64decode(item["value"]))
+    return {**entry, "state": "draining", "seq": 2}
+
+
+def is_leaving(registry, name):
+    """Whether a host knows that a server leaves."""
+    return registry.servers[name].entry.leaving
--- /dev/null
+++ b/tests/test_crashsharing.py
@@ -0,0 +1,148 @@
+"""Who hears under which requests servers have ended.
+
+The network of `networks`: three regions, ways of 0.2 ms and 80 ms, three
+datagrams in a thousand lost.
+"""
+
+import pytest
+from networks import REGIONS, Network
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, LessThan
+
+from hyssopspring.traffic.crashes import Verdict
+
+HEARD_WITHIN = 5.0
+"""Seconds after a third end in which each host that is in touch must know;
+what a host sends one second later counts."""
+
+BAD = "b" * 32
+
+
+@pytest.fixture
+def network():
+    """Return 60 hosts that have run for five seconds."""
+    made = Network(20)
+    made.run(5.0)
+    return made
+
+
+def end_servers(network, names, *, apart=0.1, fingerprint=BAD):
+    """Let a server end under a request at each host of *names*."""
+    for number, name in enumerate(names):
+        network.hosts[name].sharing.server_ended(
+            fingerprint, f"server-{name}-{number}"
+        )
+        network.run(apart)
+
+
+def verdicts(network, fingerprint=BAD):
+    """Return the verdicts of all hosts that run."""
+    return {
+        host.sharing.verdict(fingerprint)
+        for host in network.hosts.values()
+        if host.up and host not in network.cut
+    }
+
+
+def test_all_hosts_hear_of_ends_at_hosts_of_other_regions(network):
+    """Each region lets three servers end before it refuses the request."""
+    end_servers(network, ["north-3", "south-5", "west-19"])
+    network.run(1.0)
+    assert_that(verdicts(network), Equals({Verdict.BLOCKED}))
+
+
+def test_what_is_near_by_is_told_to_few(network):
+    """A server that ends with 60 requests fills the links of all hosts."""
+    before = {
+        name: host.datagrams.bytes_sent for name, host in network.hosts.items()
+    }
+    network.run(1.0)
+    idle = sum(
+        host.datagrams.bytes_sent - before[name]
+        for name, host in network.hosts.items()
+    )
+    for number in range(60):
+        network.hosts["north-3"].sharing.server_ended(f"{number:032}", "s")
+    network.run(1.0)
+    spent = sum(
+        host.datagrams.bytes_sent - before[name]
+        for name, host in network.hosts.items()
+    )
+    assert_that(spent - 2 * idle, LessThan(60 * 12 * 150))
+    assert_that(
+        len(network.hosts["north-9"].sharing.crashes.suspects), Equals(0)
+    )
+
+
+def test_a_region_that_was_cut_off_hears_when_it_is_back(network):
+    """Servers end in a region that could not be told of the request."""
+    west = {host for host in network.hosts.values() if host.region == "west"}
+    network.cut |= west
+    end_servers(network, ["north-3", "south-5", "north-7"])
+    network.run(12.0)
+    network.cut -= west
+    network.run(HEARD_WITHIN)
+    assert_that(verdicts(network), Equals({Verdict.BLOCKED}))
+
+
+def test_regions_that_lost_each_other_hear_through_a_third(network):
+    """North and west are cut off from each other, south reaches both."""
+    network.cut_pairs.add(frozenset(("north", "west")))
+    end_servers(network, ["north-3", "north-5", "north-7"])
+    network.run(HEARD_WITHIN)
+    assert_that(verdicts(network), Equals({Verdict.BLOCKED}))
+
+
+def test_a_host_that_starts_again_hears_of_it(network):
+    """The first host that starts again sends the request to servers."""
+    end_servers(network, ["north-3", "south-5", "north-7"])
+    network.hosts["north-9"].up = False
+    network.run(10.0)
+    again = network.add("north-9", "north", 9, 2)
+    network.introduce(again, network.hosts.values())
+    network.run(2.0)
+    assert_that(again.sharing.verdict(BAD), Equals(Verdict.BLOCKED))
+
+
+def test_word_that_is_lost_is_told_again(network):
+    """One host lets the request through, as it missed a datagram."""
+    deaf = network.hosts["south-11"]
+    network.cut.add(deaf)
+    end_servers(network, ["south-3", "south-5", "south-7"])
+    network.cut.discard(deaf)
+    network.run(HEARD_WITHIN)
+    assert_that(deaf.sharing.verdict(BAD), Equals(Verdict.BLOCKED))
+
+
+def test_all_hear_that_a_request_ran_well(network):
+    """A request is kept apart for minutes that has run well since."""
+    end_servers(network, ["north-3", "south-5"])
+    network.run(1.0)
+    assert_that(verdicts(network), Equals({Verdict.ALONE}))
+    network.hosts["west-8"].sharing.ran_well(BAD)
+    network.run(HEARD_WITHIN)
+    assert_that(verdicts(network), Equals({Verdict.FREE}))
+
+
+def test_nothing_is_sent_where_all_know_the_same(network):
+    """Hosts go on to tell each other what all know."""
+    end_servers(network, ["north-3", "south-5", "west-7"])
+    network.run(5.0)
+    sent = [0]
+
+    def count(region):
+        for host in network.hosts.values():
+            if host.region == region:
+                host.datagrams.send = counted(host.datagrams.send)
+
+    def counted(send):
+        def once(message, address):
+            sent[0] += type(message).__name__ == "Suspects"
+            send(message, address)
+
+        return once
+
+    for region in REGIONS:
+        count(region)
+    network.run(10.0)
+    assert_that(sent[0], Equals(0))
