--- a/src/hyssopspring/entry/endings.py
+++ b/src/hyssopspring/entry/endings.py
@@ -17,7 +17,7 @@
 ]
 
 PROBE_KEPT = 1.0
-"""Seconds for which what was found of a server holds: all that was there
+"""Seconds for which it holds that a server has ended: all that was there
 ends at the same moment, and each of it asks. A server needs longer to start
 again."""
 
@@ -67,7 +67,7 @@
         self.registry = registry
         self.clock = clock
         self.timeline = timeline
-        self.found = {}
+        self.ended = set()
 
     async def has_ended(self, lane):
         """Whether the process of a server is gone without notice.
@@ -80,12 +80,14 @@
         now = self.clock.seconds()
         if self.registry.usability(lane.key, now) is Usability.LEAVING:
             return False
-        known = self.found.get(lane.key)
-        if known is not None and now - known[0] < PROBE_KEPT:
-            return known[1]
+        if lane.key in self.ended:
+            return True
+        # That it lived a moment ago says nothing: a busy server resets
+        # connections, and may end right after.
         refused = await self.connections.is_refused(lane)
-        self.found[lane.key] = (now, refused)
-        self.clock.callLater(PROBE_KEPT, self.found.pop, lane.key, None)
+        if refused and lane.key not in self.ended:
+            self.ended.add(lane.key)
+            self.clock.callLater(PROBE_KEPT, self.ended.discard, lane.key)
         return refused
 
     async def examine(self, attempt, caller, predicted, *, sent_by=""):
