Let ends that another request explains count once beside ends of its own

A request that ends servers was met at the same three servers as another such one. That one was blocked, its ends then counted for nothing against the second, and the second ended three servers more before it was blocked: the test lands with this, red before.

--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -30,6 +30,11 @@
 ENDS_TO_SEPARATE = 2
 """Ends after which a request is run apart from others suspected."""
 
+EXPLAINED_WEIGHT = 1
+"""What two ends or more that a blocked request explains count for, beside
+ends that none explains. What was only near that one meets no more ends; of
+two that end servers, the second would else cost three servers more."""
+
 EARLY = 0.5
 """Seconds after the beginning of an answer in which an end of the server
 may still be due to the request. A request that ends servers does so as it
@@ -261,9 +266,12 @@
     def verdict_on(self, suspect, now):
         """Return the `Verdict` on one that is not held to be the cause."""
         own = self.unexplained(suspect)
-        if len(own) < ENDS_TO_SEPARATE:
+        weight = len(own)
+        if own and len(suspect.ends) - len(own) >= ENDS_TO_SEPARATE:
+            weight += EXPLAINED_WEIGHT
+        if weight < ENDS_TO_SEPARATE:
             return Verdict.FREE
-        if len(own) < ENDS_TO_BLOCK:
+        if weight < ENDS_TO_BLOCK:
             return Verdict.ALONE
         if now - suspect.newest < SETTLE:
             return Verdict.HELD
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -83,6 +83,21 @@
     assert_that(crashes.verdict("bad", "c", 2.0), Equals(Verdict.BLOCKED))
 
 
+def test_a_cause_beside_another_is_found_by_two_ends_of_its_own(crashes):
+    """A bad request ends three servers more, as it was near another one.
+
+    Both were at three servers that ended. One was blocked, and the ends
+    counted for nothing against the other.
+    """
+    note(crashes, "bad", "abcd")
+    note(crashes, "worse", "abc")
+    crashes.judge(LATER)
+    note(crashes, "worse", "e", 1.0)
+    assert_that(crashes.verdict("worse", "c", 2.0), Equals(Verdict.ALONE))
+    note(crashes, "worse", "f", 3.0)
+    assert_that(crashes.verdict("worse", "c", 4.0), Equals(Verdict.BLOCKED))
+
+
 def test_a_blocked_request_stays_blocked_whatever_others_meet(crashes):
     """A bad request is sent on, as another has seen more ends by now."""
     note(crashes, "bad", "abcd")
