Keep what is held of a request in one place for both ways in

A request of a caller and one that another region's host sends on asked the same questions in two copies.

--- a/src/hyssopspring/entry/endings.py
+++ b/src/hyssopspring/entry/endings.py
@@ -4,16 +4,13 @@
 
 from ..core.events import EventKind
 from ..core.hashing import digest_of
-from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import first_value
-from ..traffic.crashes import EARLY, Verdict, is_early
+from ..traffic.crashes import EARLY, is_early
 from ..traffic.evidence import Finding
 from ..traffic.servers import Usability
 
 __all__ = [
-    "HELD_RETRY_AFTER",
-    "REFUSED_VERDICTS",
     "WAIT",
     "Endings",
     "fingerprint_of",
@@ -24,24 +21,13 @@
 ends at the same moment, and each of it asks. A server needs longer to start
 again."""
 
-
 WAIT = 0.05
 """Seconds for which a request waits to know whether its server has ended; a
 connection within the region opens or is refused in 2 ms."""
 
-HELD_RETRY_AFTER = 0.5
-"""Seconds after which a request may come back of which it is not decided
-yet whether servers end under it; word of all that ended is there by then."""
-
 NAMING_HEADERS = (b"authorization", b"cookie", b"x-api-key")
 """Headers by which a caller names itself."""
 
-REFUSED_VERDICTS = {
-    Verdict.HELD: Reason.SUSPECTED,
-    Verdict.BLOCKED: Reason.CRASHES_SERVERS,
-}
-"""Verdicts under which a request goes to no server, and what is told."""
-
 
 def fingerprint_of(method, headers, uri, body):
     """Return what repeats of a request have in common.
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -8,18 +8,17 @@
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
-from ..traffic.crashes import Verdict
 from ..traffic.decisions import Ask, Away, Placed
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Sending, silence_limit
 from .connections import Lane
-from .endings import HELD_RETRY_AFTER, REFUSED_VERDICTS, fingerprint_of
 from .relaying import (
     ORDER_HEADER,
     RelayOrder,
     encode_order,
     read_relay_head,
 )
+from .suspicion import HELD_RETRY_AFTER, REFUSING_REASONS, Suspicion
 from .web import respond_refusal
 
 __all__ = ["Exchange"]
@@ -96,7 +95,7 @@
         self.moving = False
         self.placement = NOTHING
         self.kept = NOTHING
-        self.known_fingerprint = ""
+        self.suspicion = Suspicion(state.sharing, request, request.peer_ip)
         self.last_event = facts.last_event
         self.last_event_at = NOTHING
         self.first_at = NOTHING
@@ -178,44 +177,22 @@
         self.note_refusal(decision)
         return NotRun(Reason.OVERLOADED, decision.retry_after)
 
-    @property
-    def fingerprint(self):
-        """What the caller's repeats of this request have in common."""
-        if not self.known_fingerprint:
-            sending = self.sending(self.request.requestHeaders)
-            self.known_fingerprint = fingerprint_of(
-                sending.method,
-                sending.headers,
-                sending.uri,
-                sending.body,
-            )
-        return self.known_fingerprint
-
-    def verdict(self):
-        """Return the `Verdict` on this request."""
-        if self.sink.gone or not self.state.sharing.knows_any():
-            return Verdict.FREE
-        return self.state.sharing.verdict(
-            self.fingerprint, self.request.peer_ip
-        )
-
     def refused_for_crashes(self):
         """Return a `NotRun` if servers end under this request, or `NOTHING`.
 
         It would end one more, and all that runs there.
         """
-        verdict = self.verdict()
-        if verdict not in REFUSED_VERDICTS:
+        reason = self.suspicion.refusal()
+        if reason is NOTHING:
             return NOTHING
-        reason = REFUSED_VERDICTS[verdict]
         self.refused = True
         self.state.timeline.note(
             EventKind.NOT_RUN,
             request=self.id,
             reason=reason,
             route=self.route.name,
-            fingerprint=self.fingerprint,
-            evidence=self.state.sharing.evidence(self.fingerprint),
+            fingerprint=self.suspicion.fingerprint,
+            evidence=self.suspicion.evidence(),
         )
         return NotRun(reason, HELD_RETRY_AFTER)
 
@@ -237,6 +214,7 @@
             retry_after=round(refused.retry_after, 3),
             servers_open=refused.servers,
             excluded=len(self.excluded),
+            apart=self.suspicion.apart(),
         )
 
     def ask(self):
@@ -255,13 +233,9 @@
             avoided=tuple(self.avoided),
             may_leave=self.may_leave,
             begun=self.sink.started,
-            apart=self.apart(),
+            apart=self.suspicion.apart(),
         )
 
-    def apart(self):
-        """Return the fingerprint if the request must run apart, or ""."""
-        return self.fingerprint if self.verdict() is Verdict.ALONE else ""
-
     def patience(self, waited):
         """Return the seconds in which the next event is of use.
 
@@ -474,7 +448,7 @@
             return False
         if self.time_left < LEAST_TIME * 2:
             return False
-        if self.verdict() in REFUSED_VERDICTS:
+        if self.suspicion.refusal() is not NOTHING:
             return False
         if self.arrivals == 0 or self.retry_paid:
             self.retry_paid = False
@@ -488,7 +462,7 @@
                 return True
             self.kept = self.attempt.answer
             return False
-        if outcome.reason in REFUSED_VERDICTS.values():
+        if outcome.reason in REFUSING_REASONS:
             return True
         if isinstance(outcome, NotRun):
             return self.refused
@@ -517,7 +491,7 @@
             return
         if self.attempt is NOTHING or self.attempt.abandon_reason:
             return
-        if self.verdict() is Verdict.BLOCKED:
+        if self.suspicion.refusal() is Reason.CRASHES_SERVERS:
             self.attempt.abandon(Reason.CRASHES_SERVERS)
             return
         if not self.route.repeatable or self.retry_paid:
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -10,12 +10,11 @@
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink, first_value
-from ..traffic.crashes import Verdict
 from ..traffic.decisions import Ask, Placed
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Head, Sending, silence_limit
 from .connections import Lane
-from .endings import HELD_RETRY_AFTER, REFUSED_VERDICTS, fingerprint_of
+from .suspicion import HELD_RETRY_AFTER, Suspicion
 from .web import respond_refusal
 
 __all__ = ["ORDER_HEADER", "RelayApi", "RelayOrder", "encode_order"]
@@ -179,6 +178,7 @@
         self.request = request
         self.order = order
         self.sink = AnswerSink(request)
+        self.suspicion = Suspicion(self.state.sharing, request, order.caller)
         self.attempt = NOTHING
         self.arrived = self.state.clock.seconds()
         self.server_id = ""
@@ -243,34 +243,15 @@
         outcome = await self.carry(number, decision, facts)
         self.conclude(outcome)
 
-    def verdict(self):
-        """Return the `Verdict` on this request."""
-        if not self.order.caller or not self.state.sharing.knows_any():
-            return Verdict.FREE
-        return self.state.sharing.verdict(
-            self.fingerprint(), self.order.caller
-        )
-
-    def fingerprint(self):
-        """Return what the caller's repeats have in common."""
-        self.request.content.seek(0)
-        return fingerprint_of(
-            self.request.method,
-            self.request.requestHeaders,
-            self.request.uri,
-            self.request.content.read(),
-        )
-
     def refuse_for_crashes(self):
         """Refuse a request under which servers end; return whether.
 
         Checked here as well: its sender may not have heard of it yet.
         """
-        verdict = self.verdict()
-        if verdict not in REFUSED_VERDICTS:
+        reason = self.suspicion.refusal()
+        if reason is NOTHING:
             return False
-        reason = REFUSED_VERDICTS[verdict]
-        evidence = self.state.sharing.evidence(self.fingerprint())
+        evidence = self.suspicion.evidence()
         self.refuse(NotRun(reason, HELD_RETRY_AFTER), evidence=evidence)
         return True
 
@@ -287,13 +268,9 @@
             excluded=tuple(self.order.excluded),
             may_leave=False,
             begun=self.order.begun,
-            apart=self.apart(),
+            apart=self.suspicion.apart(),
         )
 
-    def apart(self):
-        """Return the fingerprint if the request must run apart, or ""."""
-        return self.fingerprint() if self.verdict() is Verdict.ALONE else ""
-
     async def carry(self, number, placed, facts):
         """Make the attempt and return its outcome."""
         self.server_id = placed.server_id
