Take in word of more ends than there is room for

What it cost: while servers ended by the hundred, a host that had no room for all requests failed midway through a message of another one and lost the rest of it. Cause: a request that had just been taken in was looked up again after others of the same message had pushed it out. Found by reading, with a test that failed first.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -50,6 +50,7 @@
     SERVER_ENDED = (412, "backend server ended while a request was there")
     REQUEST_BLOCKED = (413, "request that ends servers is sent to none")
     CRASH_UNSAVED = (414, "ends under a request not written to the store yet")
+    CRASH_UNREADABLE = (415, "ends under a request in the store unreadable")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
     WATCHING = (502, "host watches the store for its region")
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -161,7 +161,10 @@
         for row in message.rows:
             told = suspect_of(row, now)
             if self.crashes.merge(told, now):
-                news.append(self.crashes.suspects[told.fingerprint])
+                news.append(told.fingerprint)
+        # One of them may have been forgotten for want of room by now.
+        suspects = self.crashes.suspects
+        news = [suspects[one] for one in news if one in suspects]
         if not news:
             return
         for suspect in news:
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -310,7 +310,7 @@
         try:
             self.found_crash(entry)
         except ProtocolError as problem:
-            self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
+            self.state.timeline.note(EventKind.CRASH_UNREADABLE, why=problem)
 
     def tick(self):
         """Do the periodic work."""
--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -9,7 +9,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from hyssopspring.traffic.crashes import Verdict
+from hyssopspring.entry.messages import EndRow, SuspectRow, Suspects
+from hyssopspring.traffic.crashes import MOST_SUSPECTS, Verdict
 
 HEARD_WITHIN = 5.0
 """Seconds after a third end in which each host that is in touch must know;
@@ -135,6 +136,18 @@
     assert_that(told(), Equals(0))
 
 
+def test_more_than_there_is_room_for_is_taken_in(network):
+    """Word of many ends fails midway, and the rest of it is lost."""
+    host = network.hosts["north-3"]
+    for first in range(0, MOST_SUSPECTS + 200, 100):
+        rows = [
+            SuspectRow(f"{first + one:032}", [EndRow("s", first + one, "h")])
+            for one in range(100)
+        ]
+        host.sharing.take(Suspects("north-4", rows))
+    assert len(host.sharing.crashes.suspects) <= MOST_SUSPECTS
+
+
 def test_what_was_near_by_and_ran_well_is_told_to_few(network):
     """Each answer after the end of a server is told to all hosts.
 
