--- a/src/hyssopspring_fakes/service.py
+++ b/src/hyssopspring_fakes/service.py
@@ -23,6 +23,10 @@
         reactor: The reactor.
         name: Name of the server.
         delay: Seconds that each call takes.
+
+    Attributes:
+        ended_by: Body of a call under which the server ends, or None.
+        ended: Whether it has ended; it resets all connections then.
     """
 
     def __init__(self, reactor, name, delay=0.002):
@@ -37,6 +41,8 @@
         self.leaving = False
         self.hang = False
         self.drop = False
+        self.ended_by = None
+        self.ended = False
 
     def site(self):
         """Return the site to listen with."""
@@ -49,6 +55,9 @@
 
     def call(self, request):
         """Run one call."""
+        if self.ended:
+            request.transport.abortConnection()
+            return
         if self.refuse or self.leaving:
             code = "leaving" if self.leaving else "refused"
             headers = [("hyssop-not-run", code)]
@@ -61,6 +70,11 @@
         if self.drop:
             request.loseConnection()
             return
+        request.content.seek(0)
+        if self.ended_by and request.content.read() == self.ended_by:
+            self.ended = True
+            request.transport.abortConnection()
+            return
         if self.hang:
             return
         self.active += 1
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -4,7 +4,7 @@
 import pytest
 import pytest_twisted
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, HasLength
+from testtools.matchers import Contains, Equals, HasLength, LessThan
 from twisted.internet import defer
 from twisted.web.client import ResponseFailed
 
@@ -364,3 +364,27 @@
     status, _, _ = await caller.complete("dar-0")
     assert_that(status, Equals(200))
     fleet.platform.set_fault("down", False)
+
+
+ENDING = b"call that no server survives"
+MOST_ENDS = 6
+"""Servers that may end under one call: three, and three sends more that are
+allowed once hosts know."""
+
+
+@pytest.mark.parametrize("shape", [Shape(services=6)])
+@pytest_twisted.ensureDeferred
+async def test_a_call_that_ends_servers_is_sent_to_few(fleet, caller):
+    """All servers of a service end, one after the other.
+
+    A server ends as soon as it begins to run one call. The gateway sends
+    the call to others, its caller comes back to other gateways, and each
+    of them begins anew: none remembers under what servers have ended.
+    """
+    for service in fleet.services.values():
+        service.ended_by = ENDING
+    for number in range(8):
+        host = ("dar-0", "arusha-0")[number % 2]
+        await caller.send(host, "/services/rating/a", ENDING)
+    ended = sum(service.ended for service in fleet.services.values())
+    assert_that(ended, LessThan(MOST_ENDS + 1))
