Take ports for fleets of tests from below those of connections

The ports are now taken from below those that the system gives to connections, as the tests of entry hosts do already.

--- a/src/hyssopspring_fakes/fleet.py
+++ b/src/hyssopspring_fakes/fleet.py
@@ -1,6 +1,8 @@
 """A small fleet of gateways, fakes and administration on one reactor."""
 
 import hashlib
+import itertools
+import os
 import socket
 import time
 from dataclasses import dataclass, field
@@ -25,11 +27,33 @@
 POLL = 0.02
 
 
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+"""Ports below those from which the system takes the ports of connections. A
+port among them that was seen to be free could be taken by a connection
+before it is listened at; a fleet then failed to start."""
+
+START = os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
+"""Fleets of two processes begin to look at different ports."""
+
+PORTS = itertools.cycle(
+    [
+        *range(FIRST_PORT + START, LAST_PORT),
+        *range(FIRST_PORT, FIRST_PORT + START),
+    ]
+)
+
+
 def free_address():
     """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    for port in PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return f"{LOOPBACK}:{port}"
+    raise AssertionError("cycle() does not end")
 
 
 def key_digest(key):
@@ -113,6 +137,7 @@
             service = FakeService(self.reactor, name)
             self.services[name] = service
             self.add_row(name, "service", region, service, services=["rating"])
+            service.port = self.ports[-1]
 
     def start_engine(self, region, name):
         """Start one engine and put it on the host list."""
@@ -247,7 +272,7 @@
         if self.admin:
             await self.admin.stop()
         for port in self.ports:
-            await port.stopListening()
+            await defer.maybeDeferred(port.stopListening)
         await self.agent.pool.closeCachedConnections()
 
 
--- a/src/hyssopspring_fakes/service.py
+++ b/src/hyssopspring_fakes/service.py
@@ -25,6 +25,7 @@
         delay: Seconds that each call takes.
 
     Attributes:
+        port: The listening port, if the server is to end.
         ended_by: Body of a call under which the server ends, or None.
         ended: Whether it has ended; it resets all connections then.
     """
@@ -41,6 +42,7 @@
         self.leaving = False
         self.hang = False
         self.drop = False
+        self.port = None
         self.ended_by = None
         self.ended = False
 
@@ -73,6 +75,7 @@
         request.content.seek(0)
         if self.ended_by and request.content.read() == self.ended_by:
             self.ended = True
+            self.port.stopListening()
             request.transport.abortConnection()
             return
         if self.hang:
