Let the gateway send a call to no server once three have ended under it

What callers saw: one call ended all servers of its service, one after the other, over all gateways. Cause: the same as for entry hosts, nothing remembered under which call servers had ended. The gateway now decides by the same memory: three tries are refused at once, or end with an outcome that is not known, as what ran may have. Hosts tell each other over the bus. The time to come back is that in which the call is forgotten.

--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -21,13 +21,14 @@
 from .net.claiming import Claims
 from .net.clients import make_agent
 from .net.control import ControlPages, HostStatus, PageReader
+from .net.crashes import CRASH_TOPIC, CallCrashes
 from .net.dispatching import Dispatcher, HostState
 from .net.draining import Drain
 from .net.forwarding import ForwardedApi
 from .net.gates import Gates
 from .net.limiting import Limits
 from .net.membership import Membership
-from .net.messages import Signer
+from .net.messages import CallSuspects, Signer
 from .net.serving import LimitedSite, Router
 from .observing import log_failure, make_rng, make_timeline
 from .settings import GatewaySettings, settings_command, split_address
@@ -91,6 +92,12 @@
             rng=make_rng(seed),
             policy=settings.policy,
             trust=Trust(self.reactor.seconds()),
+            crashes=CallCrashes(
+                settings.host,
+                self.reactor,
+                self.timeline,
+                lambda message: self.bus.publish(CRASH_TOPIC, message),
+            ),
         )
 
     def wire_platform(self):
@@ -150,7 +157,7 @@
             self.reactor,
             self.settings.control,
             self.settings.peer_secret,
-            received=lambda message: self.membership.hear(message),
+            received=self.take_message,
             refused=self.note_refused,
             failed=self.note_failure,
         )
@@ -169,6 +176,13 @@
             now, self.state.keeper.generation
         )
 
+    def take_message(self, message):
+        """Hand a message of another host over."""
+        if isinstance(message, CallSuspects):
+            self.state.crashes.take(message)
+        else:
+            self.membership.hear(message)
+
     def note_refused(self, why):
         """Put a dropped message on the time line."""
         self.timeline.note(EventKind.PEER_REFUSED, why=why)
@@ -180,6 +194,7 @@
             self.settings.forward, self.forwarded, self.control, self.claims
         )
         self.bus.start()
+        self.bus.subscribe(CRASH_TOPIC)
         self.membership.start()
         self.repeat(HEARTBEAT_EVERY, self.tick)
         self.repeat(STALL_EVERY, self.measure_stall)
@@ -223,6 +238,7 @@
         self.follower.tick()
         self.config.tick()
         self.membership.tick()
+        self.state.crashes.tick()
         self.claims.tick()
         self.limits.tick()
         self.note_trust()
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -7,11 +7,12 @@
 from ..core.events import EventKind
 from ..core.exceptions import ensure
 from ..core.hashing import short_id
-from ..core.outcomes import Answered, NotRun, Reason, Unknown
+from ..core.outcomes import Answered, NotRun, Reason, Unknown, combine
 from ..core.plans import Finish, Forward, Plan, Serve
 from ..core.sentinels import NOTHING
 from ..core.servers import LoadReport
 from .backends import backend_call
+from .crashes import AttemptTimes
 from .forwarding import forward_call
 
 BLAMED = (
@@ -57,6 +58,7 @@
         rng: Random number generator.
         policy: Name of the choice within the data centre.
         trust: The `Trust` in the configuration.
+        crashes: `CallCrashes` of calls under which servers ended.
     """
 
     host: str
@@ -71,6 +73,7 @@
     rng: object
     policy: str
     trust: object
+    crashes: object
 
 
 class Dispatcher:
@@ -110,8 +113,20 @@
             rng=state.rng,
             policy=state.policy,
         )
+        try:
+            return await self.carry_out(plan, message, sink)
+        finally:
+            state.crashes.done(request)
+
+    async def carry_out(self, plan, message, sink):
+        """Make the attempts of a plan; return the final outcome."""
+        state = self.state
+        request = plan.request
         while True:
             self.renew_rights(plan)
+            refusal = state.crashes.refusal(request, message)
+            if refusal is not NOTHING:
+                return combine([*plan.outcomes, refusal])
             step = plan.next(state.clock.seconds())
             if isinstance(step, Finish):
                 return step.outcome
@@ -172,6 +187,21 @@
             )
         finally:
             self.finish_serve(entry.name, outcome, sink, began)
+        times = AttemptTimes(
+            began=began,
+            predicted=step.server.queue_wait(began),
+            first_at=sink.first_at,
+            headed=sink.started,
+            now=state.clock.seconds(),
+        )
+        await state.crashes.look(
+            request,
+            message,
+            start_of(step.server),
+            entry.address,
+            outcome,
+            times,
+        )
         return outcome
 
     async def send(self, request, call, sink, loaded):
@@ -265,6 +295,13 @@
         )
 
 
+def start_of(server):
+    """Return the name of this start of a server."""
+    if server.report is NOTHING:
+        return server.entry.name
+    return f"{server.entry.name}/{server.report.incarnation}"
+
+
 def reported_load(load, now):
     """Return the `LoadReport` of a server's own report."""
     short = short_id(load.incarnation)
--- a/src/hyssopspring/net/messages.py
+++ b/src/hyssopspring/net/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..core.exceptions import ProtocolError
+from ..entry.messages import SuspectRow
 
 VERSION = 1
 MAC_SIZE = 16
@@ -107,6 +108,22 @@
     targets: list[TargetLoad] = []
 
 
+class CallSuspects(
+    msgspec.Struct, frozen=True, tag="crash", kw_only=True, omit_defaults=True
+):
+    """What a host knows of calls under which backend servers ended.
+
+    Attributes:
+        version: Version of the message format.
+        host: Name of the sender.
+        rows: `SuspectRow` of each call.
+    """
+
+    version: int = VERSION
+    host: str
+    rows: list[SuspectRow]
+
+
 class ForwardedHead(msgspec.Struct, frozen=True, kw_only=True):
     """What goes with a forwarded request.
 
@@ -149,7 +166,7 @@
     resource: str
 
 
-MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Summary)
+MESSAGE = msgspec.msgpack.Decoder(Heartbeat | Summary | CallSuspects)
 HEAD = msgspec.msgpack.Decoder(ForwardedHead)
 ENCODER = msgspec.msgpack.Encoder()
 
@@ -178,10 +195,10 @@
 
 
 def decode_message(data):
-    """Return the `Heartbeat` or `Summary` that *data* stands for.
+    """Return the message that *data* stands for.
 
     Raises:
-        ProtocolError: It is neither, or of another version.
+        ProtocolError: It is none, or of another version.
     """
     return _checked(MESSAGE, data)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -379,7 +379,8 @@
 
     A server ends as soon as it begins to run one call. The gateway sends
     the call to others, its caller comes back to other gateways, and each
-    of them begins anew: none remembers under what servers have ended.
+    of them began anew, as none remembered under what servers had ended: 12
+    servers of 12 ended.
     """
     for service in fleet.services.values():
         service.ended_by = ENDING
