--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -23,7 +23,7 @@
 """Sends to servers that are allowed once three servers have ended."""
 
 
-class Crashes:
+class EndingServers:
     """Servers that end under one request, and are back at once.
 
     Args:
@@ -138,7 +138,10 @@
     which request servers had ended: 28 sends after the third end. Shown by
     lines that name what repeats share, and by this test without a memory.
     """
-    plain, engines = Crashes(hosts, "plain"), Crashes(hosts, "engine")
+    plain, engines = (
+        EndingServers(hosts, "plain"),
+        EndingServers(hosts, "engine"),
+    )
     again = [
         await repeat(plain, send, "/lookup/a"),
         await repeat(plain, send, "/post/a"),
@@ -155,7 +158,7 @@
     Repeats bear new identifiers. The line of an ended server names what
     they share; a server that only breaks off an answer has no such line.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     await crashes.settled()
     hosts.backends["engine-north"].mood = "cut"
     await send("h-north", "/review/a", 1, b"", **USAGE)
@@ -184,7 +187,7 @@
     host that takes each for another caller lets each of them end three
     servers. That another caller sends the same is shown by one try only.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     sent = NOTHING
     for number in range(16):
         await crashes.settled()
@@ -216,7 +219,7 @@
     Nothing of this try ran, so it is told so; no time to come back is
     named, and the line says which servers ended and which host saw it.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     await block(crashes, send, "/post/a")
     await hosts.until(lambda: known_as_bad(hosts))
     sent = crashes.sent
@@ -257,7 +260,7 @@
 @pytest_twisted.ensureDeferred
 async def test_others_are_served_while_a_request_is_blocked(hosts, send):
     """Another path, or another body, is refused in its place."""
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     await block(crashes, send, "/post/a")
     await crashes.settled()
     for path, body in (("/post/b", b""), ("/post/a", b"another draft")):
@@ -295,7 +298,7 @@
 
     The servers that have started since run it well.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     await block(crashes, send, "/post/a")
     await hosts.until(lambda: known_as_bad(hosts))
     for backend in crashes.servers:
@@ -315,7 +318,7 @@
 
     The route is bound to the south; callers of the north are sent there.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     for number in range(12):
         await crashes.settled()
         await send("h-north", "/bound/a", number, CRASHING)
@@ -327,7 +330,7 @@
 @pytest_twisted.ensureDeferred
 async def test_a_host_that_starts_alone_reads_what_is_blocked(hosts, send):
     """All hosts end at once, and the first one back ends servers again."""
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     await block(crashes, send, "/post/a")
     await hosts.until(lambda: stored_as_blocked(hosts.store))
     for name in list(hosts.processes):
@@ -352,7 +355,7 @@
 @pytest_twisted.ensureDeferred
 async def test_servers_that_only_break_off_block_nothing(hosts, send):
     """A request is refused whose servers live on."""
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     for backend in crashes.servers:
         backend.mood = "reset"
     for number in range(6):
@@ -368,7 +371,7 @@
 
     A server says that it leaves, goes on with what it has, and ends.
     """
-    crashes = Crashes(hosts, "plain")
+    crashes = EndingServers(hosts, "plain")
     for number in range(4):
         await crashes.settled()
         waiting = [one for one in crashes.servers if one.up]
