--- a/src/hyssopspring_fakes/crashload.py
+++ b/src/hyssopspring_fakes/crashload.py
@@ -25,14 +25,27 @@
 __all__ = ["CrashEmulation", "Repeats"]
 
 ENDS_AFTER = 0.08
+"""Seconds from when an engine begins the request to the engine's end; 0.05
+to 0.1 in the incident that this load is made after."""
+
 BACK_AFTER = 4.0
+"""Seconds from the end of an engine to the start of another; 3 to 4 in that
+incident."""
+
 BOUND_AFTER = 6.0
 """Seconds after the third end from which on each send counts."""
 
 JUDGED_EVERY = 0.5
+"""Seconds between two looks for what is to be blocked, as hosts have it."""
+
 RETRY_PAUSE = 0.06
+"""Seconds after which a caller comes back whose stream was cut."""
+
 MOST_RUNS = 2
+"""Engines that a host sends one try of a caller to."""
+
 MOST_TRIES = 2
+"""Tries of a caller: it comes back once."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
