Know callers by their keys, and keep these from servers

Cause: the decoder of the operator's document dropped its workspaces whole. Entry hosts passed the caller's key on to servers, believed the workspace that a caller made up, served keys that nobody holds, and knew no homes of workspaces.

Change: the adapter puts a digest in the place of each key as the document comes from the store, so that no copy, datagram or line between hosts holds one. Each request is known by the digest of its key; its workspace's rank goes before that of the route, its homes bind beside those of the route, on this host and on the host of another region. Servers get the name of the workspace and nothing that the caller states of it. Two keys, none, an overlong one or one that nobody holds end in 401, a senseless count of tokens in 400; a document in which two workspaces share a key is refused.

Ruled out: to check the key again on the host of another region. The host that took the request in has judged it, and the key would have to travel.

--- a/src/hyssopspring/core/hashing.py
+++ b/src/hyssopspring/core/hashing.py
@@ -22,6 +22,16 @@
     return xxhash.xxh3_64_intdigest(data)
 
 
+def credential_digest(key):
+    """Return the digest that stands for a caller's key, given as bytes.
+
+    Only the digest is kept, compared and told to other hosts. A lookup by
+    it tells nothing about a key by the time that it takes: callers cannot
+    choose the digest of what they send.
+    """
+    return hashlib.sha256(key).hexdigest()
+
+
 def digest_of(parts):
     """Return 32 hexadecimal digits that stand for a series of bytes.
 
--- a/src/hyssopspring/core/sentinels.py
+++ b/src/hyssopspring/core/sentinels.py
@@ -1,4 +1,4 @@
-"""Sentinels that stand for the absence of a value."""
+"""Sentinels that stand in the place of a value."""
 
 import enum
 
@@ -17,3 +17,16 @@
 
 NOTHING = _Nothing.NOTHING
 """The value was not given. It is false in a condition."""
+
+
+class _Invalid(enum.Enum):
+    """Hold the single member `INVALID`."""
+
+    INVALID = enum.auto()
+
+    def __repr__(self):
+        return "INVALID"
+
+
+INVALID = _Invalid.INVALID
+"""The value was given, but it cannot be read."""
--- /dev/null
+++ b/src/hyssopspring/entry/admission.py
@@ -0,0 +1,88 @@
+"""Whether a caller may ask for a route, and with which rights."""
+
+from dataclasses import dataclass
+
+from ..core.outcomes import Reason
+from ..core.sentinels import INVALID, NOTHING
+
+__all__ = ["Barred", "Rights", "rights_of"]
+
+UNAUTHORIZED = 401
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Rights:
+    """What a request may do.
+
+    Attributes:
+        workspace: Name of the caller's workspace; empty on a public route.
+        priority: Rank of the request; 0 is the highest.
+        homes: Regions that may serve it; empty for all.
+        cost: Tokens that it takes from the limit of its workspace; 0 if
+            there is none.
+    """
+
+    workspace: str = ""
+    priority: int = 0
+    homes: frozenset = frozenset()
+    cost: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """The request ends before any attempt.
+
+    Attributes:
+        status: HTTP status of the answer.
+        reason: The `Reason`.
+        retry_after: Seconds after which it may come back, or `NOTHING` if
+            that would be in vain.
+    """
+
+    status: int
+    reason: Reason
+    retry_after: object = NOTHING
+
+
+def rights_of(configuration, route, facts):
+    """Return the `Rights` of a request, or why it is `Barred`.
+
+    Args:
+        configuration: The `Configuration` in force.
+        route: The `Route` that it asks for.
+        facts: Its `CallerFacts`.
+    """
+    if not configuration.needs_key(route):
+        return Rights(priority=route.priority, homes=route.homes)
+    workspace = configuration.workspace_of(facts.key_digest)
+    if workspace is NOTHING:
+        return Barred(UNAUTHORIZED, Reason.UNKNOWN_WORKSPACE)
+    homes = route.homes or workspace.homes
+    if route.homes and workspace.homes:
+        homes = route.homes & workspace.homes
+        if not homes:
+            return Barred(UNAVAILABLE, Reason.RESIDENCY)
+    cost = cost_of(workspace, facts)
+    if cost is INVALID:
+        return Barred(BAD_REQUEST, Reason.BAD_REQUEST)
+    priority = workspace.priority
+    if priority is NOTHING:
+        priority = route.priority
+    return Rights(
+        workspace=workspace.name, priority=priority, homes=homes, cost=cost
+    )
+
+
+def cost_of(workspace, facts):
+    """Return the tokens that a request takes from its workspace's limit.
+
+    One that states nonsense is refused: to count it as nothing, or as
+    little, would let its workspace ask for any amount.
+    """
+    if workspace.limit is NOTHING:
+        return 0
+    if facts.tokens is INVALID and not workspace.limit.by_request:
+        return INVALID
+    return workspace.limit.count(facts.tokens)
--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -2,6 +2,7 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
+from .admission import Barred, rights_of
 from .exchanges import Exchange
 from .holding import StartingQueue
 from .web import respond_refusal
@@ -75,11 +76,16 @@
             self.refuse(request, "this host is stopping", STOPPING_RETRY)
             return
         facts = self.state.codec.read_caller(request.requestHeaders)
+        rights = rights_of(configuration, route, facts)
+        if isinstance(rights, Barred):
+            self.bar(request, rights)
+            return
         exchange = Exchange(
             self.state,
             request,
             route,
             facts,
+            rights,
             self.exchanges.discard,
             arrived=arrived,
         )
@@ -101,6 +107,15 @@
         self.note_refusal(request, "no such route", 0.0)
         respond_refusal(request, 404, "no such route")
 
+    def bar(self, request, barred):
+        """Answer that a request may not be made, or not now."""
+        headers = []
+        if barred.retry_after is not NOTHING:
+            headers = [(b"retry-after", b"%.3f" % barred.retry_after)]
+        self.note_refusal(request, barred.reason, barred.retry_after)
+        reason = str(barred.reason)
+        respond_refusal(request, barred.status, reason, headers)
+
     def too_late(self, route):
         """Whether this host stops too soon to finish the request."""
         seconds = self.state.stopping_for
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -60,15 +60,19 @@
         request: The `WebRequest`.
         route: Its `Route`.
         facts: Its `CallerFacts`.
+        rights: Its `Rights`.
         ended: Called with this exchange at its end.
         arrived: Time at which the request came.
     """
 
-    def __init__(self, state, request, route, facts, ended, *, arrived):
+    def __init__(
+        self, state, request, route, facts, rights, ended, *, arrived
+    ):
         self.state = state
         self.request = request
         self.route = route
         self.facts = facts
+        self.rights = rights
         self.ended = ended
         self.id = facts.id.decode("latin-1")
         self.service = route.service_for(self.id)
@@ -227,9 +231,9 @@
             demand=replace(self.facts.demand, answer_within=self.time_left),
             time_left=self.objective_left(waited),
             patience=self.patience(waited),
-            priority=self.route.priority,
+            priority=self.rights.priority,
             excluded=tuple(self.excluded),
-            regions=self.route.homes,
+            regions=self.rights.homes,
             avoided=tuple(self.avoided),
             may_leave=self.may_leave,
             begun=self.sink.started,
@@ -280,6 +284,7 @@
             urgency=self.urgency(placed),
             last_event=self.last_event,
             copy_from=placed.copy_from,
+            workspace=self.rights.workspace,
         )
         began = self.state.clock.seconds()
         self.attempt = Attempt(
@@ -378,11 +383,12 @@
             round(self.time_left, 4),
             round(ask.time_left, 4),
             round(ask.patience, 4),
-            self.route.priority,
+            self.rights.priority,
             list(self.excluded),
             self.last_event.decode("latin-1"),
             self.sink.started,
             self.request.peer_ip,
+            self.rights.workspace,
         )
 
     def sending(self, headers, *, kept=False):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -44,6 +44,8 @@
         last_event: Event after which a stream goes on.
         begun: Whether the caller holds a part of the answer already.
         caller: IP address of the caller.
+        workspace: Name of its workspace; the caller's key stays where it
+            came in.
     """
 
     route: str
@@ -58,6 +60,7 @@
     last_event: str
     begun: bool
     caller: str = ""
+    workspace: str = ""
 
 
 _DECODER = msgspec.json.Decoder(RelayOrder)
@@ -150,17 +153,19 @@
         request.finish()
 
     def allowed(self, order):
-        """Whether the route may be served in this region.
+        """Whether route and workspace may be served in this region.
 
         Checked here as well: the sender's configuration may be older.
         """
         current = self.state.keeper.current
         if current is NOTHING:
             return False
-        for route in current.routes:
-            if route.name == order.route and route.homes:
-                return self.state.settings.region in route.homes
-        return True
+        bound = [one for one in current.routes if one.name == order.route]
+        workspace = current.workspaces.get(order.workspace)
+        if workspace is not None:
+            bound.append(workspace)
+        region = self.state.settings.region
+        return all(not one.homes or region in one.homes for one in bound)
 
 
 class Relay:
@@ -284,6 +289,7 @@
             urgency=placed.urgency if facts.demand.tokens_in else NOTHING,
             last_event=self.order.last_event.encode(),
             copy_from=placed.copy_from,
+            workspace=self.order.workspace,
         )
         headers.removeHeader(ORDER_HEADER)
         self.attempt = Attempt(
--- a/src/hyssopspring/net/callers.py
+++ b/src/hyssopspring/net/callers.py
@@ -1,13 +1,12 @@
 """The HTTP interface for callers."""
 
-import hashlib
 import uuid
 
 import msgspec
 
 from ..core.configuration import DEFAULT_DEADLINE_MS
 from ..core.events import EventKind
-from ..core.hashing import hash_bytes
+from ..core.hashing import credential_digest, hash_bytes
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.requests import Priority, Request, Target, TargetKind
 from ..core.sentinels import NOTHING
@@ -178,7 +177,7 @@
         if not keeper.generation:
             raise Refused(Reason.NO_CONFIGURATION)
         scheme, _, key = header(http_request, "authorization").partition(" ")
-        digest = hashlib.sha256(key.encode()).hexdigest()
+        digest = credential_digest(key.encode())
         workspace = keeper.key_owners.get(digest)
         if scheme.lower() != "bearer" or workspace is None:
             raise Refused(Reason.UNKNOWN_WORKSPACE)
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -2,7 +2,8 @@
 
 from twisted.web.http_headers import Headers
 
-from ..core.sentinels import NOTHING
+from ..core.hashing import credential_digest
+from ..core.sentinels import INVALID, NOTHING
 from ..entry.attempts import Head
 from ..entry.requests import CallerFacts
 from ..net.sinks import first_value
@@ -19,12 +20,22 @@
 URGENCY = b"x-request-urgency"
 LAST_EVENT = b"last-event-id"
 COPY_FROM = b"kv-fetch"
+CALLER_KEY = b"x-api-key"
+WORKSPACE = b"x-tenant"
 STAMP = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
 RETRY_AFTER = b"retry-after"
 MISDIRECTED = 421
 
+LONGEST_KEY = 200
+"""Bytes of the longest key of a caller."""
+
+MOST_TOKENS = 10**9
+"""Tokens above which a statement of them is taken for nonsense."""
+
 OURS = (
+    CALLER_KEY,
+    WORKSPACE,
     EXPECTED_SERVER,
     URGENCY,
     b"x-expect-version",
@@ -34,8 +45,8 @@
     b"kv-from",
     COPY_FROM,
 )
-"""Headers that only the system sets; a caller's own are dropped, as a
-server would act on them."""
+"""Headers that are for the system, or that only it sets. A caller's own are
+dropped: a server would act on them, and must not learn keys."""
 
 ONE_CONNECTION = (
     b"connection",
@@ -60,9 +71,40 @@
         deadline=read_number(first_value(headers, DEADLINE), 0.001),
         demand=read_demand(headers),
         last_event=first_value(headers, LAST_EVENT),
+        key_digest=read_key(headers),
+        tokens=read_tokens(headers),
     )
 
 
+def read_key(headers):
+    """Return the digest of the caller's key, or "" if there is not one.
+
+    Of two keys it is open which one asks, so neither does.
+    """
+    keys = headers.getRawHeaders(CALLER_KEY, ())
+    if len(keys) != 1 or not 0 < len(keys[0]) <= LONGEST_KEY:
+        return ""
+    return credential_digest(keys[0])
+
+
+def read_tokens(headers):
+    """Return the tokens that a caller states, in and out together.
+
+    Returns:
+        Their number, `NOTHING` if none are stated, or `INVALID`.
+    """
+    stated = headers.getRawHeaders(TOKENS, ())
+    if not stated:
+        return NOTHING
+    numbers = [part.strip() for part in stated[0].split(b",")]
+    if len(stated) > 1 or len(numbers) > 2:
+        return INVALID
+    if not all(number.isdigit() for number in numbers):
+        return INVALID
+    total = sum(map(int, numbers)) if max(map(len, numbers)) < 12 else 0
+    return total if 0 < total <= MOST_TOKENS else INVALID
+
+
 def read_demand(headers):
     """Return the `Demand` that a caller states."""
     parts = []
@@ -94,7 +136,14 @@
 
 
 def server_headers(
-    headers, *, time_left, server_id, urgency, last_event, copy_from=""
+    headers,
+    *,
+    time_left,
+    server_id,
+    urgency,
+    last_event,
+    copy_from="",
+    workspace="",
 ):
     """Return the `Headers` that a server gets.
 
@@ -106,6 +155,7 @@
         last_event: Event after which a stream goes on, or b"".
         copy_from: Address of a server that has cached more of the prompt,
             or an empty string.
+        workspace: Name of the caller's workspace, or an empty string.
     """
     sent = passed_on(headers)
     sent.setRawHeaders(EXPECTED_SERVER, [server_id.encode()])
@@ -118,6 +168,8 @@
         sent.setRawHeaders(COPY_FROM, [copy_from.encode()])
     if last_event:
         sent.setRawHeaders(LAST_EVENT, [last_event])
+    if workspace:
+        sent.setRawHeaders(WORKSPACE, [workspace.encode()])
     return sent
 
 
--- a/src/hyssopspring/platform/operator.py
+++ b/src/hyssopspring/platform/operator.py
@@ -1,8 +1,11 @@
 """What the operator writes into the store, decoded."""
 
+from typing import Annotated, Literal
+
 import msgspec
 
 from ..core.exceptions import ProtocolError
+from ..core.hashing import credential_digest
 from ..core.sentinels import NOTHING
 from ..traffic.routes import (
     Configuration,
@@ -13,10 +16,12 @@
     Service,
     WeightedService,
 )
+from ..traffic.workspaces import TokenLimit, Workspace
 
 __all__ = [
     "CONFIGURATION_KEY",
     "OPERATOR_PREFIX",
+    "conceal_keys",
     "decode_configuration",
     "evacuated_data_centre",
 ]
@@ -50,6 +55,25 @@
     max_attempts: int = 1
     resumable: bool = False
     home_regions: list[str] = []
+    public: bool = False
+
+
+class _Workspace(msgspec.Struct):
+    """A row of `tenants`.
+
+    `rate_per_s` and `burst` count what `unit` names; a rate of 0 stands
+    for no limit. `key_digests` stands in the place of `api_keys` once
+    `conceal_keys` has been at work.
+    """
+
+    name: str
+    key_digests: list[str] = []
+    priority: int | None = None
+    home_regions: list[str] = []
+    unit: Literal["requests", "tokens"] = "requests"
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    plain_tokens: Annotated[int, msgspec.Meta(ge=1)] = 1
 
 
 class _Engine(msgspec.Struct):
@@ -76,20 +100,44 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Workspace] = []
 
 
 _DECODER = msgspec.json.Decoder(_Configuration)
 
 
+def conceal_keys(value):
+    """Return the operator's document with digests in place of keys.
+
+    Hosts keep the document, and pass it on to each other as it came from
+    the store. A document that cannot be read is passed on empty, as it
+    may hold keys as well.
+    """
+    try:
+        document = msgspec.json.decode(value)
+        for row in document.get("tenants", ()):
+            keys = row.pop("api_keys", ())
+            row["key_digests"] = [
+                credential_digest(key.encode()) for key in keys
+            ]
+    except (msgspec.DecodeError, AttributeError, TypeError):
+        return b""
+    return msgspec.json.encode(document)
+
+
 def decode_configuration(value):
     """Return the `Configuration` of the operator's document.
 
+    Args:
+        value: The document, as `conceal_keys` returns it.
+
     Raises:
         ProtocolError: It is no such document.
     """
     try:
         document = _DECODER.decode(value)
         routes = tuple(decode_route(row) for row in document.routes)
+        workspaces = decode_workspaces(document.tenants)
     except (msgspec.DecodeError, KeyError) as problem:
         raise ProtocolError(f"configuration: {problem}") from None
     services = {row.name: decode_service(row) for row in document.services}
@@ -101,6 +149,47 @@
             body_bytes=document.limits.max_body_bytes,
             idle_seconds=document.limits.idle_timeout_ms / 1000,
         ),
+        workspaces=workspaces,
+    )
+
+
+def decode_workspaces(rows):
+    """Return the `Workspace` of each row, by name.
+
+    Raises:
+        ProtocolError: Two of them have a name or a key in common, so that
+            it is open who asks.
+    """
+    workspaces, owners = {}, {}
+    for row in rows:
+        if row.name in workspaces:
+            raise ProtocolError(f"configuration: {row.name} stands twice")
+        workspaces[row.name] = decode_workspace(row)
+        for digest in row.key_digests:
+            owner = owners.setdefault(digest, row.name)
+            if owner != row.name:
+                raise ProtocolError(
+                    f"configuration: {owner} and {row.name} share a key"
+                )
+    return workspaces
+
+
+def decode_workspace(row):
+    """Return the `Workspace` of one row."""
+    limit = NOTHING
+    if row.rate_per_s:
+        limit = TokenLimit(
+            rate=row.rate_per_s,
+            burst=row.burst,
+            plain_tokens=row.plain_tokens,
+            by_request=row.unit == "requests",
+        )
+    return Workspace(
+        name=row.name,
+        key_digests=frozenset(row.key_digests),
+        priority=NOTHING if row.priority is None else row.priority,
+        homes=frozenset(row.home_regions),
+        limit=limit,
     )
 
 
@@ -124,6 +213,7 @@
         max_attempts=max(1, row.max_attempts),
         resumable=row.resumable,
         homes=frozenset(row.home_regions),
+        public=row.public,
     )
 
 
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -17,6 +17,7 @@
     NotApplied,
     WriteUnknown,
 )
+from .operator import CONFIGURATION_KEY, conceal_keys
 
 __all__ = ["PlatformStore"]
 
@@ -248,5 +249,8 @@
 
 
 def decode_item(item):
-    """Return the `Entry` of one item."""
-    return Entry(item.key, b64decode(item.value), item.revision)
+    """Return the `Entry` of one item, without any caller's key."""
+    value = b64decode(item.value)
+    if item.key == CONFIGURATION_KEY:
+        value = conceal_keys(value)
+    return Entry(item.key, value, item.revision)
--- a/src/hyssopspring/traffic/routes.py
+++ b/src/hyssopspring/traffic/routes.py
@@ -58,6 +58,7 @@
         max_attempts: Most servers that may run one request.
         resumable: Whether another server may go on with a stream.
         homes: Regions that may serve it; empty for all.
+        public: Whether callers need no key.
     """
 
     name: str
@@ -71,6 +72,7 @@
     max_attempts: int = 1
     resumable: bool = False
     homes: frozenset = frozenset()
+    public: bool = False
 
     @property
     def repeatable(self):
@@ -158,13 +160,17 @@
         routes: Each `Route`.
         services: `Service` by name.
         limits: The `RequestLimits`.
+        workspaces: `Workspace` by name; without any, no caller needs a
+            key.
     """
 
     version: int
     routes: tuple = ()
     services: dict = field(default_factory=dict)
     limits: RequestLimits = RequestLimits()
+    workspaces: dict = field(default_factory=dict)
     by_host: dict = field(init=False, repr=False, compare=False)
+    by_digest: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
         by_host = {}
@@ -173,6 +179,12 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
         object.__setattr__(self, "by_host", by_host)
+        by_digest = {
+            digest: workspace
+            for workspace in self.workspaces.values()
+            for digest in workspace.key_digests
+        }
+        object.__setattr__(self, "by_digest", by_digest)
 
     def find_route(self, host, path):
         """Return the route with the longest matching prefix.
@@ -189,6 +201,14 @@
                 return route
         return NOTHING
 
+    def needs_key(self, route):
+        """Whether callers of *route* must show a workspace's key."""
+        return bool(self.workspaces) and not route.public
+
+    def workspace_of(self, key_digest):
+        """Return the `Workspace` that holds a key, or `NOTHING`."""
+        return self.by_digest.get(key_digest, NOTHING)
+
     def service(self, name):
         """Return the `Service` of *name*, with defaults if unknown."""
         return self.services.get(name) or Service(name=name)
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -280,3 +280,24 @@
 
 BROKEN = (ResponseFailed, NoAnswerError)
 """What a caller sees of an answer that was cut."""
+
+
+WORKSPACES = [
+    {"name": "desk", "api_keys": ["desk-key", "old-key"], "priority": 1},
+    {"name": "bound", "api_keys": ["bound-key"], "home_regions": ["south"]},
+]
+
+
+def keyed_configuration(version=1, workspaces=WORKSPACES, **changes):
+    """Return a document whose callers show keys, but on one route."""
+    document = configuration(version, **changes)
+    document["tenants"] = workspaces
+    document["routes"].append(
+        {
+            **document["routes"][0],
+            "name": "open",
+            "prefix": "/open/",
+            "public": True,
+        }
+    )
+    return document
