Believe keys only while the configuration is surely the newest

A host that wakes finds old answers in its buffers, and cannot tell them from fresh ones by when it reads them.

Change: a view is as old as the question whose answer confirmed it, by a clock that counts suspension. A request with a key is refused at once with 503 when the view is older than the operator's bound less 0.2 s. The first host of a region reads the configuration once a second; all others ask it by datagram, and hosts elsewhere when it does not answer; who hears nobody reads for itself. A host that has not read its first configuration refuses requests with a key at once; only others wait for it.

The reads are paid for by calls that were of no use: the first two hosts renew their entries less often when other calls prove contact, and hosts that have just started, which all watch the store for themselves, wait 0.8 s between two watches.

Random cuts, ends, suspensions and a store that turns hosts away in an emulated fleet: no host believes a key 5 s after it went.

--- a/src/hyssopspring/entry/admission.py
+++ b/src/hyssopspring/entry/admission.py
@@ -11,6 +11,11 @@
 BAD_REQUEST = 400
 UNAVAILABLE = 503
 
+UNVERIFIED_RETRY = 0.2
+"""Seconds after which a caller may come back whose key could not be
+believed; other hosts can serve it, and this one within that time once it
+reaches another again."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Rights:
@@ -46,16 +51,20 @@
     retry_after: object = NOTHING
 
 
-def rights_of(configuration, route, facts):
+def rights_of(configuration, route, facts, *, confirmed=True):
     """Return the `Rights` of a request, or why it is `Barred`.
 
     Args:
         configuration: The `Configuration` in force.
         route: The `Route` that it asks for.
         facts: Its `CallerFacts`.
+        confirmed: Whether the configuration is known to be the newest one
+            as surely as keys demand.
     """
     if not configuration.needs_key(route):
         return Rights(priority=route.priority, homes=route.homes)
+    if not confirmed:
+        return Barred(UNAVAILABLE, Reason.UNVERIFIED, UNVERIFIED_RETRY)
     workspace = configuration.workspace_of(facts.key_digest)
     if workspace is NOTHING:
         return Barred(UNAUTHORIZED, Reason.UNKNOWN_WORKSPACE)
--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -1,6 +1,7 @@
 """The listener for callers."""
 
 from ..core.events import EventKind
+from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
 from .admission import Barred, rights_of
 from .exchanges import Exchange
@@ -43,22 +44,34 @@
 
     Args:
         state: The `EntryState`.
+        confirm: Called to have the view confirmed, as a request was
+            refused for want of it.
     """
 
-    def __init__(self, state):
+    def __init__(self, state, confirm):
         self.state = state
+        self.confirm = confirm
         self.exchanges = set()
         self.starting = StartingQueue(
             state.clock, self.serve, self.refuse_starting
         )
 
     def handle(self, request):
-        """Serve one whole request, or hold it for the first configuration."""
+        """Serve one whole request, or hold it for the first configuration.
+
+        One with a key is refused at once: another host can serve it now,
+        and this one may not believe the key even then.
+        """
         if self.state.keeper.current is not NOTHING:
             self.serve(request, self.state.clock.seconds())
-        elif not self.starting.hold(request):
+        elif self.shows_key(request) or not self.starting.hold(request):
             self.refuse_starting(request)
 
+    def shows_key(self, request):
+        """Whether the caller shows a key."""
+        headers = request.requestHeaders
+        return bool(self.state.codec.read_caller(headers).key_digest)
+
     def refuse_starting(self, request):
         """Refuse a request, as there is no configuration."""
         failing = self.state.contact.failing_since is not NOTHING
@@ -76,8 +89,12 @@
             self.refuse(request, "this host is stopping", STOPPING_RETRY)
             return
         facts = self.state.codec.read_caller(request.requestHeaders)
-        rights = rights_of(configuration, route, facts)
+        rights = rights_of(
+            configuration, route, facts, confirmed=self.state.view.is_fresh
+        )
         if isinstance(rights, Barred):
+            if rights.reason is Reason.UNVERIFIED:
+                self.confirm()
             self.bar(request, rights)
             return
         exchange = Exchange(
@@ -160,6 +177,7 @@
             retry_after=retry_after,
             version=self.state.keeper.version,
             contact_age=round(min(self.state.contact.age, 1e6), 1),
+            view_age=round(min(self.state.view.age, 1e6), 1),
         )
 
     def check(self):
--- a/src/hyssopspring/entry/following.py
+++ b/src/hyssopspring/entry/following.py
@@ -6,7 +6,7 @@
 from ..core.exceptions import KeyValueError, ProtocolError
 from ..core.sentinels import NOTHING
 from ..stores.keyvalues import Applied
-from ..traffic.members import SETTLED
+from ..traffic.members import LEARNING, SETTLED
 from .copies import Copies
 from .crashstore import CRASHES_PREFIX
 from .hostentries import (
@@ -23,10 +23,12 @@
 """Seconds after which the store forgets a host that is gone."""
 
 RENEW_EVERY = 2.5
-WATCHER_RENEW_EVERY = 1.0
-"""Seconds between renewals of a host that does not watch the store, and of
-one that does. Each is also the proof of contact with the store: others of
-the region rely on a watching host, and take over when it fails."""
+"""Seconds between renewals of a host's entry in the store."""
+
+PROVE_EVERY = 1.0
+"""Seconds without word of the store after which a host that watches it
+renews its entry sooner, as a proof of contact: others of the region rely on
+it, and take over when it fails."""
 
 WATCHING_HOSTS = 2
 """Hosts of a region that watch the store and pass on what changes. Each
@@ -77,8 +79,9 @@
         self.found_crash = found_crash
         self.evacuated = set()
         self.lease = NOTHING
-        self.renew_due = 0.0
+        self.renewed_at = NOTHING
         self.renewing = False
+        self.reading = False
         self.operator = Mirror(self.operator_wrote, self.operator_removed)
         self.servers = Mirror(self.server_wrote, self.server_removed)
         self.hosts = Mirror(self.host_wrote, self.host_removed)
@@ -102,8 +105,42 @@
             self.state.clock,
             self.state.rng,
             self.pass_on,
+            self.asking,
+            lambda: self.state.members.own.up_seconds < LEARNING,
         )
 
+    def asking(self, prefix):
+        """Return what is to be called when a listing has been taken over.
+
+        A listing of what operators wrote confirms the view as of now, when
+        it is asked for.
+        """
+        view = self.state.view
+        if prefix != self.layout.OPERATOR_PREFIX:
+            return lambda: None
+        asked_at = view.clock()
+        return lambda: view.confirm(asked_at)
+
+    def read_configuration(self):
+        """Read what operators wrote, beside the watch."""
+        if not self.reading:
+            self.reading = True
+            self.spawn(self.confirm_view())
+
+    async def confirm_view(self):
+        """Have the store confirm the configuration."""
+        prefix = self.layout.OPERATOR_PREFIX
+        listed = self.asking(prefix)
+        try:
+            listing = await self.store.list(prefix)
+            self.state.contact.heard()
+            self.operator.refresh(listing)
+            listed()
+        except KeyValueError as problem:
+            self.state.contact.failed(problem)
+        finally:
+            self.reading = False
+
     def pass_on(self, prefix, changes, outage):
         """Tell the hosts of the region what a watch has brought.
 
@@ -324,13 +361,20 @@
         for server_id in self.state.registry.expire(now):
             self.state.timeline.note(EventKind.SERVER_GONE, server=server_id)
             self.state.connections.forget(server_id)
-        if now >= self.renew_due and not self.renewing:
+        if self.must_renew(now):
             self.renewing = True
-            watching = bool(self.followers)
-            period = WATCHER_RENEW_EVERY if watching else RENEW_EVERY
-            self.renew_due = now + period
+            self.renewed_at = now
             self.spawn(self.renew())
 
+    def must_renew(self, now):
+        """Whether it is time to renew this host's entry in the store."""
+        if self.renewing:
+            return False
+        if self.renewed_at is NOTHING or now - self.renewed_at >= RENEW_EVERY:
+            return True
+        unproved = min(now - self.renewed_at, self.state.contact.age)
+        return bool(self.followers) and unproved >= PROVE_EVERY
+
     async def renew(self):
         """Keep this host's entry in the store."""
         try:
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -21,6 +21,8 @@
     Summary,
     Suspects,
     ToldRoom,
+    ViewAnswer,
+    ViewAsk,
 )
 from .rosters import Rosters
 
@@ -81,6 +83,7 @@
             host.
         store_changed: Called with a `StoreChange` of another host.
         sharing: The `CrashSharing`.
+        views: The `ViewChecking`.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         changed,
         store_changed,
         sharing,
+        views,
     ):
         self.members = members
         self.asking = asking
@@ -120,6 +124,8 @@
             Summary: self.take_summary,
             StoreChange: store_changed,
             Suspects: sharing.take,
+            ViewAsk: views.take_question,
+            ViewAnswer: views.take_answer,
         }
 
     def receive(self, message, ip):
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -29,6 +29,8 @@
     "SuspectRow",
     "Suspects",
     "ToldRoom",
+    "ViewAnswer",
+    "ViewAsk",
     "decode_message",
     "encode_message",
 ]
@@ -389,6 +391,32 @@
     rows: list[SuspectRow]
 
 
+class ViewAsk(msgspec.Struct, array_like=True, tag="v", frozen=True):
+    """Ask how surely a host's configuration is the newest.
+
+    Attributes:
+        host: Name of the sender.
+        stamp: Milliseconds of its own clock, to be sent back.
+    """
+
+    host: str
+    stamp: int
+
+
+class ViewAnswer(msgspec.Struct, array_like=True, tag="y", frozen=True):
+    """Tell how surely the sender's configuration is the newest.
+
+    Attributes:
+        stamp: That of the question.
+        age_ms: Milliseconds since it was the newest for sure.
+        version: Its version.
+    """
+
+    stamp: int
+    age_ms: int
+    version: int
+
+
 Message = (
     AskMessage
     | GrantMessage
@@ -402,6 +430,8 @@
     | Summary
     | StoreChange
     | Suspects
+    | ViewAsk
+    | ViewAnswer
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -26,6 +26,11 @@
 call. Changes come in bursts, when servers register or are replaced, and
 each answer is paid for; the bounds on changes are several seconds."""
 
+STARTING_PAUSE = 0.8
+"""The same for a host that has just started, and so watches until it hears
+of those that watch for it. When all start together each would make five
+calls while servers register."""
+
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.8
 """Bounds of the pause after a failed call, in seconds: at most one call a
@@ -108,6 +113,21 @@
         self.newest = max(self.newest, newest)
         self.known = True
 
+    def refresh(self, listing):
+        """Take over a listing that was read beside the watch.
+
+        Most bring nothing new. The newest revision stays then as it is:
+        the store's own rises all the time, and hosts that see a higher one
+        elsewhere read a copy. One that is older than what the watch has
+        brought lacks keys that were written since.
+        """
+        if listing.revision < self.newest:
+            return
+        listed = {entry.key: entry.revision for entry in listing.entries}
+        known = {one.key: one.revision for one in self.entries.values()}
+        if listed != known:
+            self.replace(listing.entries, listing.revision)
+
     def apply(self, changes, *, outage=False):
         """Take over what has changed."""
         rows = [(entry.revision, entry) for entry in changes.entries]
@@ -200,9 +220,23 @@
         rng: Random number generator.
         changed: Called with the `Changes` that a watch has brought, and
             whether the store had been away, before the mirror has them.
+        asking: Called with the prefix before a listing; returns what is
+            to be called when the mirror has it.
+        starting: Called for whether this host has just started.
     """
 
-    def __init__(self, store, prefix, mirror, contact, clock, rng, changed):
+    def __init__(
+        self,
+        store,
+        prefix,
+        mirror,
+        contact,
+        clock,
+        rng,
+        changed,
+        asking,
+        starting,
+    ):
         self.store = store
         self.prefix = prefix
         self.mirror = mirror
@@ -210,6 +244,8 @@
         self.clock = clock
         self.rng = rng
         self.changed = changed
+        self.asking = asking
+        self.starting = starting
         self.after = NOTHING
         self.pause = FIRST_PAUSE
         self.running = True
@@ -252,6 +288,7 @@
         """
         if self.after is NOTHING:
             outage = self.contact.returning
+            listed = self.asking(self.prefix)
             listing = await self.store.list(self.prefix)
             self.contact.heard()
             self.mirror.replace(
@@ -260,6 +297,7 @@
                 outage=outage and self.mirror.known,
             )
             self.after = listing.revision
+            listed()
             return
         changes = await self.store.watch(
             self.prefix, self.after, WATCH_SECONDS
@@ -273,7 +311,8 @@
         self.changed(self.prefix, changes, outage)
         self.mirror.apply(changes, outage=outage)
         self.after = max(self.after, changes.revision)
-        await task.deferLater(self.clock, WATCH_PAUSE)
+        pause = STARTING_PAUSE if self.starting() else WATCH_PAUSE
+        await task.deferLater(self.clock, pause)
 
     def wait(self):
         """Wait before the next try, longer each time, never in step."""
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -40,6 +40,7 @@
 from .mirrors import Contact
 from .relaying import RelayApi
 from .state import EntryState
+from .views import ConfirmedView, ViewChecking
 from .web import WebFactory
 
 __all__ = ["EntryProcess", "main"]
@@ -163,6 +164,7 @@
                 self.members, connections, self.reactor, self.rng
             ),
             contact=Contact(self.reactor, self.timeline),
+            view=ConfirmedView(boot_clock, settings.revocation),
             retries=RetryWindow(
                 settings.retry_ratio,
                 settings.retry_extra,
@@ -201,6 +203,16 @@
             self.timeline,
             self.following.spawn,
         )
+        self.views = ViewChecking(
+            self.state.view,
+            self.keeper,
+            self.members,
+            self.datagrams,
+            self.reactor,
+            self.timeline,
+            self.following.read_configuration,
+            lambda: self.membership.far_contacts,
+        )
         self.membership = Membership(
             self.members,
             self.asking,
@@ -211,8 +223,9 @@
             self.following.copies.neighbour_is_newer,
             self.following.copies.take_change,
             self.state.sharing,
+            self.views,
         )
-        self.callers = CallerApi(self.state)
+        self.callers = CallerApi(self.state, self.views.hurry)
         self.relay = RelayApi(self.state, self.following.copies.snapshot)
         self.pages = DirectoryPages(self.hosts_for, self.is_ready)
 
@@ -309,6 +322,7 @@
         """Do the work of a heartbeat interval."""
         self.members.own.up_seconds = self.reactor.seconds() - self.began
         self.following.tick()
+        self.views.tick()
         self.state.sharing.tick()
         self.crash_store.tick()
         self.membership.beat()
@@ -326,6 +340,7 @@
             "servers_known": len(self.registry.servers),
             "configuration_version": self.keeper.version,
             "store_contact_age_seconds": round(self.state.contact.age, 1),
+            "view_age_seconds": round(min(self.state.view.age, 1e6), 1),
             "store_calls_total": self.following.store.calls,
             "connections_opened_total": self.state.connections.opened,
             "connections_unopened_total": self.state.connections.unopened,
--- a/src/hyssopspring/entry/settings.py
+++ b/src/hyssopspring/entry/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..core.exceptions import SettingsError
+from ..core.sentinels import NOTHING
 
 __all__ = ["EntrySettings", "check_settings"]
 
@@ -31,6 +32,8 @@
         cold_factor: Factor on the rate of a cold server.
         cold_extra: Requests allowed besides in a second.
         stop_seconds: Seconds from the signal to stop to the end.
+        revocation: Seconds in which a key that was taken away must be
+            refused by all hosts, or `NOTHING` if there is no bound.
         least_lease: Shortest lease that the store gives, in seconds.
         off: Each `Mechanism` that is switched off, for measurements.
     """
@@ -54,6 +57,7 @@
     cold_factor: float = 1.0
     cold_extra: float = 0.0
     stop_seconds: float = 8.0
+    revocation: object = NOTHING
     least_lease: float = 1.0
     off: frozenset = frozenset()
 
@@ -78,4 +82,9 @@
         raise SettingsError(
             f"capacity: expected a positive share, got {settings.capacity}"
         )
+    if settings.revocation is not NOTHING and settings.revocation <= 0:
+        raise SettingsError(
+            "revocation: expected a positive number of seconds, got "
+            f"{settings.revocation}"
+        )
     return settings
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -23,6 +23,7 @@
         connections: `Connections`.
         far_hosts: `FarHosts` of other regions.
         contact: `Contact` with the store.
+        view: `ConfirmedView` of the configuration.
         retries: `RetryWindow`.
         endings: `Endings` of backend servers.
         sharing: `CrashSharing` of requests under which servers ended.
@@ -41,6 +42,7 @@
     connections: object
     far_hosts: object
     contact: object
+    view: object
     retries: object
     endings: object
     sharing: object
--- /dev/null
+++ b/src/hyssopspring/entry/views.py
@@ -0,0 +1,189 @@
+"""How surely this host's configuration is the newest one.
+
+A key that an operator has taken away must be refused everywhere within a
+bound, also by a host that was suspended or cut off and has not heard of it.
+So a host serves requests with a key only for as long as it knows that its
+configuration was the newest a short while ago.
+"""
+
+import math
+
+from ..core.events import EventKind
+from ..core.sentinels import NOTHING
+from ..traffic.members import LEARNING
+from .messages import ViewAnswer, ViewAsk
+
+__all__ = ["ConfirmedView", "ViewChecking"]
+
+MARGIN = 0.2
+"""Seconds before the bound at which keys are not believed any more, for
+clocks that do not run quite alike."""
+
+READ_EVERY = 0.9
+"""Age of the view, in seconds, at which the first host of a region reads
+the configuration anew."""
+
+ASK_SECOND_AFTER = 1.3
+"""Age of the view, in seconds, from which the second host is asked too."""
+
+READ_AFTER = 2.2
+"""Age of the view, in seconds, from which a host that gets no answer of
+others reads the configuration itself. It is soon enough to serve on without
+a break if the first host is gone, and no call is made for a lost answer."""
+
+HURRY_EVERY = 0.1
+"""Seconds between two rounds of questions of a host that refuses."""
+
+
+class ConfirmedView:
+    """The time at which this host's configuration was the newest for sure.
+
+    Args:
+        clock: Callable that returns the seconds of a clock that also
+            counts while the host is suspended.
+        bound: Seconds in which a key that was taken away must be refused,
+            or `NOTHING` if there is no bound.
+    """
+
+    def __init__(self, clock, bound):
+        self.clock = clock
+        self.life = NOTHING if bound is NOTHING else max(0.0, bound - MARGIN)
+        self.confirmed_at = NOTHING
+
+    def confirm(self, at):
+        """Note that the configuration was the newest at the time *at*.
+
+        That is the time before the question, not that of the answer: an
+        answer may have lain in a buffer while the host was suspended.
+        """
+        if self.confirmed_at is NOTHING or at > self.confirmed_at:
+            self.confirmed_at = at
+
+    @property
+    def age(self):
+        """Seconds since the configuration was the newest for sure."""
+        if self.confirmed_at is NOTHING:
+            return math.inf
+        return self.clock() - self.confirmed_at
+
+    @property
+    def is_fresh(self):
+        """Whether keys may be believed."""
+        return self.life is NOTHING or self.age < self.life
+
+
+class ViewChecking:
+    """Keep the view of this host confirmed, at few calls to the store.
+
+    The first host of a region reads the configuration each second. All
+    others ask it by datagram, twice a second; what they get bears the time
+    of their question, so a late answer is not taken for a fresh one. A host
+    that gets no answer reads by itself. Right after its start each takes
+    itself for the first, having heard nobody yet; its first listing of the
+    store confirms its view for longer than that.
+
+    Args:
+        view: The `ConfirmedView`.
+        keeper: The `ConfigurationKeeper`.
+        members: The `Members`.
+        datagrams: The `Datagrams`.
+        clock: The runtime's clock.
+        timeline: The `Timeline`.
+        read: Called to read the configuration from the store.
+        far_hosts: Called for the hosts of other regions to ask.
+    """
+
+    def __init__(
+        self,
+        view,
+        keeper,
+        members,
+        datagrams,
+        clock,
+        timeline,
+        read,
+        far_hosts,
+    ):
+        self.view = view
+        self.keeper = keeper
+        self.members = members
+        self.datagrams = datagrams
+        self.clock = clock
+        self.timeline = timeline
+        self.read = read
+        self.far_hosts = far_hosts
+        self.hurried_at = -math.inf
+        self.lost = False
+
+    @property
+    def needed(self):
+        """Whether any request depends on the view."""
+        current = self.keeper.current
+        if current is NOTHING or self.view.life is NOTHING:
+            return False
+        return bool(current.workspaces)
+
+    def tick(self):
+        """Have the view confirmed if it is time."""
+        if not self.needed:
+            return
+        self.note_state()
+        own = self.members.own
+        ranked = self.members.placers(self.clock.seconds())
+        heard = len(ranked) > 1 or own.up_seconds >= LEARNING
+        first = ranked[0] is own and heard
+        age = self.view.age
+        if age > (READ_EVERY if first else READ_AFTER):
+            self.read()
+        self.ask(ranked[0])
+        if age > ASK_SECOND_AFTER:
+            for member in ranked[1:2] + self.far_hosts():
+                self.ask(member)
+
+    def hurry(self):
+        """Have the view confirmed at once: a caller was just refused."""
+        now = self.clock.seconds()
+        if now - self.hurried_at >= HURRY_EVERY:
+            self.hurried_at = now
+            self.tick()
+
+    def note_state(self):
+        """Put it on the time line when keys are refused, or not any more."""
+        lost = not self.view.is_fresh
+        if lost == self.lost:
+            return
+        self.lost = lost
+        self.timeline.note(
+            EventKind.VIEW_LOST if lost else EventKind.VIEW_BACK,
+            version=self.keeper.version,
+            age=round(min(self.view.age, 1e6), 1),
+        )
+
+    def ask(self, member):
+        """Ask another host how sure it is of its configuration."""
+        if member is self.members.own:
+            return
+        stamp = math.floor(self.view.clock() * 1000)
+        question = ViewAsk(self.members.own.name, stamp)
+        self.datagrams.send(question, member.control)
+
+    def take_question(self, message):
+        """Tell another host how sure this one is."""
+        member = self.members.others.get(message.host)
+        if member is None or not self.view.is_fresh:
+            return
+        if self.view.confirmed_at is NOTHING:
+            return
+        age = math.ceil(self.view.age * 1000)
+        answer = ViewAnswer(message.stamp, age, self.keeper.version)
+        self.datagrams.send(answer, member.control)
+
+    def take_answer(self, message):
+        """Take over how sure another host is of the same configuration.
+
+        One that has a newer one confirms nothing here: that one is read
+        from it first.
+        """
+        if self.keeper.version >= message.version:
+            self.view.confirm((message.stamp - message.age_ms) / 1000)
+            self.note_state()
--- a/src/hyssopspring/platform/settings.py
+++ b/src/hyssopspring/platform/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for each process."""
 
 from ..core.exceptions import SettingsError
+from ..core.sentinels import NOTHING
 from ..entry.settings import EntrySettings, check_settings
 
 __all__ = ["PATH_VARIABLE", "parse_settings", "read_settings"]
@@ -76,10 +77,20 @@
         cold_factor=number(values, "bounds.cold_over", 1.0),
         cold_extra=number(values, "bounds.cold_slack", 0.0),
         stop_seconds=number(values, "bounds.grace_s", 8.0),
+        revocation=revocation(values),
         least_lease=number(values, "platform.ttl_min_ms", 1000.0) / 1000,
     )
 
 
+def revocation(values):
+    """Return the seconds in which a key must end, or `NOTHING`."""
+    strict = values.get("bounds.strict_revoke", "") == "true"
+    millis = number(values, "bounds.revoke_ms", NOTHING)
+    if not strict or millis is NOTHING:
+        return NOTHING
+    return millis / 1000
+
+
 def number(values, name, default):
     """Return a number, or *default* if it is not given.
 
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -14,8 +14,11 @@
 from hyssopspring.entry.crashsharing import CrashSharing
 from hyssopspring.entry.datagrams import Datagrams
 from hyssopspring.entry.membership import HEARTBEAT_EVERY, Membership
+from hyssopspring.entry.views import ConfirmedView, ViewChecking
 from hyssopspring.traffic.crashes import Crashes
 from hyssopspring.traffic.members import Member, Members
+from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
+from hyssopspring.traffic.workspaces import Workspace
 
 REGIONS = ("north", "south", "west")
 NEAR_SECONDS = 0.0002
@@ -30,6 +33,15 @@
 what requests need must stay free."""
 
 
+STORE_SECONDS = 0.004
+"""Seconds in which the store answers."""
+
+REVOCATION = 5.0
+"""Seconds in which a key that was taken away must be refused everywhere."""
+
+WORKSPACES = {"desk": Workspace(name="desk")}
+
+
 class Quiet:
     """A placer, its questions and a time line of a host without requests."""
 
@@ -100,6 +112,19 @@
             lambda: self.membership.far_hosts_to_tell(),
             self.saved.append,
         )
+        self.keeper = ConfigurationKeeper()
+        self.take_version(network.version)
+        self.view = ConfirmedView(network.clock.seconds, REVOCATION)
+        self.views = ViewChecking(
+            self.view,
+            self.keeper,
+            self.members,
+            self.datagrams,
+            network.clock,
+            self.quiet,
+            lambda: network.read_store(self),
+            lambda: self.membership.far_contacts,
+        )
         self.membership = Membership(
             self.members,
             self.quiet,
@@ -107,10 +132,18 @@
             self.datagrams,
             network.clock,
             self.quiet,
-            lambda member: None,
+            lambda member: self.take_version(member.version),
             lambda change: None,
             self.sharing,
+            self.views,
+        )
+
+    def take_version(self, version):
+        """Put a version of the configuration in force."""
+        self.keeper.offer(
+            Configuration(version=version, workspaces=WORKSPACES)
         )
+        self.members.own.version = self.keeper.version
 
     def receive(self, message, ip):
         """Take one message."""
@@ -136,6 +169,7 @@
             now = self.network.clock.seconds()
             self.members.own.up_seconds = now - self.began
             self.sharing.tick()
+            self.views.tick()
             self.membership.beat()
 
     def live(self, region):
@@ -153,6 +187,10 @@
         self.rng = random.Random(1)
         self.hosts = {}
         self.by_ip = {}
+        self.version = 1
+        self.store_calls = 0
+        self.cut_from_store = set()
+        self.frozen = {}
         self.cut = set()
         self.cut_pairs = set()
         for region in REGIONS:
@@ -199,7 +237,8 @@
         other = self.by_ip.get(address[0])
         if other is None or self.rng.random() < LOSS:
             return
-        if not (sender.up and other.up) or self.cut & {sender, other}:
+        reached = other.up or other in self.frozen
+        if not (sender.up and reached) or self.cut & {sender, other}:
             return
         if frozenset((sender.region, other.region)) in self.cut_pairs:
             return
@@ -212,8 +251,52 @@
             split_address(sender.members.own.control),
         )
 
+    def read_store(self, host):
+        """Read the newest version from the store, which is in the north.
+
+        A host that is suspended meanwhile finds the answer as it wakes.
+        """
+        self.store_calls += 1
+        if host in self.cut_from_store or host in self.cut:
+            return
+        asked_at = self.clock.seconds()
+        way = STORE_SECONDS / 2
+        if host.region != REGIONS[0]:
+            if frozenset((host.region, REGIONS[0])) in self.cut_pairs:
+                return
+            way += FAR_SECONDS
+        self.clock.callLater(way, self.answer_read, host, asked_at, way)
+
+    def answer_read(self, host, asked_at, way):
+        """Send the version of this moment back."""
+        self.clock.callLater(way, self.end_read, host, asked_at, self.version)
+
+    def end_read(self, host, asked_at, version):
+        """Hand the answer of the store to a host."""
+        if host in self.frozen:
+            self.frozen[host].append((self.end_read, asked_at, version))
+        elif host.up:
+            host.take_version(version)
+            host.view.confirm(asked_at)
+
+    def freeze(self, host):
+        """Suspend a host; what comes meanwhile waits in its buffers."""
+        host.up = False
+        self.frozen.setdefault(host, [])
+
+    def wake(self, host):
+        """Go on with a host, which first reads what lies in its buffers."""
+        waiting = self.frozen.pop(host, None)
+        if waiting is None:
+            return
+        host.up = True
+        for take, *details in waiting:
+            take(host, *details)
+
     def deliver(self, host, data, address):
         """Hand a datagram to a host that still runs."""
+        if host in self.frozen and host not in self.cut:
+            self.frozen[host].append((self.deliver, data, address))
         if host.up and host not in self.cut:
             host.datagrams.datagramReceived(data, address)
 
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -85,6 +85,8 @@
             clock,
             random.Random(1),
             lambda prefix, changes, outage: None,
+            lambda prefix: lambda: None,
+            lambda: False,
         )
         follower.start()
         return script, contact, follower
@@ -211,3 +213,29 @@
     for _ in range(100):
         clock.advance(0.1)
     assert 25 <= len(script.calls) <= 60
+
+
+def test_a_listing_beside_the_watch_brings_back_nothing_old(recorder):
+    """A key that has just been written is lost again.
+
+    The listing was made before the watch brought the key. Taken for the
+    newest, it would remove an evacuation that is in force.
+    """
+    recorder.mirror.put(Entry("a/1", b"one", 3))
+    recorder.mirror.put(Entry("a/2", b"two", 9))
+    recorder.mirror.refresh(Listing((Entry("a/1", b"one", 3),), 5))
+    assert_that(recorder.removed, Equals([]))
+
+
+def test_a_listing_that_brings_nothing_new_makes_no_host_read_a_copy(recorder):
+    """All hosts of a region read copies, each second.
+
+    The store's revision rises all the time. A host that took it over from
+    each listing would seem ahead of all others.
+    """
+    recorder.mirror.put(Entry("a/1", b"one", 3))
+    recorder.mirror.refresh(Listing((Entry("a/1", b"one", 3),), 50))
+    assert_that(recorder.mirror.newest, Equals(3))
+    recorder.mirror.refresh(Listing((Entry("a/1", b"new", 60),), 70))
+    assert_that(recorder.written[-1], Equals(b"new"))
+    assert_that(recorder.mirror.newest, Equals(70))
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,229 @@
+"""How surely a host's configuration is the newest, and what follows."""
+
+import math
+
+import pytest
+import pytest_twisted
+from entry_hosts import keyed_configuration
+from hypothesis import given
+from hypothesis import strategies as st
+from networks import REVOCATION, Network
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, Is, LessThan
+from twisted.internet import reactor, task
+
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.views import ConfirmedView
+
+
+def test_a_view_ages_from_the_question_and_never_backwards():
+    """A late answer, doubled on its way, makes an old view look young."""
+    clock = task.Clock()
+    view = ConfirmedView(clock.seconds, 5.0)
+    assert_that((view.age, view.is_fresh), Equals((math.inf, False)))
+    clock.advance(10.0)
+    view.confirm(9.0)
+    view.confirm(3.0)
+    assert_that((view.age, view.is_fresh), Equals((1.0, True)))
+    clock.advance(4.0)
+    assert_that(view.is_fresh, Is(False))
+
+
+def test_without_a_bound_keys_are_always_believed():
+    """Deployments that name no bound would refuse keys in an outage."""
+    view = ConfirmedView(task.Clock().seconds, NOTHING)
+    assert_that(view.is_fresh, Is(True))
+
+
+def unsafe(network):
+    """Return the hosts that believe keys of a version that is too old."""
+    return [
+        name
+        for name, host in network.hosts.items()
+        if host.up
+        and host.view.is_fresh
+        and host.keeper.version < network.version
+    ]
+
+
+FAULTS = ("cut", "cut_from_store", "freeze", "region", "end")
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(FAULTS),
+            st.integers(0, 17),
+            st.integers(1, 8),
+        ),
+        min_size=1,
+        max_size=9,
+    ),
+    st.integers(0, 12),
+)
+def test_a_key_taken_away_ends_everywhere_whatever_fails(faults, change_at):
+    """A key that was taken away still serves at one host.
+
+    The host was cut off, suspended or turned away by the store as the key
+    went, and what confirms its old configuration lay in a buffer or came
+    from a host that had not heard of it either.
+    """
+    network = Network(6)
+    hosts = list(network.hosts.values())
+    network.run(4)
+    ends = []
+    for second in range(24):
+        if second == change_at:
+            network.version += 1
+            changed_at = network.clock.seconds()
+        for number, (kind, which, length) in enumerate(faults):
+            if second == number * 2:
+                begin(network, kind, hosts[which])
+                ends.append((second + length, kind, hosts[which]))
+        for end, kind, host in ends:
+            if end == second:
+                finish(network, kind, host)
+        for _ in range(10):
+            network.run(0.1)
+            if second >= change_at:
+                since = network.clock.seconds() - changed_at
+                if since > REVOCATION:
+                    assert_that(unsafe(network), Equals([]))
+
+
+def begin(network, kind, host):
+    """Begin a fault at a host, or between its region and the store's."""
+    if kind == "freeze":
+        network.freeze(host)
+    elif kind == "end":
+        host.up = False
+    elif kind == "region":
+        network.cut_pairs.add(frozenset((host.region, "north")))
+    else:
+        getattr(network, kind).add(host)
+
+
+def finish(network, kind, host):
+    """End a fault."""
+    if kind == "freeze":
+        network.wake(host)
+    elif kind == "region":
+        network.cut_pairs.discard(frozenset((host.region, "north")))
+    elif kind != "end":
+        getattr(network, kind).discard(host)
+
+
+def test_a_calm_fleet_confirms_its_views_with_few_calls():
+    """Each of 195 hosts asks the store each second.
+
+    Calls are paid for and limited. Only the first host of a region reads;
+    all others hear of it, and none of their views gets old.
+    """
+    network = Network(65)
+    network.run(4)
+    before, oldest = network.store_calls, 0.0
+    for _ in range(50):
+        network.run(0.1)
+        ages = [host.view.age for host in network.hosts.values()]
+        oldest = max(oldest, *ages)
+    assert_that(network.store_calls - before, LessThan(3 * 5 + 4))
+    assert_that(oldest, LessThan(REVOCATION / 2))
+
+
+def test_hosts_that_the_store_turns_away_hear_of_it_from_others():
+    """A host refuses keys though its neighbours could vouch for them."""
+    network = Network(6)
+    network.run(3)
+    away = list(network.hosts.values())[:3]
+    network.cut_from_store.update(away)
+    for _ in range(80):
+        network.run(0.1)
+        for host in away:
+            assert_that(host.view.is_fresh, Is(True))
+
+
+def test_the_loss_of_the_first_host_costs_no_refusal():
+    """All hosts of a region refuse keys, as the one that reads is gone."""
+    network = Network(6)
+    network.run(3)
+    first = network.placer_of(network.hosts["south-0"])
+    first.up = False
+    others = [
+        host
+        for host in network.hosts.values()
+        if host.region == "south" and host is not first
+    ]
+    for _ in range(80):
+        network.run(0.1)
+        for host in others:
+            assert_that(host.view.is_fresh, Is(True))
+
+
+@pytest.mark.parametrize("seconds", [5.5, 9.0])
+def test_a_cut_region_is_back_within_a_second_of_the_way(seconds):
+    """A region goes on refusing keys long after it is reached again."""
+    network = Network(6)
+    network.run(3)
+    pairs = {frozenset((one, "south")) for one in ("north", "west")}
+    network.cut_pairs |= pairs
+    network.run(seconds)
+    south = [one for one in network.hosts.values() if one.region == "south"]
+    assert_that(any(host.view.is_fresh for host in south), Is(False))
+    network.cut_pairs -= pairs
+    network.run(1.0)
+    assert_that(all(host.view.is_fresh for host in south), Is(True))
+
+
+def test_a_host_that_wakes_believes_nothing_that_lay_in_its_buffers():
+    """A woken host serves a key that was taken away while it slept.
+
+    An answer that had come before the key went lay in its buffer. It is
+    read after the wake, and bears the time of a question from before.
+    """
+    network = Network(6)
+    network.run(3)
+    host = network.hosts["south-3"]
+    host.views.ask(network.placer_of(host).members.own)
+    network.freeze(host)
+    network.run(1.0)
+    network.version += 1
+    network.run(REVOCATION)
+    network.wake(host)
+    assert_that(host.view.is_fresh, Is(False))
+    host.views.hurry()
+    network.run(0.4)
+    assert_that(
+        (host.view.is_fresh, host.keeper.version),
+        Equals((True, network.version)),
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_keys_are_refused_when_the_view_is_old_and_served_anew(hosts):
+    """A caller is served by a key that nobody can vouch for.
+
+    The store is away for longer than the bound. The request is refused at
+    once with a true status; routes without keys are served all the while.
+    """
+    hosts.store.put_json("op/config", keyed_configuration(2))
+    await hosts.until(
+        lambda: all(p.keeper.version == 2 for p in hosts.processes.values())
+    )
+    for process in hosts.processes.values():
+        process.state.view.life = 1.5
+    hosts.store.down = True
+    await task.deferLater(reactor, 3.2)
+    assert_that(await ask(hosts, "/lookup/a"), Equals(503))
+    assert_that(await ask(hosts, "/open/a"), Equals(200))
+    hosts.store.down = False
+    hosts.store.waiting.clear()
+    await hosts.until(lambda: hosts.processes["h-north"].state.view.is_fresh)
+    assert_that(await ask(hosts, "/lookup/a"), Equals(200))
+
+
+async def ask(hosts, path):
+    """Return the status of a request with a key."""
+    status, _, _ = await hosts.send(
+        "h-north", path, identifier="r1", x_api_key="desk-key"
+    )
+    return status
