Count limits in tokens where requests are placed, and lend between regions

Cause: entry hosts knew no limits of workspaces. Callers got what they asked for; what a workspace asks beyond its limit came on top of all others.

Change: the host that places a region's requests counts them, as it sees each one anyway; a request beyond the limit is refused at once with 429 and the time after which there are enough tokens. Each region owns an equal share of each limit and lends what it does not need for a second, by datagram: the lender leaves it unused for longer than the borrower may use it, so the sum holds in any cut, and nobody leads. The second host of a region hears what the first has lent. Hosts that count beside each other (a dead or late first host, a region in halves) use the part of the share that belongs to the hosts that count on them. A host that starts has no burst to give. What has shown not to have run is given back.

Ways compared: - shares at each host, as the product's own gateway has them: a workspace with 66,000 tokens a second has 1,000 at each of 66 hosts, and its requests have 9,200 on average.

Random cuts, ends, suspensions and late answers in an emulated fleet: the bound holds in all examples.

--- a/src/hyssopspring/core/shares.py
+++ b/src/hyssopspring/core/shares.py
@@ -70,14 +70,15 @@
     return hash_text(workspace) % LEDGERS
 
 
-def fair_units(wanted, host):
+def fair_units(wanted, host, whole=WHOLE):
     """Return the max-min fair units of *host* among what all want.
 
     Args:
         wanted: Wanted units by host.
         host: The host.
+        whole: Units that there are.
     """
-    left = WHOLE
+    left = whole
     waiting = dict(wanted)
     while waiting:
         equal = left // len(waiting)
--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -7,14 +7,16 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
-from ..traffic.decisions import Ask, Away, Placed, Refused
+from ..traffic.decisions import Ask, Away, Limited, Placed, Refused
 from ..traffic.evidence import Finding
 from ..traffic.servers import Usability
 from ..traffic.work import Demand
+from .limiting import LATELY
 from .messages import (
     AskMessage,
     EndMessage,
     GrantMessage,
+    LimitMessage,
     OpenTicket,
     RefusalMessage,
     StartMessage,
@@ -92,6 +94,7 @@
         boot_clock: Callable that returns the seconds of a clock that also
             counts while the host is suspended.
         timeline: The `Timeline`.
+        limiting: The `Limiting`.
         guarded: Called with work whose unexpected failure is logged.
     """
 
@@ -104,6 +107,7 @@
         clock,
         boot_clock,
         timeline,
+        limiting,
         guarded=lambda work: work(),
     ):
         self.members = members
@@ -113,11 +117,14 @@
         self.clock = clock
         self.boot_clock = boot_clock
         self.timeline = timeline
+        self.limiting = limiting
         self.guarded = guarded
         self.number = 0
         self.asks = {}
         self.given_up = {}
         self.work = {}
+        self.sent_away = {}
+        self.strayed_at = NOTHING
         self.ranked = []
         self.ranked_at = NOTHING
         self.questions = deque()
@@ -137,10 +144,13 @@
         self.number += 1
         number = self.number
         ask = replace(ask, host=self.host, number=number)
-        for member in self.placers()[:ASKED_HOSTS]:
+        for turn, member in enumerate(self.placers()[:ASKED_HOSTS]):
             if member is self.members.own:
                 return number, self.decide_here(ask, cold_allowed=True)
-            decision = await self.ask_other(member, ask)
+            second = turn > 0
+            if second:
+                self.strayed_at = self.clock.seconds()
+            decision = await self.ask_other(member, ask, second=second)
             if self.is_usable(decision):
                 self.keep(number, ask, decision, member.name)
                 return number, decision
@@ -156,16 +166,29 @@
 
     def decide_here(self, ask, *, cold_allowed):
         """Decide by this host's own knowledge."""
-        decision = self.placer.place(
-            ask, self.clock.seconds(), cold_allowed=cold_allowed
-        )
+        decision = self.decide(ask, cold_allowed=cold_allowed)
         self.keep(ask.number, ask, decision, self.host)
         return decision
 
+    def decide(self, ask, *, cold_allowed):
+        """Return this host's decision, within the limits that it counts."""
+        return self.limiting.decide(
+            ask,
+            lambda: self.placer.place(
+                ask, self.clock.seconds(), cold_allowed=cold_allowed
+            ),
+        )
+
     def keep(self, number, ask, decision, placer):
-        """Remember a placed request until its end."""
+        """Remember a placed request until its end.
+
+        One that is sent to another region is remembered if it takes from
+        a limit, which is counted in this one.
+        """
         if isinstance(decision, Placed):
             self.work[number] = OpenWork(decision, ask.demand, placer)
+        elif isinstance(decision, Away) and ask.cost:
+            self.sent_away[number] = placer
 
     def is_usable(self, decision):
         """Whether a decision of another host may be used.
@@ -182,7 +205,7 @@
         )
         return usability is not Usability.LEAVING
 
-    def ask_other(self, member, ask):
+    def ask_other(self, member, ask, *, second=False):
         """Ask another host; return a deferred of the decision.
 
         It is `NOTHING` if no answer came in time.
@@ -193,9 +216,17 @@
             ANSWER_WITHIN, self.give_up, ask.number
         )
         self.asks[ask.number] = waiting
-        self.datagrams.send(ask_message(ask), member.control)
+        message = ask_message(ask, second=second, strayed=self.strays)
+        self.datagrams.send(message, member.control)
         return done
 
+    @property
+    def strays(self):
+        """Whether the first host has left a question unanswered lately."""
+        if self.strayed_at is NOTHING:
+            return False
+        return self.clock.seconds() - self.strayed_at < LATELY
+
     def give_up(self, number):
         """Go on without an answer."""
         waiting = self.asks.pop(number, None)
@@ -230,12 +261,12 @@
         member = self.given_up.pop(message.number, None)
         if member is None or not isinstance(message, GrantMessage):
             return
-        if message.server_id:
+        if message.server_id or message.region:
             end = EndMessage(
                 self.host,
                 message.number,
                 message.server_id,
-                int(Finding.CANCELLED),
+                int(Finding.UNUSED),
             )
             self.datagrams.send(end, member.control)
 
@@ -276,9 +307,10 @@
         """Place a request of another host and tell it."""
         ask = ask_of(message)
         first = self.placers()[0] is self.members.own
-        decision = self.placer.place(
-            ask, self.clock.seconds(), cold_allowed=first
+        self.limiting.standing.note_asked(
+            message.host, second=message.second, strayed=message.strayed
         )
+        decision = self.decide(ask, cold_allowed=first)
         self.datagrams.send(
             answer_message(ask.number, decision), member.control
         )
@@ -295,7 +327,9 @@
         self.tell(work.placer, StartMessage(self.host, number, seconds))
 
     def note_end(self, number, finding):
-        """Tell that an attempt has ended."""
+        """Tell that an attempt has ended, or that a placement is not used."""
+        if finding is Finding.UNUSED:
+            self.note_away_end(number, ran=False)
         work = self.work.pop(number, None)
         if work is None:
             return
@@ -304,8 +338,20 @@
         message = EndMessage(self.host, number, server_id, int(finding))
         self.tell(work.placer, message)
 
+    def note_away_end(self, number, *, ran):
+        """Tell that an attempt in another region has ended."""
+        placer = self.sent_away.pop(number, "")
+        if not placer or ran:
+            return
+        self.limiting.note_end(self.host, number, Finding.UNUSED)
+        message = EndMessage(self.host, number, "", int(Finding.UNUSED))
+        self.tell(placer, message)
+
     def take_end(self, host, number, server_id, finding):
         """Take account of the end of an attempt of any host."""
+        self.limiting.note_end(host, number, finding)
+        if not server_id:
+            return
         suspected = self.placer.note_end(
             host, number, server_id, finding, self.clock.seconds()
         )
@@ -346,8 +392,14 @@
         ]
 
 
-def ask_message(ask):
-    """Return the message of an `Ask`."""
+def ask_message(ask, *, second=False, strayed=False):
+    """Return the message of an `Ask`.
+
+    Args:
+        ask: The `Ask`.
+        second: Whether the host that was asked first did not answer.
+        strayed: Whether that happened lately.
+    """
     demand = ask.demand
     return AskMessage(
         ask.host,
@@ -366,6 +418,10 @@
         ask.may_leave,
         ask.begun,
         ask.apart,
+        ask.workspace,
+        ask.cost,
+        second,
+        strayed,
     )
 
 
@@ -390,11 +446,22 @@
         may_leave=message.may_leave,
         begun=message.begun,
         apart=message.apart,
+        workspace=message.workspace,
+        cost=message.cost,
     )
 
 
 def answer_message(number, decision):
     """Return the message of a decision."""
+    if isinstance(decision, Limited):
+        return LimitMessage(
+            number,
+            decision.retry_after,
+            decision.host,
+            decision.units,
+            decision.level,
+            decision.demand,
+        )
     if isinstance(decision, Refused):
         return RefusalMessage(
             number,
@@ -420,6 +487,14 @@
 
 def decision_of(message):
     """Return the decision of a message."""
+    if isinstance(message, LimitMessage):
+        return Limited(
+            message.retry_after,
+            message.host,
+            message.units,
+            message.level,
+            message.demand,
+        )
     if isinstance(message, RefusalMessage):
         return Refused(message.retry_after, message.predicted, message.servers)
     if message.region:
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -8,7 +8,7 @@
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
-from ..traffic.decisions import Ask, Away, Placed
+from ..traffic.decisions import Ask, Away, Limited, Placed
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Sending, silence_limit
 from .connections import Lane
@@ -167,17 +167,23 @@
             return refusal
         number, decision = await self.placed()
         if self.sink.gone or self.time_left < LEAST_TIME:
-            self.state.asking.note_end(number, Finding.CANCELLED)
+            self.state.asking.note_end(number, Finding.UNUSED)
             return NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER)
         refusal = self.refused_for_crashes()
         if refusal is not NOTHING:
-            self.state.asking.note_end(number, Finding.CANCELLED)
+            self.state.asking.note_end(number, Finding.UNUSED)
             return refusal
         if isinstance(decision, Placed):
             return await self.try_server(number, decision)
         if isinstance(decision, Away):
-            return await self.try_region(decision)
+            outcome = await self.try_region(decision)
+            ran = not isinstance(outcome, NotRun)
+            self.state.asking.note_away_end(number, ran=ran)
+            return outcome
         self.refused = True
+        if isinstance(decision, Limited):
+            self.note_limit(decision)
+            return NotRun(Reason.RATE_LIMIT, decision.retry_after)
         self.note_refusal(decision)
         return NotRun(Reason.OVERLOADED, decision.retry_after)
 
@@ -221,6 +227,24 @@
             apart=self.suspicion.apart(),
         )
 
+    def note_limit(self, limited):
+        """Put a refusal by a limit and its grounds on the time line."""
+        self.state.timeline.note(
+            EventKind.NOT_RUN,
+            request=self.id,
+            reason=Reason.RATE_LIMIT,
+            route=self.route.name,
+            retry_after=round(limited.retry_after, 3),
+            workspace=self.rights.workspace,
+            cost=self.rights.cost,
+            counted_by=limited.host,
+            units=limited.units,
+            left=limited.level,
+            demand=limited.demand,
+            version=self.state.keeper.version,
+            view_age=round(min(self.state.view.age, 1e6), 1),
+        )
+
     def ask(self):
         """Return the `Ask` of this moment."""
         waited = self.state.clock.seconds() - self.arrived
@@ -238,6 +262,8 @@
             may_leave=self.may_leave,
             begun=self.sink.started,
             apart=self.suspicion.apart(),
+            workspace=self.rights.workspace,
+            cost=self.rights.cost,
         )
 
     def patience(self, waited):
@@ -532,7 +558,7 @@
             self.placement = (number, decision)
             silent.abandon(Reason.CONNECTION_LOST, silent=True)
         else:
-            self.state.asking.note_end(number, Finding.CANCELLED)
+            self.state.asking.note_end(number, Finding.UNUSED)
 
     def silence_limit(self):
         """Return the seconds after which a server counts as silent."""
@@ -607,7 +633,9 @@
             if outcome.reason is Reason.CRASHES_SERVERS:
                 # To come back within minutes would be in vain.
                 headers = []
-            respond_refusal(self.request, 503, str(outcome.reason), headers)
+            limited = outcome.reason is Reason.RATE_LIMIT
+            status = 429 if limited else 503
+            respond_refusal(self.request, status, str(outcome.reason), headers)
         else:
             status = 504 if outcome.reason is Reason.DEADLINE else 502
             respond_refusal(self.request, status, str(outcome.reason))
--- /dev/null
+++ b/src/hyssopspring/entry/limiting.py
@@ -0,0 +1,290 @@
+"""Limits of workspaces, counted where requests are placed."""
+
+from ..core.hashing import short_id
+from ..core.sentinels import NOTHING
+from ..traffic.decisions import Away, Limited, Placed
+from ..traffic.evidence import NOT_RUN
+from ..traffic.members import Report
+from .messages import LoanAsk, LoanMessage
+
+__all__ = ["LOANS_EVERY", "Limiting", "Standing"]
+
+LOANS_EVERY = 0.3
+"""Seconds between two questions for loans."""
+
+LATELY = 1.0
+"""Seconds for which a host counts as one that not only asks the first."""
+
+FIRST_PART = 0.4
+SECOND_PART = 0.4
+ALONE_PART = 0.2
+"""Parts of a host that asks the first, the second and nobody in turn, as
+some of its questions are answered too late. They add up to 1."""
+
+FIRST_SILENCE = 0.75
+"""Seconds without a heartbeat after which the second counts for the first
+as well: the first speaks to it twice a second."""
+
+LEAST_RETRY = 0.1
+LONGEST_RETRY = 5.0
+"""Bounds of the time after which to come back, in seconds."""
+
+WEIGHT_FOR = 0.1
+"""Seconds for which the part of the region that counts here is kept."""
+
+RETRY_SPREAD = 0.5
+"""Part by which that time is drawn longer, so that callers who were refused
+together do not return together."""
+
+
+class Standing:
+    """Which part of the region's hosts count on this one to place.
+
+    Args:
+        members: The `Members`.
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, members, clock):
+        self.members = members
+        self.clock = clock
+        self.asked_second = {}
+        self.strayed = {}
+        self.known_weight = 0.0
+        self.known_at = -WEIGHT_FOR
+
+    def note_asked(self, host, *, second, strayed):
+        """Note that another host has asked this one.
+
+        Args:
+            host: Its name.
+            second: Whether the host that was asked first did not answer.
+            strayed: Whether that happened to it lately.
+        """
+        now = self.clock.seconds()
+        if second:
+            self.asked_second[host] = now
+        elif strayed:
+            self.strayed[host] = now
+
+    def weight(self):
+        """Return the part, from 0 to 1, this host included.
+
+        The parts of hosts that place beside each other add up to 1 at
+        most, since each host counts once in all. For a short time after a
+        host has begun to ask elsewhere they may not.
+        """
+        now = self.clock.seconds()
+        if now - self.known_at >= WEIGHT_FOR:
+            self.known_at = now
+            self.known_weight = self.find_weight(now)
+        return self.known_weight
+
+    def find_weight(self, now):
+        """Return the part as it is now."""
+        own = self.members.own
+        others = [
+            member
+            for member in self.members.others.values()
+            if member.region == own.region and not member.leaving
+        ]
+        first = self.members.placers(now)[0]
+        if first is own:
+            parts = [self.part_as_first(member, now) for member in others]
+            own_part = 1.0
+        else:
+            silent = not first.heard_within(FIRST_SILENCE, now)
+            part = SECOND_PART + (FIRST_PART if silent else 0.0)
+            parts = [
+                part * was_lately(self.asked_second, member, now)
+                for member in others
+            ]
+            own_part = SECOND_PART
+        return (own_part + sum(parts)) / (1 + len(others))
+
+    def part_as_first(self, member, now):
+        """Return the part of a host that counts on this one as the first."""
+        if member.wants is not Report.ROSTERS or not member.is_reporting(now):
+            return 0.0
+        strays = was_lately(self.strayed, member, now)
+        return FIRST_PART if strays else 1.0
+
+
+def was_lately(times, member, now):
+    """Whether the time noted for a host is a short while ago."""
+    at = times.get(member.name, NOTHING)
+    return at is not NOTHING and now - at < LATELY
+
+
+class Limiting:
+    """Let requests pass within their limits, and lend between regions.
+
+    Args:
+        limits: The `TokenLimits`.
+        keeper: The `ConfigurationKeeper`.
+        members: The `Members`.
+        datagrams: The `Datagrams`.
+        clock: Callable that returns the seconds of a clock that also
+            counts while the host is suspended.
+        runtime: The runtime's clock, by which hosts are heard.
+        rng: Random number generator.
+        standing: The `Standing`.
+        far_hosts: Called for the hosts of other regions to ask.
+    """
+
+    def __init__(
+        self,
+        limits,
+        keeper,
+        members,
+        datagrams,
+        clock,
+        runtime,
+        rng,
+        standing,
+        far_hosts,
+    ):
+        self.limits = limits
+        self.keeper = keeper
+        self.members = members
+        self.datagrams = datagrams
+        self.clock = clock
+        self.runtime = runtime
+        self.rng = rng
+        self.standing = standing
+        self.far_hosts = far_hosts
+        self.version = 0
+        self.by_id = {}
+
+    def limit_of(self, name):
+        """Return the `TokenLimit` of a workspace, or `NOTHING`."""
+        if not self.keeper.current:
+            return NOTHING
+        workspace = self.keeper.current.workspaces.get(name)
+        return NOTHING if workspace is None else workspace.limit
+
+    def decide(self, ask, decide):
+        """Return a `Limited`, or what *decide* decides.
+
+        Args:
+            ask: The `Ask`.
+            decide: Called for a decision if the limit allows the request.
+        """
+        limit = self.limit_of(ask.workspace) if ask.cost else NOTHING
+        if limit is NOTHING:
+            return decide()
+        key = (ask.host, ask.number)
+        shortage = self.limits.take(
+            ask.workspace, limit, ask.cost, self.clock(), key
+        )
+        if shortage is not NOTHING:
+            return self.limited(shortage)
+        decision = decide()
+        if not isinstance(decision, Placed | Away):
+            self.limits.give_back(key)
+        return decision
+
+    def limited(self, shortage):
+        """Return the `Limited` for a `Shortage`."""
+        spread = 1.0 + RETRY_SPREAD * self.rng.random()
+        seconds = shortage.seconds * spread
+        return Limited(
+            min(LONGEST_RETRY, max(LEAST_RETRY, seconds)),
+            self.members.own.name,
+            shortage.units,
+            int(shortage.level),
+            int(shortage.demand),
+        )
+
+    def note_end(self, host, number, finding):
+        """Give tokens back if the request has not run."""
+        if finding in NOT_RUN:
+            self.limits.give_back((host, number))
+        else:
+            self.limits.forget_charge((host, number))
+
+    def tick(self):
+        """Ask other regions for what is missing here, if this host places."""
+        if not self.keeper.current or not self.keeper.current.workspaces:
+            return
+        now = self.clock()
+        self.limits.settle_all(self.limit_of, now)
+        if not self.is_first():
+            return
+        lenders = self.lenders()
+        rows = {name: [] for name in lenders}
+        for workspace in self.keeper.current.workspaces.values():
+            if workspace.limit is NOTHING:
+                continue
+            wishes = self.limits.wishes(
+                workspace.name, workspace.limit, list(lenders), now
+            )
+            for name, units in wishes.items():
+                rows[name].append((short_id(workspace.name), units))
+        stamp = int(now * 1000)
+        for name, wanted in rows.items():
+            if wanted:
+                question = LoanAsk(self.members.own.name, stamp, wanted)
+                self.datagrams.send(question, lenders[name].control)
+
+    def is_first(self):
+        """Whether this host places for its region."""
+        placers = self.members.placers(self.runtime.seconds())
+        return placers[0] is self.members.own
+
+    def lenders(self):
+        """Return the host to ask in each other region, by name."""
+        found = {}
+        for member in self.far_hosts():
+            found.setdefault(member.region, member)
+        return {member.name: member for member in found.values()}
+
+    def names(self):
+        """Return the workspaces by short name."""
+        current = self.keeper.current
+        if current and current.version != self.version:
+            self.version = current.version
+            self.by_id = {short_id(name): name for name in current.workspaces}
+        return self.by_id
+
+    def take_question(self, message):
+        """Lend what this region does not need, if this host places."""
+        member = self.members.others.get(message.host)
+        if member is None or not self.is_first():
+            return
+        now = self.clock()
+        rows = []
+        for identifier, wish in message.rows:
+            name = self.names().get(identifier, "")
+            limit = self.limit_of(name)
+            if limit is not NOTHING:
+                units = self.limits.lend(name, limit, member.name, wish, now)
+                rows.append((identifier, units))
+        answer = LoanMessage(
+            self.members.own.name, member.name, message.stamp, rows
+        )
+        self.datagrams.send(answer, member.control)
+        for second in self.members.placers(self.runtime.seconds())[1:2]:
+            self.datagrams.send(answer, second.control)
+
+    def take_loan(self, message):
+        """Use what was lent, or note what this region's first has lent.
+
+        Should that one end, this host counts in its place, and must leave
+        unused what the others may still use.
+        """
+        now = self.clock()
+        for identifier, units in message.rows:
+            name = self.names().get(identifier, "")
+            limit = self.limit_of(name)
+            if limit is NOTHING:
+                continue
+            if message.borrower == self.members.own.name:
+                stamp = message.stamp / 1000
+                self.limits.note_borrowed(
+                    name, limit, message.host, units, stamp, now
+                )
+            else:
+                self.limits.note_lent(
+                    name, limit, message.borrower, units, now
+                )
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -16,6 +16,9 @@
     "EndRow",
     "GrantMessage",
     "Heartbeat",
+    "LimitMessage",
+    "LoanAsk",
+    "LoanMessage",
     "Records",
     "RecordsAsk",
     "RefusalMessage",
@@ -57,6 +60,11 @@
         begun: Whether its caller holds a part of the answer already.
         apart: Fingerprint of a request that must run apart from others
             like it, or an empty string.
+        workspace: Name of the workspace whose limit it takes from, or an
+            empty string.
+        cost: Tokens that it takes from it.
+        second: Whether the host that was asked first did not answer.
+        strayed: Whether that happened to the sender lately.
     """
 
     host: str
@@ -75,6 +83,10 @@
     may_leave: bool
     begun: bool
     apart: str = ""
+    workspace: str = ""
+    cost: int = 0
+    second: bool = False
+    strayed: bool = False
 
 
 class GrantMessage(msgspec.Struct, array_like=True, tag="g", frozen=True):
@@ -118,6 +130,56 @@
     servers: int
 
 
+class LimitMessage(msgspec.Struct, array_like=True, tag="t", frozen=True):
+    """Answer an ask: the workspace has reached its limit.
+
+    Attributes:
+        number: The asking host's number.
+        retry_after: Seconds after which there should be enough.
+        host: Host that counts.
+        units: Units of the limit that it may use.
+        level: Tokens that were left.
+        demand: Tokens a second that are asked for there.
+    """
+
+    number: int
+    retry_after: float
+    host: str
+    units: int
+    level: int
+    demand: int
+
+
+class LoanAsk(msgspec.Struct, array_like=True, tag="o", frozen=True):
+    """Ask for parts of limits that the other region does not need.
+
+    Attributes:
+        host: Host that counts for its region.
+        stamp: Milliseconds of its own clock, to be sent back.
+        rows: Short name of each workspace, and the units wanted.
+    """
+
+    host: str
+    stamp: int
+    rows: list[tuple[int, int]]
+
+
+class LoanMessage(msgspec.Struct, array_like=True, tag="p", frozen=True):
+    """Lend parts of limits for a short time.
+
+    Attributes:
+        host: Host that lends.
+        borrower: Host that may use them.
+        stamp: That of the question.
+        rows: Short name of each workspace, and the units lent.
+    """
+
+    host: str
+    borrower: str
+    stamp: int
+    rows: list[tuple[int, int]]
+
+
 class StartMessage(msgspec.Struct, array_like=True, tag="s", frozen=True):
     """Tell the placing host that the first event has come.
 
@@ -421,6 +483,9 @@
     AskMessage
     | GrantMessage
     | RefusalMessage
+    | LimitMessage
+    | LoanAsk
+    | LoanMessage
     | StartMessage
     | EndMessage
     | Heartbeat
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -14,6 +14,7 @@
 from ..core.addresses import split_address
 from ..core.events import EventKind, HybridClock, Timeline
 from ..core.exceptions import EXIT_BAD_SETTINGS, SettingsError
+from ..core.tokenlimits import Allowance, TokenLimits
 from ..platform import headers, layout
 from ..platform.pages import DirectoryPages
 from ..platform.settings import PATH_VARIABLE, read_settings
@@ -34,6 +35,7 @@
 from .endings import Endings
 from .farhosts import FarHosts
 from .following import Following
+from .limiting import LOANS_EVERY, Limiting, Standing
 from .lines import LineWriter
 from .measures import Measures
 from .membership import HEARTBEAT_EVERY, SUMMARY_EVERY, Membership
@@ -130,6 +132,22 @@
             ),
             lambda why: self.timeline.note(EventKind.PEER_REFUSED, why=why),
         )
+        standing = Standing(self.members, self.reactor)
+        self.limiting = Limiting(
+            TokenLimits(
+                len(set(settings.regions.values())),
+                Allowance(settings.limit_overage, settings.limit_slack),
+                standing.weight,
+            ),
+            self.keeper,
+            self.members,
+            self.datagrams,
+            boot_clock,
+            self.reactor,
+            self.rng,
+            standing,
+            lambda: self.membership.far_contacts,
+        )
         self.asking = Asking(
             self.members,
             self.placer,
@@ -138,6 +156,7 @@
             self.reactor,
             boot_clock,
             self.timeline,
+            self.limiting,
             self.guarded,
         )
         connections = Connections(self.reactor, settings.address)
@@ -273,6 +292,7 @@
         self.following.start()
         self.repeat(HEARTBEAT_EVERY, self.beat)
         self.repeat(SUMMARY_EVERY, self.membership.summarize)
+        self.repeat(LOANS_EVERY, self.limiting.tick)
         self.repeat(CHECK_EVERY, self.callers.check)
         self.repeat(FLUSH_EVERY, self.lines.flush)
         self.timeline.note(
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -243,7 +243,7 @@
             placed_by=self.state.asking.placer_of(number),
         )
         if self.sink.gone or self.refuse_for_crashes():
-            self.state.asking.note_end(number, Finding.CANCELLED)
+            self.state.asking.note_end(number, Finding.UNUSED)
             return
         outcome = await self.carry(number, decision, facts)
         self.conclude(outcome)
--- a/src/hyssopspring/entry/settings.py
+++ b/src/hyssopspring/entry/settings.py
@@ -34,6 +34,8 @@
         stop_seconds: Seconds from the signal to stop to the end.
         revocation: Seconds in which a key that was taken away must be
             refused by all hosts, or `NOTHING` if there is no bound.
+        limit_overage: Part by which limits may be exceeded over all hosts.
+        limit_slack: Tokens by which they may be exceeded besides.
         least_lease: Shortest lease that the store gives, in seconds.
         off: Each `Mechanism` that is switched off, for measurements.
     """
@@ -58,6 +60,8 @@
     cold_extra: float = 0.0
     stop_seconds: float = 8.0
     revocation: object = NOTHING
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
     least_lease: float = 1.0
     off: frozenset = frozenset()
 
--- a/src/hyssopspring/platform/settings.py
+++ b/src/hyssopspring/platform/settings.py
@@ -78,6 +78,8 @@
         cold_extra=number(values, "bounds.cold_slack", 0.0),
         stop_seconds=number(values, "bounds.grace_s", 8.0),
         revocation=revocation(values),
+        limit_overage=number(values, "bounds.quota_overage", 0.0),
+        limit_slack=number(values, "bounds.quota_slack", 0.0),
         least_lease=number(values, "platform.ttl_min_ms", 1000.0) / 1000,
     )
 
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from .core.exceptions import ProtocolError
+from .core.shares import WHOLE
 
 __all__ = ["Record", "cause_of", "read_records", "record_line"]
 
@@ -175,6 +176,21 @@
     ]
 
 
+def limit_text(details):
+    """Return which limit was reached, and how it stood.
+
+    Args:
+        details: Those of the record of the refusal, by name.
+    """
+    share = int(details["units"]) / WHOLE
+    return (
+        f", workspace {details['workspace']} asked for {details['cost']} "
+        f"tokens with {details['left']} left at {details['counted_by']}, "
+        f"which holds {share:.0%} of the limit and is asked for "
+        f"{details['demand']} a second"
+    )
+
+
 def refusal_text(record):
     """Return why and until when a request was refused."""
     text = f"refused: {record.details.get('reason', '')}"
@@ -182,6 +198,8 @@
         text += f", predicted {record.details['predicted']} s"
     if "version" in record.details:
         text += f", at version {record.details['version']}"
+    if "counted_by" in record.details:
+        text += limit_text(record.details)
     if record.details.get("evidence"):
         text += f", servers ended under it: {record.details['evidence']}"
     if "retry_after" not in record.details:
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -4,7 +4,7 @@
 
 from .work import Demand
 
-__all__ = ["Ask", "Away", "Placed", "Refused", "urgency_of"]
+__all__ = ["Ask", "Away", "Limited", "Placed", "Refused", "urgency_of"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,6 +26,10 @@
         begun: Whether its caller holds a part of the answer already.
         apart: Fingerprint of a request that must run apart from others
             like it, or an empty string.
+        workspace: Name of the workspace whose limit it takes from, or an
+            empty string.
+        cost: Tokens that it takes; 0 if there is no limit, or if another
+            host has counted them.
     """
 
     host: str
@@ -41,6 +45,8 @@
     may_leave: bool = True
     begun: bool = False
     apart: str = ""
+    workspace: str = ""
+    cost: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +100,25 @@
     servers: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Limited:
+    """Refuse it: its workspace has reached its limit.
+
+    Attributes:
+        retry_after: Seconds after which there should be enough.
+        host: Host that counts.
+        units: Units of the limit, of 10,000, that this host may use.
+        level: Tokens that were left.
+        demand: Tokens a second that are asked for there.
+    """
+
+    retry_after: float
+    host: str
+    units: int
+    level: int
+    demand: int
+
+
 def urgency_of(ask):
     """Return the urgency of a request that can be on time.
 
--- a/src/hyssopspring/traffic/evidence.py
+++ b/src/hyssopspring/traffic/evidence.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["Evidence", "Finding"]
+__all__ = ["NOT_RUN", "Evidence", "Finding"]
 
 FIRST_PAUSE = 0.5
 """Seconds without requests after a first failure to reach a server; about
@@ -24,7 +24,10 @@
 
 
 class Finding(enum.IntEnum):
-    """How an attempt at a server went."""
+    """How an attempt at a server went.
+
+    `CANCELLED` was given up midway; `UNUSED` was never sent.
+    """
 
     ANSWERED = 0
     ERROR = 1
@@ -33,6 +36,11 @@
     FULL = 4
     MISDIRECTED = 5
     CANCELLED = 6
+    UNUSED = 7
+
+
+NOT_RUN = (Finding.FULL, Finding.MISDIRECTED, Finding.UNUSED)
+"""Findings that show that the server has not run the request."""
 
 
 MAY_BE_SLOW = (Finding.SILENT,)
@@ -72,7 +80,7 @@
         Returns:
             Whether the server is now newly suspected.
         """
-        if finding is Finding.CANCELLED:
+        if finding in (Finding.CANCELLED, Finding.UNUSED):
             return False
         if finding is Finding.FULL:
             self.paused_until = max(self.paused_until, now + REFUSED_PAUSE)
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -11,14 +11,17 @@
 from twisted.internet import task
 
 from hyssopspring.core.addresses import split_address
+from hyssopspring.core.tokenlimits import Allowance, TokenLimits
 from hyssopspring.entry.crashsharing import CrashSharing
 from hyssopspring.entry.datagrams import Datagrams
+from hyssopspring.entry.limiting import LATELY, LOANS_EVERY, Limiting, Standing
 from hyssopspring.entry.membership import HEARTBEAT_EVERY, Membership
 from hyssopspring.entry.views import ConfirmedView, ViewChecking
 from hyssopspring.traffic.crashes import Crashes
+from hyssopspring.traffic.decisions import Ask, Placed
 from hyssopspring.traffic.members import Member, Members
 from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
-from hyssopspring.traffic.workspaces import Workspace
+from hyssopspring.traffic.workspaces import TokenLimit, Workspace
 
 REGIONS = ("north", "south", "west")
 NEAR_SECONDS = 0.0002
@@ -39,12 +42,16 @@
 REVOCATION = 5.0
 """Seconds in which a key that was taken away must be refused everywhere."""
 
-WORKSPACES = {"desk": Workspace(name="desk")}
+LIMIT = TokenLimit(rate=60_000.0, burst=60_000.0, plain_tokens=200)
+ALLOWANCE = Allowance(overage=0.1, slack=110_000.0)
+WORKSPACES = {"desk": Workspace(name="desk", limit=LIMIT)}
 
 
 class Quiet:
     """A placer, its questions and a time line of a host without requests."""
 
+    limiting = None
+
     def __init__(self):
         self.forgotten = []
         self.events = Counter()
@@ -125,6 +132,19 @@
             lambda: network.read_store(self),
             lambda: self.membership.far_contacts,
         )
+        standing = Standing(self.members, network.clock)
+        self.limiting = Limiting(
+            TokenLimits(len(REGIONS), ALLOWANCE, standing.weight),
+            self.keeper,
+            self.members,
+            self.datagrams,
+            network.clock.seconds,
+            network.clock,
+            network.rng,
+            standing,
+            lambda: self.membership.far_contacts,
+        )
+        self.quiet.limiting = self.limiting
         self.membership = Membership(
             self.members,
             self.quiet,
@@ -172,6 +192,11 @@
             self.views.tick()
             self.membership.beat()
 
+    def lend(self):
+        """Ask for loans."""
+        if self.up:
+            self.limiting.tick()
+
     def live(self, region):
         """Return the names of the live hosts of a region."""
         now = self.network.clock.seconds()
@@ -187,6 +212,7 @@
         self.rng = random.Random(1)
         self.hosts = {}
         self.by_ip = {}
+        self.unanswered = 0.0
         self.version = 1
         self.store_calls = 0
         self.cut_from_store = set()
@@ -208,11 +234,15 @@
         host = Host(self, name, region, number, incarnation)
         self.hosts[name] = host
         self.by_ip[split_address(host.members.own.control)[0]] = host
-        loop = task.LoopingCall(host.beat)
-        loop.clock = self.clock
-        self.clock.callLater(
-            self.rng.random() * HEARTBEAT_EVERY, loop.start, HEARTBEAT_EVERY
-        )
+        for work, interval in (
+            (host.beat, HEARTBEAT_EVERY),
+            (host.lend, LOANS_EVERY),
+        ):
+            loop = task.LoopingCall(work)
+            loop.clock = self.clock
+            self.clock.callLater(
+                self.rng.random() * interval, loop.start, interval
+            )
         return host
 
     def introduce(self, host, others):
@@ -334,3 +364,113 @@
         self.rng.shuffle(hosts)
         for number, host in enumerate(hosts):
             self.introduce(host, hosts[:number])
+
+
+class Askers:
+    """Callers of one workspace, who come back once when they are told.
+
+    Args:
+        network: The `Network`.
+        rate: Called with a region and the time; returns the tokens that
+            are asked for there a second.
+        cost: Tokens of a request.
+    """
+
+    def __init__(self, network, rate, cost=8000):
+        self.network = network
+        self.rate = rate
+        self.cost = cost
+        self.passed = []
+        self.asked = []
+        self.answered = []
+        self.number = 0
+        self.strayed_at = {}
+        self.owing = dict.fromkeys(REGIONS, 0.0)
+
+    def run(self, seconds):
+        """Let time pass, with requests."""
+        for _ in range(round(seconds * 50)):
+            for region in REGIONS:
+                self.ask_in(region)
+            self.network.run(0.02)
+
+    def ask_in(self, region):
+        """Make the requests of a step in one region."""
+        now = self.network.clock.seconds()
+        self.owing[region] += 0.02 * self.rate(region, now) / self.cost
+        names = sorted(self.network.names(region))
+        while self.owing[region] >= 1.0:
+            self.owing[region] -= 1.0
+            if names:
+                name = self.network.rng.choice(names)
+                self.ask(self.network.hosts[name], now)
+
+    def ask(self, host, now):
+        """Make one request at a host, which asks those that place."""
+        self.number += 1
+        ask = Ask(
+            host=host.members.own.name,
+            number=self.number,
+            service="engine",
+            workspace="desk",
+            cost=self.cost,
+        )
+        self.asked.append(now)
+        self.try_once(host, ask, now, tries=2)
+
+    def try_once(self, host, ask, asked_at, tries):
+        """Make one try of a request, and the next one when it is time."""
+        now = self.network.clock.seconds()
+        decision = self.decision(host, ask, now)
+        if isinstance(decision, Placed):
+            self.passed.append((now, self.cost))
+            self.answered.append(asked_at)
+        elif tries > 1:
+            self.network.clock.callLater(
+                decision.retry_after,
+                self.try_once,
+                host,
+                ask,
+                asked_at,
+                tries - 1,
+            )
+
+    def decision(self, host, ask, now):
+        """Return the decision of the first host that answers."""
+        for turn, member in enumerate(host.members.placers(now)[:2]):
+            other = self.network.hosts[member.name]
+            if other is host:
+                break
+            late = self.network.rng.random() < self.network.unanswered
+            if late or not other.up or self.network.cut & {host, other}:
+                self.strayed_at[ask.host] = now
+                continue
+            other.limiting.standing.note_asked(
+                ask.host,
+                second=turn > 0,
+                strayed=now - self.strayed_at.get(ask.host, -9.0) < LATELY,
+            )
+            return other.limiting.decide(ask, placed)
+        return host.limiting.decide(ask, placed)
+
+    def most_in(self, window):
+        """Return the most tokens that passed in any window."""
+        most = total = first = 0
+        for at, cost in self.passed:
+            total += cost
+            while at - self.passed[first][0] > window:
+                total -= self.passed[first][1]
+                first += 1
+            most = max(most, total)
+        return most
+
+    def served(self, since, until):
+        """Return the part of what was asked in a time that has passed."""
+        asked = [at for at in self.asked if since <= at < until]
+        passed = [at for at in self.answered if since <= at < until]
+        return len(passed) / max(1, len(asked))
+
+
+def placed():
+    """Return a placement at a server."""
+    return Placed("server", "10.9.0.1:80", 2, 0.1)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -19,7 +19,7 @@
     decode_message,
     encode_message,
 )
-from hyssopspring.traffic.decisions import Ask, Away, Placed, Refused
+from hyssopspring.traffic.decisions import Ask, Away, Limited, Placed, Refused
 from hyssopspring.traffic.members import Member, Members
 from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import Service
@@ -31,6 +31,7 @@
     Placed("server", "127.0.0.1:80", 2, 0.5, copy_from="127.0.0.2:80"),
     Away("south", 0.4),
     Refused(0.75, 1.5, 4),
+    Limited(0.3, "placer", 3333, -120, 90_000),
 ]
 
 
@@ -47,6 +48,25 @@
     assert_that(decision_of(message), Equals(decision))
 
 
+class Unlimited:
+    """Let all requests pass."""
+
+    @property
+    def standing(self):
+        """Return what notes who asks."""
+        return self
+
+    def note_asked(self, host, *, second, strayed):
+        """Do nothing."""
+
+    def decide(self, ask, decide):
+        """Return what is decided."""
+        return decide()
+
+    def note_end(self, host, number, finding):
+        """Do nothing."""
+
+
 class Sent(list):
     """Keep the messages that are sent, with their addresses."""
 
@@ -94,6 +114,7 @@
         clock,
         clock.seconds,
         timeline,
+        Unlimited(),
     )
     return asking, clock, sent
 
--- /dev/null
+++ b/tests/test_tokenlimits.py
@@ -0,0 +1,247 @@
+"""Limits in tokens over all hosts: what passes, and what must not."""
+
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from networks import ALLOWANCE, LIMIT, REGIONS, Askers, Network
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, Is, LessThan
+from twisted.internet import task
+
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.core.shares import WHOLE
+from hyssopspring.core.tokenlimits import LOAN_LIFE, Allowance, TokenLimits
+from hyssopspring.traffic.workspaces import TokenLimit
+
+WINDOW = 8.0
+TOLERATED = (LIMIT.rate * WINDOW + LIMIT.burst) * (1 + ALLOWANCE.overage)
+BOUND = TOLERATED + ALLOWANCE.slack
+"""Tokens that may pass in any window, over all hosts."""
+
+PLAIN = TokenLimit(rate=1000.0, burst=1000.0)
+
+
+def counting(regions=1, weight=lambda: 1.0):
+    """Return limits without tolerance."""
+    return TokenLimits(regions, Allowance(), weight)
+
+
+def test_a_host_that_starts_gives_no_burst():
+    """All hosts start together, and a workspace gets a burst at each."""
+    limits = counting()
+    refused = limits.take("a", PLAIN, 500, 0.0, "r1")
+    assert_that(refused.seconds, Equals(0.5))
+    assert_that(limits.take("a", PLAIN, 500, 0.6, "r2"), Is(NOTHING))
+
+
+def test_a_request_larger_than_the_bucket_passes_and_leaves_a_debt():
+    """The largest requests of a small workspace are refused for ever."""
+    limits = counting()
+    limits.take("a", PLAIN, 1, 0.0, "r0")
+    assert_that(limits.take("a", PLAIN, 5000, 2.0, "r1"), Is(NOTHING))
+    refused = limits.take("a", PLAIN, 100, 2.5, "r2")
+    assert_that(refused.seconds, GreaterThan(3.0))
+
+
+def test_what_has_not_run_is_given_back_once():
+    """A request that a full server rejected is counted, or counted twice."""
+    limits = counting()
+    limits.take("a", PLAIN, 1, 0.0, "r0")
+    limits.take("a", PLAIN, 1000, 2.0, "r1")
+    limits.give_back("r1")
+    limits.give_back("r1")
+    assert_that(limits.usages["a"].level, Equals(1000.0))
+
+
+def test_a_lender_leaves_unused_what_it_lent_until_after_its_end():
+    """The loan is used at both ends, as the answer was slow or was lost."""
+    limits = counting(regions=2)
+    lent = limits.lend("a", PLAIN, "far", 4000, 0.0)
+    assert_that(lent, Equals(3750))
+    later = LOAN_LIFE - 0.1
+    limits.lend("a", PLAIN, "far", 10, later)
+    usage = limits.usages["a"]
+    assert_that(limits.units(usage, later), Equals(1250))
+    assert_that(limits.units(usage, LOAN_LIFE + 0.05), Equals(1250))
+    assert_that(limits.units(usage, LOAN_LIFE + 0.2), Equals(4990))
+
+
+def test_a_loan_counts_from_the_question_and_old_answers_change_nothing():
+    """A host that wakes uses a loan that its lender has taken back."""
+    limits = counting(regions=2)
+    limits.note_borrowed("a", PLAIN, "far", 3000, 5.0, 9.0)
+    usage = limits.usages["a"]
+    assert_that(limits.units(usage, 9.0), Equals(5000))
+    limits.note_borrowed("a", PLAIN, "far", 2000, 9.5, 9.6)
+    limits.note_borrowed("a", PLAIN, "far", 3000, 9.0, 9.7)
+    assert_that(limits.units(usage, 9.8), Equals(7000))
+
+
+def test_regions_that_are_all_short_keep_their_own():
+    """A region lends what it needs itself, and refuses its own callers."""
+    limits = counting(regions=2)
+    for number in range(50):
+        limits.take("a", PLAIN, 50, number * 0.02, number)
+    assert_that(limits.lend("a", PLAIN, "far", WHOLE, 1.0), Equals(0))
+
+
+FAULTS = ("cut", "freeze", "region", "pair", "end", "slow")
+
+
+@settings(max_examples=40, phases=[Phase.explicit, Phase.generate])
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(FAULTS),
+            st.integers(0, 17),
+            st.integers(1, 9),
+        ),
+        max_size=9,
+    ),
+    st.sampled_from((2, 8, 20)),
+    st.integers(0, 2),
+)
+def test_a_workspace_gets_no_more_than_its_limit_whatever_fails(
+    faults, times, hot
+):
+    """A workspace that asks for many times its limit gets it in each part.
+
+    Regions are cut from each other, the hosts that count die, are
+    suspended and wake, or answer too late, so that several count at once
+    and loans are not heard of. Over all of them no more may pass.
+    """
+    network = Network(6)
+    hosts = list(network.hosts.values())
+    network.run(4)
+    askers = Askers(
+        network,
+        lambda region, now: (
+            LIMIT.rate * times * (0.6 if region == REGIONS[hot] else 0.2)
+        ),
+    )
+    ends = []
+    for second in range(22):
+        for number, (kind, which, length) in enumerate(faults):
+            if second == 2 + number * 2:
+                begin(network, kind, hosts[which])
+                ends.append((second + length, kind, hosts[which]))
+        for end, kind, host in ends:
+            if end == second:
+                finish(network, kind, host)
+        askers.run(1.0)
+    assert_that(askers.most_in(WINDOW), LessThan(BOUND))
+
+
+def begin(network, kind, host):
+    """Begin a fault at a host, or between its region and others."""
+    if kind == "freeze":
+        network.freeze(host)
+    elif kind == "end":
+        host.up = False
+    elif kind == "region":
+        network.cut_pairs.update(pairs_of(host.region))
+    elif kind == "pair":
+        network.cut_pairs.add(pairs_of(host.region)[0])
+    elif kind == "slow":
+        network.unanswered = 0.5
+    else:
+        network.cut.add(host)
+
+
+def finish(network, kind, host):
+    """End a fault."""
+    if kind == "freeze":
+        network.wake(host)
+    elif kind in ("region", "pair"):
+        network.cut_pairs.difference_update(pairs_of(host.region))
+    elif kind == "slow":
+        network.unanswered = 0.0
+    elif kind == "cut":
+        network.cut.discard(host)
+
+
+def pairs_of(region):
+    """Return the pairs of a region with the others."""
+    return [frozenset((region, one)) for one in REGIONS if one != region]
+
+
+def test_one_region_gets_the_whole_limit_if_the_others_need_none():
+    """Callers of one region are refused two thirds of what is theirs.
+
+    All of a workspace's callers are in one region, as its working hours
+    are. What they ask for stays below the limit.
+    """
+    network = Network(6)
+    network.run(4)
+    askers = Askers(
+        network, lambda region, now: LIMIT.rate * 0.8 * (region == "south")
+    )
+    askers.run(10)
+    began = network.clock.seconds() - 7
+    assert_that(askers.served(began, began + 7), GreaterThan(0.98))
+
+
+def test_callers_who_move_find_their_share_in_a_second():
+    """Callers move to another region, where their limit is not."""
+    network = Network(6)
+    network.run(4)
+    moves_at = network.clock.seconds() + 6
+    askers = Askers(
+        network,
+        lambda region, now: (
+            LIMIT.rate
+            * 0.8
+            * (region == ("south" if now < moves_at else "west"))
+        ),
+    )
+    askers.run(14)
+    assert_that(askers.served(moves_at + 1, moves_at + 8), GreaterThan(0.97))
+
+
+@pytest.mark.parametrize("part", [0.3, 0.45])
+def test_a_cut_region_serves_its_part_and_is_whole_soon_after(part):
+    """A region that is cut off refuses all, also once it is back.
+
+    In the cut each side has a third and two thirds of the limit for sure.
+    Two seconds after its end any region can have all that it needs.
+    """
+    network = Network(6)
+    network.run(4)
+    askers = Askers(
+        network, lambda region, now: LIMIT.rate * part * (region != "west")
+    )
+    askers.run(3)
+    network.cut_pairs.update(pairs_of("south"))
+    askers.run(3)
+    since = network.clock.seconds()
+    askers.run(4)
+    allowed = min(1.0, 1 / 3 / part)
+    assert_that(askers.served(since, since + 4), GreaterThan(0.9 * allowed))
+    network.cut_pairs.clear()
+    askers.run(2)
+    since = network.clock.seconds()
+    askers.run(4)
+    assert_that(askers.served(since, since + 4), GreaterThan(0.97))
+
+
+def test_the_end_of_the_host_that_counts_costs_little():
+    """A workspace below its limit is refused, as its count begins anew."""
+    network = Network(6)
+    network.run(4)
+    askers = Askers(network, lambda region, now: LIMIT.rate * 0.2, cost=2000)
+    askers.run(6)
+    network.placer_of(network.hosts["south-0"]).up = False
+    since = network.clock.seconds()
+    askers.run(5)
+    assert_that(askers.served(since, since + 5), GreaterThan(0.95))
+
+
+def test_a_clock_stands_still_without_harm():
+    """Two requests at the same moment are both counted."""
+    clock = task.Clock()
+    limits = counting()
+    limits.take("a", PLAIN, 1, clock.seconds(), "r0")
+    clock.advance(1.0)
+    for number in range(3):
+        limits.take("a", PLAIN, 400, clock.seconds(), number)
+    assert_that(limits.usages["a"].level, LessThan(400.0))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -5,7 +5,7 @@
 import pytest
 import pytest_twisted
 from entry_hosts import keyed_configuration
-from hypothesis import given
+from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from networks import REVOCATION, Network
 from testtools.assertions import assert_that
@@ -49,6 +49,7 @@
 FAULTS = ("cut", "cut_from_store", "freeze", "region", "end")
 
 
+@settings(max_examples=30, phases=[Phase.explicit, Phase.generate])
 @given(
     st.lists(
         st.tuples(
