Hand tokens over between regions instead of lending parts of limits

Cause: a loan of a part of a limit holds for a second whether it is used or not. What a region lent for one large request was missing there, and callers who moved found their share lent to the region they had come from.

Change: a region that runs short asks the others for tokens. What is given leaves the giver's bucket before it is sent and fills the asker's once, within a second of the question. So no time must agree between hosts, the second host of a region need hear nothing, and no share changes.

--- a/src/hyssopspring/entry/limiting.py
+++ b/src/hyssopspring/entry/limiting.py
@@ -5,12 +5,12 @@
 from ..traffic.decisions import Away, Limited, Placed
 from ..traffic.evidence import NOT_RUN
 from ..traffic.members import Report
-from .messages import LoanAsk, LoanMessage
+from .messages import Transfer, TransferAsk
 
-__all__ = ["LOANS_EVERY", "Limiting", "Standing"]
+__all__ = ["TRANSFERS_EVERY", "Limiting", "Standing"]
 
-LOANS_EVERY = 0.3
-"""Seconds between two questions for loans."""
+TRANSFERS_EVERY = 0.3
+"""Seconds between two questions for tokens of other regions."""
 
 LATELY = 1.0
 """Seconds for which a host counts as one that not only asks the first."""
@@ -117,7 +117,7 @@
 
 
 class Limiting:
-    """Let requests pass within their limits, and lend between regions.
+    """Let requests pass within their limits, and share them among regions.
 
     Args:
         limits: The `TokenLimits`.
@@ -211,33 +211,28 @@
         self.limits.settle_all(self.limit_of, now)
         if not self.is_first():
             return
-        lenders = self.lenders()
-        rows = {name: [] for name in lenders}
+        rows = []
         for workspace in self.keeper.current.workspaces.values():
-            if workspace.limit is NOTHING:
-                continue
-            wishes = self.limits.wishes(
-                workspace.name, workspace.limit, list(lenders), now
-            )
-            for name, units in wishes.items():
-                rows[name].append((short_id(workspace.name), units))
-        stamp = int(now * 1000)
-        for name, wanted in rows.items():
-            if wanted:
-                question = LoanAsk(self.members.own.name, stamp, wanted)
-                self.datagrams.send(question, lenders[name].control)
+            if workspace.limit is not NOTHING:
+                wish = self.limits.wish(workspace.name, workspace.limit, now)
+                if wish:
+                    rows.append((short_id(workspace.name), wish))
+        if not rows:
+            return
+        question = TransferAsk(self.members.own.name, int(now * 1000), rows)
+        self.datagrams.send_all(question, self.givers())
 
     def is_first(self):
         """Whether this host places for its region."""
         placers = self.members.placers(self.runtime.seconds())
         return placers[0] is self.members.own
 
-    def lenders(self):
-        """Return the host to ask in each other region, by name."""
+    def givers(self):
+        """Return the host to ask in each other region."""
         found = {}
         for member in self.far_hosts():
             found.setdefault(member.region, member)
-        return {member.name: member for member in found.values()}
+        return list(found.values())
 
     def names(self):
         """Return the workspaces by short name."""
@@ -248,7 +243,7 @@
         return self.by_id
 
     def take_question(self, message):
-        """Lend what this region does not need, if this host places."""
+        """Give what this region does not need, if this host places."""
         member = self.members.others.get(message.host)
         if member is None or not self.is_first():
             return
@@ -257,34 +252,30 @@
         for identifier, wish in message.rows:
             name = self.names().get(identifier, "")
             limit = self.limit_of(name)
-            if limit is not NOTHING:
-                units = self.limits.lend(name, limit, member.name, wish, now)
-                rows.append((identifier, units))
-        answer = LoanMessage(
-            self.members.own.name, member.name, message.stamp, rows
-        )
-        self.datagrams.send(answer, member.control)
-        for second in self.members.placers(self.runtime.seconds())[1:2]:
-            self.datagrams.send(answer, second.control)
-
-    def take_loan(self, message):
-        """Use what was lent, or note what this region's first has lent.
-
-        Should that one end, this host counts in its place, and must leave
-        unused what the others may still use.
-        """
+            if limit is NOTHING:
+                continue
+            tokens = self.limits.transfer_out(
+                name, limit, member.name, wish, now
+            )
+            if tokens:
+                rows.append((identifier, tokens))
+        if rows:
+            own = self.members.own.name
+            answer = Transfer(own, message.stamp, rows)
+            self.datagrams.send(answer, member.control)
+
+    def take_transfer(self, message):
+        """Use what another region gives."""
         now = self.clock()
-        for identifier, units in message.rows:
+        for identifier, tokens in message.rows:
             name = self.names().get(identifier, "")
             limit = self.limit_of(name)
-            if limit is NOTHING:
-                continue
-            if message.borrower == self.members.own.name:
-                stamp = message.stamp / 1000
-                self.limits.note_borrowed(
-                    name, limit, message.host, units, stamp, now
-                )
-            else:
-                self.limits.note_lent(
-                    name, limit, message.borrower, units, now
+            if limit is not NOTHING:
+                self.limits.transfer_in(
+                    name,
+                    limit,
+                    message.host,
+                    tokens,
+                    message.stamp / 1000,
+                    now,
                 )
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -17,8 +17,6 @@
     "GrantMessage",
     "Heartbeat",
     "LimitMessage",
-    "LoanAsk",
-    "LoanMessage",
     "Records",
     "RecordsAsk",
     "RefusalMessage",
@@ -32,6 +30,8 @@
     "SuspectRow",
     "Suspects",
     "ToldRoom",
+    "Transfer",
+    "TransferAsk",
     "ViewAnswer",
     "ViewAsk",
     "decode_message",
@@ -150,13 +150,13 @@
     demand: int
 
 
-class LoanAsk(msgspec.Struct, array_like=True, tag="o", frozen=True):
-    """Ask for parts of limits that the other region does not need.
+class TransferAsk(msgspec.Struct, array_like=True, tag="o", frozen=True):
+    """Ask for tokens of limits that the other region does not need.
 
     Attributes:
         host: Host that counts for its region.
         stamp: Milliseconds of its own clock, to be sent back.
-        rows: Short name of each workspace, and the units wanted.
+        rows: Short name of each workspace, and the tokens wanted.
     """
 
     host: str
@@ -164,18 +164,16 @@
     rows: list[tuple[int, int]]
 
 
-class LoanMessage(msgspec.Struct, array_like=True, tag="p", frozen=True):
-    """Lend parts of limits for a short time.
+class Transfer(msgspec.Struct, array_like=True, tag="p", frozen=True):
+    """Hand tokens of limits over to another region.
 
     Attributes:
-        host: Host that lends.
-        borrower: Host that may use them.
+        host: Host that gives them, and has them no more.
         stamp: That of the question.
-        rows: Short name of each workspace, and the units lent.
+        rows: Short name of each workspace, and the tokens.
     """
 
     host: str
-    borrower: str
     stamp: int
     rows: list[tuple[int, int]]
 
@@ -484,8 +482,6 @@
     | GrantMessage
     | RefusalMessage
     | LimitMessage
-    | LoanAsk
-    | LoanMessage
     | StartMessage
     | EndMessage
     | Heartbeat
@@ -495,6 +491,8 @@
     | Summary
     | StoreChange
     | Suspects
+    | Transfer
+    | TransferAsk
     | ViewAsk
     | ViewAnswer
 )
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -35,7 +35,7 @@
 from .endings import Endings
 from .farhosts import FarHosts
 from .following import Following
-from .limiting import LOANS_EVERY, Limiting, Standing
+from .limiting import TRANSFERS_EVERY, Limiting, Standing
 from .lines import LineWriter
 from .measures import Measures
 from .membership import HEARTBEAT_EVERY, SUMMARY_EVERY, Membership
@@ -292,7 +292,7 @@
         self.following.start()
         self.repeat(HEARTBEAT_EVERY, self.beat)
         self.repeat(SUMMARY_EVERY, self.membership.summarize)
-        self.repeat(LOANS_EVERY, self.limiting.tick)
+        self.repeat(TRANSFERS_EVERY, self.limiting.tick)
         self.repeat(CHECK_EVERY, self.callers.check)
         self.repeat(FLUSH_EVERY, self.lines.flush)
         self.timeline.note(
