--- a/src/hyssopspring/core/tokenlimits.py
+++ b/src/hyssopspring/core/tokenlimits.py
@@ -203,8 +203,17 @@
                 self.charges.popitem(last=False)
             return NOTHING
         rate = self.allowance.rate(limit) * max(units, 1) / WHOLE
-        seconds = (needed - usage.level) / rate
-        return Shortage(seconds, units, usage.level, usage.demand)
+        missing = needed - usage.level + self.returning(usage, rate)
+        return Shortage(missing / rate, units, usage.level, usage.demand)
+
+    def returning(self, usage, rate):
+        """Return the tokens that refused callers will ask for once more.
+
+        Who comes back before them finds the bucket empty again; without
+        them, the callers of a workspace far above its limit all came back
+        within a tenth of a second.
+        """
+        return max(0.0, usage.demand - rate) * DEMAND_SECONDS
 
     def give_back(self, key):
         """Return the tokens of a request that has not run."""
--- a/tests/test_tokenlimits.py
+++ b/tests/test_tokenlimits.py
@@ -43,6 +43,17 @@
     assert_that(refused.seconds, GreaterThan(3.0))
 
 
+def test_callers_far_above_a_limit_are_not_told_to_come_back_at_once():
+    """Thousands come back within 0.1 s, and are refused a second time.
+
+    The time told was that for one request alone, as if nobody else waited.
+    """
+    limits = counting()
+    for number in range(100):
+        refused = limits.take("a", PLAIN, 100, number * 0.01, number)
+    assert_that(refused.seconds, GreaterThan(3.0))
+
+
 def test_what_has_not_run_is_given_back_once():
     """A request that a full server rejected is counted, or counted twice."""
     limits = counting()
