--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -32,8 +32,8 @@
 """Hosts that are asked one after the other before this one decides."""
 
 RANK_FOR = 0.1
-"""Seconds for which the ranking of placing hosts is kept. To rank 65 hosts
-for each question took as long as the answer to it."""
+"""Seconds for which the ranking of placing hosts is kept: to rank the hosts
+of a large region takes as long as to answer a question."""
 
 MOST_AT_ONCE = 4
 """Questions that are answered before sockets are looked at again: 1 ms."""
@@ -276,8 +276,7 @@
         The newest is answered first, and one that waited for too long not
         at all: its host has decided by itself. Answered in the order in
         which they came, a placing host that cannot keep up answers all of
-        them too late; 22 in 100 requests were on time in an emulation of
-        a peak that it misses by an eighth, and 88 with the newest first.
+        them too late.
         """
         if not self.questions:
             self.clock.callLater(0, self.guarded, self.answer_some)
--- a/src/hyssopspring/entry/measures.py
+++ b/src/hyssopspring/entry/measures.py
@@ -1,8 +1,8 @@
 """Counters and latency histograms of an entry process, as text.
 
-The text is the exposition format that Prometheus reads. A library for it
-was measured: 1.7 MB of 29 MB and 15 ms of a start, during which a host
-that was killed serves nobody. What is needed of the format is below.
+The text is the exposition format that Prometheus reads. Its library would
+add to the memory of each host and to the time of a start, during which a
+host that was killed serves nobody. What is needed of the format is below.
 """
 
 from bisect import bisect_left
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -44,8 +44,8 @@
 AT_ONCE = 6
 PAUSE = 0.02
 """Hosts to which the same is sent at once, and seconds to the next ones. A
-host that sent to its whole region in one go filled the link of 20 Mbit/s
-of a small host, and what it sent last, to other regions, was always lost."""
+host that sends to its whole region in one go fills a link of 20 Mbit/s, and
+what it sends last, to other regions, is always lost."""
 
 FAR_ANSWER = 6.5
 """Seconds within which a host of another region must answer a report: the
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -23,10 +23,8 @@
 
 ENDS_TO_BLOCK = 3
 """Ends of servers after which a request is blocked. Servers end for other
-reasons too, but seldom three just as the same request begins on them: where
-one server in fifty ended by itself each second beside such a request,
-another request was refused in 11 of 2,000 emulated runs of 40 s. Each more
-would cost a server for seconds, and all that it runs."""
+reasons too, but seldom three just as the same request begins on them. Each
+more would cost a server for seconds, and all that it runs."""
 
 ENDS_TO_SEPARATE = 2
 """Ends after which a request is run apart from others suspected."""
--- a/src/hyssopspring/traffic/margins.py
+++ b/src/hyssopspring/traffic/margins.py
@@ -24,9 +24,7 @@
 
     In calm times what was predicted holds and the margin is 0. When engines
     are full, steps of the batch between two chunks of a prompt and prompts
-    that overtake add up, and what was predicted just in time is late: on an
-    emulated peak of a region that lost half of its engines, 62 in 100
-    reviews are on time with the margin and 58 without.
+    that overtake add up, and what was predicted just in time is late.
 
     Attributes:
         seconds: The margin.
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -93,8 +93,8 @@
         revisions: Newest revisions that it has seen, of what operators
             wrote and of the servers.
         draw: Place among hosts of like state; the least goes first. The
-            strongest host places: with hosts of 0.5 and 2.2 cores, drawn
-            by weight, a weak one placed for seven regions in ten.
+            strongest host places, as many weak ones together would often
+            win a draw by weight.
         id: Short name of this start of it, for small messages.
     """
 
@@ -299,9 +299,7 @@
         """Return the hosts of *region* to report to.
 
         These are the best ones that answer. Their number does not grow
-        with the hosts, so neither does what a host spends on heartbeats;
-        with heartbeats among all of 65 hosts of a region each spent 0.04
-        of a core on them.
+        with the hosts, so neither does what a host spends on heartbeats.
 
         Args:
             now: The time.
