Know a request that ends servers also by a key that is not passed on

Cause: what a request shares with its repeats was worked out from the headers that came in where it is judged, and from those that are sent where ends are noted. Since keys are no longer sent, the two differed for each request with a key: no end was held against it, on this host or on that of another region. Found by reading; 28 sends to servers after the third end.

Change: the digest of the key counts, and goes with the request to the host of another region.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -46,6 +46,7 @@
         body: The body, maybe empty.
         stream: Whether a success is a series of events.
         repeatable: Whether a kept connection may be used.
+        key_digest: Digest of the caller's key, which is not sent, or "".
     """
 
     id: bytes
@@ -55,6 +56,7 @@
     body: bytes
     stream: bool
     repeatable: bool
+    key_digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/entry/endings.py
+++ b/src/hyssopspring/entry/endings.py
@@ -25,11 +25,11 @@
 """Seconds for which a request waits to know whether its server has ended; a
 connection within the region opens or is refused in 2 ms."""
 
-NAMING_HEADERS = (b"authorization", b"cookie", b"x-api-key")
-"""Headers by which a caller names itself."""
+NAMING_HEADERS = (b"authorization", b"cookie")
+"""Headers by which a caller names itself, beside its key."""
 
 
-def fingerprint_of(method, headers, uri, body):
+def fingerprint_of(method, headers, uri, body, key_digest=""):
     """Return what repeats of a request have in common.
 
     They bear new identifiers and come to any host. What names the caller
@@ -42,10 +42,13 @@
             names the caller.
         uri: Path and query.
         body: The body.
+        key_digest: Digest of the caller's key. It is told to hosts that
+            the request is sent on to, as the key itself is not.
     """
     host = first_value(headers, b"host").lower()
     named = [first_value(headers, name) for name in NAMING_HEADERS]
-    return digest_of((method, host, uri, body, *named))
+    key = key_digest.encode()
+    return digest_of((method, host, uri, body, *named, key))
 
 
 class Endings:
@@ -178,7 +181,11 @@
     """Return the fingerprint of the request of an `Attempt`."""
     sending = attempt.sending
     return fingerprint_of(
-        sending.method, sending.headers, sending.uri, sending.body
+        sending.method,
+        sending.headers,
+        sending.uri,
+        sending.body,
+        sending.key_digest,
     )
 
 
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -99,7 +99,9 @@
         self.moving = False
         self.placement = NOTHING
         self.kept = NOTHING
-        self.suspicion = Suspicion(state.sharing, request, request.peer_ip)
+        self.suspicion = Suspicion(
+            state.sharing, request, request.peer_ip, facts.key_digest
+        )
         self.last_event = facts.last_event
         self.last_event_at = NOTHING
         self.first_at = NOTHING
@@ -415,6 +417,7 @@
             self.sink.started,
             self.request.peer_ip,
             self.rights.workspace,
+            self.facts.key_digest,
         )
 
     def sending(self, headers, *, kept=False):
@@ -428,6 +431,7 @@
             body=self.request.content.read(),
             stream=self.route.stream,
             repeatable=kept or self.route.repeatable,
+            key_digest=self.facts.key_digest,
         )
 
     async def carry(self, predicted):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -46,6 +46,7 @@
         caller: IP address of the caller.
         workspace: Name of its workspace; the caller's key stays where it
             came in.
+        key_digest: Digest of that key, to know repeats by.
     """
 
     route: str
@@ -61,6 +62,7 @@
     begun: bool
     caller: str = ""
     workspace: str = ""
+    key_digest: str = ""
 
 
 _DECODER = msgspec.json.Decoder(RelayOrder)
@@ -183,7 +185,9 @@
         self.request = request
         self.order = order
         self.sink = AnswerSink(request)
-        self.suspicion = Suspicion(self.state.sharing, request, order.caller)
+        self.suspicion = Suspicion(
+            self.state.sharing, request, order.caller, order.key_digest
+        )
         self.attempt = NOTHING
         self.arrived = self.state.clock.seconds()
         self.server_id = ""
@@ -388,4 +392,5 @@
         body=request.content.read(),
         stream=order.stream,
         repeatable=order.repeatable,
+        key_digest=order.key_digest,
     )
--- a/src/hyssopspring/entry/suspicion.py
+++ b/src/hyssopspring/entry/suspicion.py
@@ -31,12 +31,14 @@
         request: The `WebRequest`.
         caller: IP address of the caller; empty if it is not known, and
             then nothing is held against the request.
+        key_digest: Digest of the caller's key, or "".
     """
 
-    def __init__(self, sharing, request, caller):
+    def __init__(self, sharing, request, caller, key_digest):
         self.sharing = sharing
         self.request = request
         self.caller = caller
+        self.key_digest = key_digest
         self.known_fingerprint = ""
 
     @property
@@ -49,6 +51,7 @@
                 self.request.requestHeaders,
                 self.request.uri,
                 self.request.content.read(),
+                self.key_digest,
             )
         return self.known_fingerprint
 
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -5,7 +5,7 @@
 
 import pytest
 import pytest_twisted
-from entry_hosts import BROKEN
+from entry_hosts import BROKEN, keyed_configuration
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, LessThan
 from twisted.internet import defer
@@ -257,6 +257,34 @@
     return ""
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_request_with_a_key_that_ends_servers_is_sent_to_few(
+    hosts, send
+):
+    """Servers end without end under a request that bears a key.
+
+    The key is not passed on to servers, nor to hosts of other regions. The
+    ends were noted under what is sent, and the request was judged by what
+    came in, so that no end was ever held against it.
+    """
+    hosts.store.put_json("op/config", keyed_configuration(2))
+    await hosts.until(
+        lambda: all(
+            process.keeper.version == 2 and process.state.view.is_fresh
+            for process in hosts.processes.values()
+        )
+    )
+    plain = EndingServers(hosts, "plain")
+    again = await repeat(plain, send, "/lookup/a", x_api_key="desk-key")
+    assert_that(again, LessThan(MOST_RETRIES + 1))
+    fingerprints = {
+        fingerprint
+        for process in hosts.processes.values()
+        for fingerprint in process.crashes.suspects
+    }
+    assert_that(len(fingerprints), Equals(1))
+
+
 @pytest_twisted.ensureDeferred
 async def test_others_are_served_while_a_request_is_blocked(hosts, send):
     """Another path, or another body, is refused in its place."""
@@ -273,6 +301,7 @@
     "changed",
     [
         {"headers": Headers({b"authorization": [b"a"]})},
+        {"key_digest": "another"},
         {"method": b"PUT"},
         {"headers": Headers({b"host": [b"b.example"]})},
         {"uri": b"/post/a?x=1"},
