Let new buckets hold a part of what is tolerated in a window

Change: a new bucket holds its part of a quarter of the tolerated excess of a whole window, besides that of the slack; the window is a setting.

--- a/src/hyssopspring/core/tokenlimits.py
+++ b/src/hyssopspring/core/tokenlimits.py
@@ -42,6 +42,10 @@
 RATE_USED = 0.5
 """Part of the tolerated excess of the rate that is used."""
 
+START_USED = 0.25
+"""Part of the tolerated excess of a whole window that a bucket holds when it
+is new: after an end of all hosts, all callers come back in one second."""
+
 LARGEST_PART = 0.9
 """Part of its bucket that a request must find full to pass which is larger
 than the bucket; it leaves a debt. It could never pass else."""
@@ -58,10 +62,12 @@
     Attributes:
         overage: Part of the limit.
         slack: Tokens besides, in the window over which is counted.
+        window: Seconds of that window.
     """
 
     overage: float = 0.0
     slack: float = 0.0
+    window: float = 0.0
 
     def rate(self, limit):
         """Return the tokens a second that are let through of a limit."""
@@ -71,6 +77,11 @@
         """Return the tokens that a bucket holds above the burst."""
         return self.slack * SLACK_USED
 
+    def start(self, limit):
+        """Return the tokens that a new bucket holds."""
+        whole = limit.rate * self.window + limit.burst
+        return self.extra() + whole * self.overage * START_USED
+
     def burst(self, limit):
         """Return the most tokens that are let through at once."""
         return limit.burst * (1.0 + self.overage * RATE_USED) + self.extra()
@@ -129,7 +140,7 @@
         self.usages = {}
         self.charges = OrderedDict()
 
-    def usage(self, workspace, now):
+    def usage(self, workspace, limit, now):
         """Return the `Usage` of a workspace.
 
         It begins nearly empty: a host that has just started, or has just
@@ -137,8 +148,8 @@
         """
         usage = self.usages.get(workspace)
         if usage is None:
-            level = self.allowance.extra() * self.base / WHOLE
-            usage = self.usages[workspace] = Usage(level * self.weight(), now)
+            level = self.allowance.start(limit) * self.units() / WHOLE
+            usage = self.usages[workspace] = Usage(level, now)
         return usage
 
     def units(self):
@@ -191,7 +202,7 @@
         Returns:
             `NOTHING`, or the `Shortage`.
         """
-        usage = self.usage(workspace, now)
+        usage = self.usage(workspace, limit, now)
         self.settle(usage, limit, now)
         usage.demand += cost / DEMAND_SECONDS
         units = self.units()
@@ -233,7 +244,7 @@
 
     def wish(self, workspace, limit, now):
         """Return the tokens to ask other regions for, or 0."""
-        usage = self.usage(workspace, now)
+        usage = self.usage(workspace, limit, now)
         self.settle(usage, limit, now)
         return max(0, int(self.wanted(usage, limit) - usage.level))
 
@@ -247,7 +258,7 @@
             wish: Tokens that it asks for.
             now: The time.
         """
-        usage = self.usage(workspace, now)
+        usage = self.usage(workspace, limit, now)
         self.settle(usage, limit, now)
         usage.wishes[asker] = (wish, now)
         lately = {
@@ -271,7 +282,7 @@
             stamp: Time of the question, by this host's clock.
             now: The time.
         """
-        usage = self.usage(workspace, now)
+        usage = self.usage(workspace, limit, now)
         self.settle(usage, limit, now)
         doubled = usage.taken.get(giver, -math.inf) >= stamp
         if doubled or now - stamp >= TRANSFER_LIFE:
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -136,7 +136,11 @@
         self.limiting = Limiting(
             TokenLimits(
                 len(set(settings.regions.values())),
-                Allowance(settings.limit_overage, settings.limit_slack),
+                Allowance(
+                    settings.limit_overage,
+                    settings.limit_slack,
+                    settings.limit_window,
+                ),
                 standing.weight,
             ),
             self.keeper,
--- a/src/hyssopspring/entry/settings.py
+++ b/src/hyssopspring/entry/settings.py
@@ -36,6 +36,7 @@
             refused by all hosts, or `NOTHING` if there is no bound.
         limit_overage: Part by which limits may be exceeded over all hosts.
         limit_slack: Tokens by which they may be exceeded besides.
+        limit_window: Seconds over which that is counted.
         least_lease: Shortest lease that the store gives, in seconds.
         off: Each `Mechanism` that is switched off, for measurements.
     """
@@ -62,6 +63,7 @@
     revocation: object = NOTHING
     limit_overage: float = 0.0
     limit_slack: float = 0.0
+    limit_window: float = 0.0
     least_lease: float = 1.0
     off: frozenset = frozenset()
 
--- a/src/hyssopspring_fakes/limitload.py
+++ b/src/hyssopspring_fakes/limitload.py
@@ -125,7 +125,7 @@
         """Play it; return the part of the tokens asked for that passed."""
         rng = random.Random(self.seed)
         self.limit = TokenLimit(rate=self.rate, burst=self.rate)
-        allowance = Allowance(overage=0.1, slack=110_000.0)
+        allowance = Allowance(overage=0.1, slack=110_000.0, window=8.0)
         self.counting = [
             [
                 TokenLimits(
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -48,7 +48,7 @@
 """Seconds in which a key that was taken away must be refused everywhere."""
 
 LIMIT = TokenLimit(rate=60_000.0, burst=60_000.0, plain_tokens=200)
-ALLOWANCE = Allowance(overage=0.1, slack=110_000.0)
+ALLOWANCE = Allowance(overage=0.1, slack=110_000.0, window=8.0)
 WORKSPACES = {"desk": Workspace(name="desk", limit=LIMIT)}
 
 
