Let tokens above a host's own bucket go, so that a lowered limit binds

Cause: found by reading. A bucket that was full under the limit before kept its tokens under a lower one, to be let through at any time later; and what other regions had handed over stayed for good.

Change: what lies above the own bucket goes within seconds.

--- a/src/hyssopspring/core/tokenlimits.py
+++ b/src/hyssopspring/core/tokenlimits.py
@@ -35,6 +35,10 @@
 """Part of its bucket that a region wants to hold whatever its demand, and
 does not give away, for the first requests of a workspace."""
 
+SURPLUS_SECONDS = 1.0
+"""Time constant in which tokens above the own bucket go. What is handed over
+is needed at once."""
+
 SLACK_USED = 0.4
 """Part of the tolerated excess that counts as burst. The rest covers hosts
 that count beside each other until they have heard of it."""
@@ -163,14 +167,19 @@
     def settle(self, usage, limit, now):
         """Add the tokens of the time that has passed.
 
-        What other regions gave may lie above the own bucket. To be called
-        often, as the units change: the time before would else be counted
-        at the new rate.
+        What other regions gave may lie above the own bucket, for a short
+        time. So does what a lowered limit leaves of the one before: kept,
+        it would be let through long after the change. To be called often,
+        as the units change: the time before would else be counted at the
+        new rate.
         """
         seconds = max(0.0, now - usage.at)
         rate = self.allowance.rate(limit) * self.units() / WHOLE
-        room = max(0.0, self.most(limit) - usage.level)
-        usage.level += min(room, seconds * rate)
+        room = self.most(limit) - usage.level
+        if room < 0.0:
+            usage.level += room * (1.0 - math.exp(-seconds / SURPLUS_SECONDS))
+        else:
+            usage.level += min(room, seconds * rate)
         usage.demand *= math.exp(-seconds / DEMAND_SECONDS)
         usage.at = max(usage.at, now)
 
