--- a/src/hyssopspring/entry/limiting.py
+++ b/src/hyssopspring/entry/limiting.py
@@ -88,7 +88,7 @@
             for member in self.members.others.values()
             if member.region == own.region and not member.leaving
         ]
-        first = self.members.placers(now)[0]
+        first, *rest = self.members.placers(now)
         if first is own:
             parts = [self.part_as_first(member, now) for member in others]
             own_part = 1.0
@@ -99,7 +99,7 @@
                 part * was_lately(self.asked_second, member, now)
                 for member in others
             ]
-            own_part = SECOND_PART
+            own_part = SECOND_PART if rest[0] is own else ALONE_PART
         return (own_part + sum(parts)) / (1 + len(others))
 
     def part_as_first(self, member, now):
--- a/tests/test_tokenlimits.py
+++ b/tests/test_tokenlimits.py
@@ -287,3 +287,28 @@
     rate = load.rate
     bound = rate * (WINDOW + 1) * (1 + ALLOWANCE.overage) + ALLOWANCE.slack
     assert_that(load.most_in(WINDOW), LessThan(bound))
+
+
+def test_hosts_that_count_beside_each_other_share_one_part():
+    """The first host answers half too late, and a region counts twice.
+
+    Each host then asks the first, the second and nobody in turn. The parts
+    that all of them use add up to one.
+    """
+    network = Network(6)
+    network.run(3)
+    hosts = [one for one in network.hosts.values() if one.region == "south"]
+    first = network.placer_of(hosts[0])
+    others = [one for one in hosts if one is not first]
+    now = network.clock.seconds()
+    ranked = first.members.placers(now)
+    second = network.hosts[ranked[1].name]
+    for host in others:
+        name = host.members.own.name
+        standing = first.limiting.standing
+        standing.note_asked(name, second=False, strayed=True)
+        if host is not second:
+            standing = second.limiting.standing
+            standing.note_asked(name, second=True, strayed=True)
+    weights = [host.limiting.standing.find_weight(now) for host in hosts]
+    assert_that(sum(weights), LessThan(1.0001))
