Lines that tell which limit a server named, and in which answer

The header is decoded in the adapter, judged (a decimal number up to a million, one only), and a change of it is noted with the request whose answer bore it. Nothing is decided by it yet.

tests/test_notices.py covers what is read and the lines.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -52,6 +52,8 @@
     REQUEST_BLOCKED = (413, "request that ends servers is sent to none")
     CRASH_UNSAVED = (414, "ends under a request not written to the store yet")
     CRASH_UNREADABLE = (415, "ends under a request in the store unreadable")
+    SERVER_LIMITED = (416, "backend server names a limit, or none any more")
+    NOTICE_IGNORED = (417, "statement of a backend server is not usable")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
     WATCHING = (502, "host watches the store for its region")
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -71,6 +71,8 @@
         retry_after: Seconds after which to come back, or `NOTHING`.
         server_id: Server that gave it, if a relaying host tells.
         reason: `Reason` that a relaying host gives, or `NOTHING`.
+        limit: Requests a second that the server takes from all hosts
+            together, `INVALID` if that cannot be read, or `NOTHING`.
     """
 
     not_run: bool = False
@@ -80,6 +82,16 @@
     retry_after: object = NOTHING
     server_id: str = ""
     reason: object = NOTHING
+    limit: object = NOTHING
+
+    @property
+    def is_of_server(self):
+        """Whether the server that was asked has given the answer.
+
+        Bytes that are no answer bear no signature, and what another server
+        says under the same address does not concern the one that was asked.
+        """
+        return (self.stamped or self.not_run) and not self.misdirected
 
 
 @dataclass(slots=True, eq=False)
@@ -137,6 +149,8 @@
             begins; returns the function that takes its whole events.
         started: Called when the head of an answer has come, or the first
             event of a stream.
+        heard: Called with the `Head` of an answer that the server itself
+            has given.
     """
 
     def __init__(
@@ -149,6 +163,7 @@
         *,
         opened,
         started,
+        heard=lambda head: None,
     ):
         self.connections = connections
         self.lane = lane
@@ -157,6 +172,7 @@
         self.clock = clock
         self.opened = opened
         self.started = started
+        self.heard = heard
         self.connection = NOTHING
         self.sent = False
         self.answer = NOTHING
@@ -223,6 +239,8 @@
         self.headed = True
         head = self.read_head(response.code, response.headers)
         self.check_echo(head)
+        if head.is_of_server:
+            self.heard(head)
         if self.sending.stream and response.code == 200:
             return await self.take_stream(response, head)
         return await self.take_whole(response, head)
--- a/src/hyssopspring/entry/endings.py
+++ b/src/hyssopspring/entry/endings.py
@@ -164,18 +164,14 @@
         )
         if early:
             self.sharing.server_ended(
-                fingerprint, caller, self.start_of(lane.key), sent_by
+                fingerprint,
+                caller,
+                self.registry.start_of(lane.key),
+                sent_by,
             )
         elif attempt.begun_for is not NOTHING:
             self.sharing.ran_well(fingerprint, caller)
 
-    def start_of(self, server_id):
-        """Return the name of this start of a server."""
-        server = self.registry.servers.get(server_id)
-        if server is None or not server.entry.born:
-            return server_id
-        return f"{server_id}/{server.entry.born}"
-
 
 def fingerprint_at(attempt):
     """Return the fingerprint of the request of an `Attempt`."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -325,6 +325,7 @@
             self.state.clock,
             opened=self.open_stream,
             started=lambda: self.started(number, began),
+            heard=self.state.notices.listener(placed.server_id, self.id),
         )
         outcome = await self.carry(placed.predicted)
         self.state.asking.note_end(number, self.attempt.finding)
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -40,6 +40,7 @@
 from .measures import Measures
 from .membership import HEARTBEAT_EVERY, SUMMARY_EVERY, Membership
 from .mirrors import Contact
+from .notices import Notices
 from .provenance import Provenance
 from .relaying import RelayApi
 from .state import EntryState
@@ -206,6 +207,7 @@
                 sharing,
             ),
             sharing=sharing,
+            notices=Notices(self.registry, self.reactor, self.timeline),
             codec=headers,
         )
 
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -313,6 +313,7 @@
             started=lambda: self.state.asking.note_start(
                 number, self.state.clock.seconds() - began
             ),
+            heard=self.state.notices.listener(placed.server_id, self.id),
         )
         outcome = await self.attempt.run()
         self.state.asking.note_end(number, self.attempt.finding)
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -28,6 +28,7 @@
         retries: `RetryWindow`.
         endings: `Endings` of backend servers.
         sharing: `CrashSharing` of requests under which servers ended.
+        notices: `Notices` that servers give in their answers.
         codec: Reads and writes the headers of callers and servers.
         stopping_since: Time of the signal to stop, or `NOTHING`.
     """
@@ -48,6 +49,7 @@
     retries: object
     endings: object
     sharing: object
+    notices: object
     codec: object
     stopping_since: object = NOTHING
 
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -1,5 +1,7 @@
 """Headers of callers and servers, decoded and encoded."""
 
+import re
+
 from twisted.web.http_headers import Headers
 
 from ..core.hashing import credential_digest
@@ -25,11 +27,18 @@
 STAMP = b"x-response-stamp"
 NOT_RUN = b"x-not-executed"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"
 MISDIRECTED = 421
 
 LONGEST_KEY = 200
 """Bytes of the longest key of a caller."""
 
+DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+"""A decimal number as servers write it."""
+
+MOST_LIMIT = 1e6
+"""Requests a second above which a limit is taken for nonsense."""
+
 MOST_TOKENS = 10**9
 """Tokens above which a statement of them is taken for nonsense."""
 
@@ -194,4 +203,22 @@
         echo=echo or NOTHING,
         stamped=bool(first_value(headers, STAMP)),
         retry_after=read_number(first_value(headers, RETRY_AFTER), 1.0),
+        limit=read_limit(headers),
     )
+
+
+def read_limit(headers):
+    """Return the requests a second that a server says it takes.
+
+    Returns:
+        Their number, `NOTHING` if it names none, or `INVALID`. Of two it is
+        open which one holds.
+    """
+    named = headers.getRawHeaders(SERVER_LIMIT, ())
+    if not named:
+        return NOTHING
+    text = named[0].strip()
+    if len(named) > 1 or not DECIMAL.fullmatch(text):
+        return INVALID
+    limit = float(text)
+    return limit if limit <= MOST_LIMIT else INVALID
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -207,6 +207,17 @@
             return Usability.LEAVING
         return server.usability(now)
 
+    def start_of(self, server_id):
+        """Return the name of the start of a server that is known here.
+
+        A server may start again under its identifier; what was said of or
+        by the one before does not hold for it.
+        """
+        server = self.servers.get(server_id)
+        if server is None or not server.entry.born:
+            return server_id
+        return f"{server_id}/{server.entry.born}"
+
     def candidates(self, service, region, now):
         """Return the servers of *service* in *region* that may be used.
 
--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -18,6 +18,8 @@
     Attributes:
         ran: Identifier of each request that ran.
         seen: Headers of each request that arrived, by lower-case name.
+        arrived: Time and sending address of each of these.
+        told: Headers that it adds to each of its answers, by name.
         mood: How it behaves: "well", "silent", "cut", "error", "full",
             "reset" or "foreign" (the answer is to another request).
         crashed_by: Body of a request under which the server ends as soon
@@ -37,6 +39,8 @@
         self.address = address
         self.ran = []
         self.seen = []
+        self.arrived = []
+        self.told = {}
         self.stopped = []
         self.mood = "well"
         self.events = 4
@@ -61,10 +65,14 @@
             for name, values in request.requestHeaders.getAllRawHeaders()
         }
         self.seen.append(headers)
+        peer = request.transport.getPeer().host
+        self.arrived.append((self.reactor.seconds(), peer))
         identifier = headers.get(b"x-request-attempt-id", b"")
         if headers.get(b"x-expect-instance") != self.name.encode():
             self.answer(request, 421, b"", {b"x-instance-id": b"other"})
             return
+        for name, value in self.told.items():
+            request.setHeader(name, value)
         if self.mood == "full":
             self.answer(request, 503, b"", {b"x-not-executed": b"1"})
             return
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -1,5 +1,6 @@
 """Entry hosts, servers and a store on loopback, for tests."""
 
+import json
 import os
 import random
 import socket
@@ -154,6 +155,11 @@
         self.lines += data.decode().splitlines()
         return len(data)
 
+    def decoded(self, *events):
+        """Return the log lines of some events, decoded."""
+        lines = [json.loads(line) for line in self.lines]
+        return [line for line in lines if line["event"] in events]
+
     async def settled(self):
         """Wait until each host knows the other's load."""
         await self.until(
--- /dev/null
+++ b/tests/test_notices.py
@@ -0,0 +1,66 @@
+"""What servers say of themselves in their answers."""
+
+import pytest
+import pytest_twisted
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from twisted.web.http_headers import Headers
+
+from hyssopspring.core.sentinels import INVALID, NOTHING
+from hyssopspring.platform.headers import read_head
+
+
+def head_of(*limits):
+    """Return the head of a success with values of the limit's header."""
+    headers = Headers({b"server-limit": list(limits)})
+    return read_head(200, headers)
+
+
+@pytest.mark.parametrize(
+    ("limits", "read"),
+    [
+        ((), NOTHING),
+        ((b"1.5",), 1.5),
+        ((b"0",), 0.0),
+        ((b" 2 ",), 2.0),
+        ((b"",), INVALID),
+        ((b"many",), INVALID),
+        ((b"-1",), INVALID),
+        ((b"nan",), INVALID),
+        ((b"inf",), INVALID),
+        ((b"1e3",), INVALID),
+        ((b"99999999",), INVALID),
+        ((b"1", b"2"), INVALID),
+        ((b"1, 2",), INVALID),
+    ],
+)
+def test_a_limit_that_is_no_number_is_not_believed(limits, read):
+    """A senseless limit would stop a service, or let all through."""
+    assert_that(head_of(*limits).limit, Equals(read))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_line_tells_which_answer_named_a_limit(hosts):
+    """Nobody could tell from lines whether a limit was read at all."""
+    backend = hosts.backends["plain-north"]
+    for number, limit in enumerate((b"2", b"2", b"x", b"3", None)):
+        backend.told = {b"server-limit": limit} if limit else {}
+        await hosts.send("h-north", "/lookup/a", identifier=f"r{number}")
+    await hosts.until(
+        lambda: sum("server_limited" in line for line in hosts.lines) == 3
+    )
+    found = [
+        (line["event"], line.get("limit", line.get("what")), line["answer_to"])
+        for line in hosts.decoded("server_limited", "notice_ignored")
+    ]
+    assert_that(
+        found,
+        Equals(
+            [
+                ("server_limited", "2.0", "r0"),
+                ("notice_ignored", "limit", "r2"),
+                ("server_limited", "3.0", "r3"),
+                ("server_limited", "none", "r4"),
+            ]
+        ),
+    )
