--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -41,9 +41,9 @@
 LATE_ANSWER = 3.0
 """Seconds for which an answer that came too late is still given back."""
 
-COLD_GRANT_LIFE = 0.25
-"""Seconds for which the placement at a cold server may be used. A host
-that was suspended in between would send what the count has forgotten."""
+BRIEF_GRANT_LIFE = 0.25
+"""Seconds for which a placement may be used that must be used at once. A
+host that was suspended in between would send what the count has forgotten."""
 
 
 @dataclass(slots=True, eq=False)
@@ -246,8 +246,8 @@
             waiting.timer.cancel()
         decision = decision_of(message)
         age = self.boot_clock() - waiting.asked_at
-        cold = isinstance(decision, Placed) and decision.cold
-        if cold and age > COLD_GRANT_LIFE:
+        at_once = isinstance(decision, Placed) and decision.at_once
+        if at_once and age > BRIEF_GRANT_LIFE:
             decision = NOTHING
         waiting.done.callback(decision)
 
@@ -467,6 +467,7 @@
             decision.retry_after,
             decision.predicted,
             decision.servers,
+            decision.evidence,
         )
     if isinstance(decision, Away):
         return GrantMessage(
@@ -478,9 +479,10 @@
         decision.address,
         decision.urgency,
         decision.predicted,
-        decision.cold,
+        decision.at_once,
         "",
         decision.copy_from,
+        decision.evidence,
     )
 
 
@@ -495,7 +497,12 @@
             message.demand,
         )
     if isinstance(message, RefusalMessage):
-        return Refused(message.retry_after, message.predicted, message.servers)
+        return Refused(
+            message.retry_after,
+            message.predicted,
+            message.servers,
+            message.evidence,
+        )
     if message.region:
         return Away(message.region, message.predicted)
     return Placed(
@@ -503,6 +510,7 @@
         message.address,
         message.urgency,
         message.predicted,
-        message.cold,
+        message.at_once,
         message.copy_from,
+        message.evidence,
     )
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -3,6 +3,7 @@
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
 from ..traffic.crashes import End, Suspect
+from .digests import DigestComparison
 from .messages import EndRow, SuspectRow, Suspects
 
 __all__ = ["CrashSharing", "row_of", "suspect_of"]
@@ -17,10 +18,6 @@
 EXPIRE_EVERY = 5.0
 """Seconds between looks for what is too old; to look takes 2 ms at most."""
 
-TELL_AGAIN = 1.0
-"""Seconds before a host is told all again that still knows something else:
-the word on its way needs less."""
-
 
 class CrashSharing:
     """Keep what hosts know of such requests the same.
@@ -51,7 +48,7 @@
         self.timeline = timeline
         self.far_contacts = far_contacts
         self.save = save
-        self.told = {}
+        self.comparison = DigestComparison(clock)
         self.expire_due = 0.0
 
     def server_ended(self, fingerprint, caller, server, peer_ip=""):
@@ -176,17 +173,13 @@
 
     def compare(self, member, digest):
         """Tell a host all if it knows something else."""
-        now = self.clock.seconds()
-        if digest == self.crashes.digest:
-            self.told.pop(member.name, None)
-            return
-        since = self.told.get(member.name, NOTHING)
-        if since is not NOTHING and now - since < TELL_AGAIN:
+        own = self.crashes.digest
+        if not self.comparison.must_tell(member.name, own, digest):
             return
         known = self.crashes.told_to_all()
         if known:
-            self.told[member.name] = now
-            self.datagrams.send(self.message(known, now), member.control)
+            message = self.message(known, self.clock.seconds())
+            self.datagrams.send(message, member.control)
 
     def knows_any(self):
         """Whether any request is to be looked at at all."""
--- /dev/null
+++ b/src/hyssopspring/entry/digests.py
@@ -0,0 +1,39 @@
+"""Digests of what hosts know, compared on heartbeats."""
+
+from ..core.sentinels import NOTHING
+
+__all__ = ["DigestComparison"]
+
+TELL_AGAIN = 1.0
+"""Seconds before a host is told all again that still knows something else:
+the word on its way needs less."""
+
+
+class DigestComparison:
+    """Say when to tell a host all, as it knows something else.
+
+    Args:
+        clock: The runtime's clock.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.told = {}
+
+    def must_tell(self, name, own, other):
+        """Whether to tell a host now; call it once a heartbeat.
+
+        Args:
+            name: Name of the host.
+            own: Digest of what this host knows.
+            other: Digest of what the other knows.
+        """
+        if own == other:
+            self.told.pop(name, None)
+            return False
+        now = self.clock.seconds()
+        since = self.told.get(name, NOTHING)
+        if since is not NOTHING and now - since < TELL_AGAIN:
+            return False
+        self.told[name] = now
+        return True
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -1,6 +1,7 @@
 """Heartbeats and load reports between hosts."""
 
 from ..core.events import EventKind
+from ..core.sentinels import NOTHING
 from ..traffic.evidence import Finding
 from ..traffic.members import Report
 from ..traffic.regions import RegionLoad, Room
@@ -12,6 +13,7 @@
     GrantMessage,
     Heartbeat,
     LimitMessage,
+    NoticeRows,
     Records,
     RecordsAsk,
     RefusalMessage,
@@ -86,6 +88,7 @@
             host.
         store_changed: Called with a `StoreChange` of another host.
         sharing: The `CrashSharing`.
+        notices: The `Notices`.
         views: The `ViewChecking`.
     """
 
@@ -100,6 +103,7 @@
         changed,
         store_changed,
         sharing,
+        notices,
         views,
     ):
         self.members = members
@@ -110,6 +114,7 @@
         self.timeline = timeline
         self.changed = changed
         self.sharing = sharing
+        self.notices = notices
         self.beats = 0
         self.far_contacts = []
         self.was_live = set()
@@ -130,6 +135,7 @@
             Summary: self.take_summary,
             StoreChange: store_changed,
             Suspects: sharing.take,
+            NoticeRows: notices.take,
             ViewAsk: views.take_question,
             ViewAnswer: views.take_answer,
         }
@@ -281,6 +287,7 @@
             report,
             tickets,
             self.sharing.crashes.digest,
+            self.notices.digest,
         )
 
     def notice_gone(self, now):
@@ -352,6 +359,7 @@
         if member.is_ahead(own.version, own.revisions):
             self.changed(member)
         self.sharing.compare(member, message.crashes)
+        self.notices.compare(member, message.notices)
         if message.tickets is not None:
             self.take_tickets(message, now)
 
@@ -442,6 +450,7 @@
             [round(wait * 1000) for wait in room.waits],
             round(room.used * 100),
             round(room.token_seconds * 1e6),
+            -1 if room.spare is NOTHING else room.spare,
         )
         for room in load.rooms
     ]
@@ -455,6 +464,7 @@
             tuple(millis / 1000 for millis in told.waits),
             told.used / 100,
             told.token_micros / 1e6,
+            told.spare if told.spare >= 0 else NOTHING,
         )
         for told in load.rooms
         if len(told.waits) == RANKS
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -17,6 +17,8 @@
     "GrantMessage",
     "Heartbeat",
     "LimitMessage",
+    "NoticeRow",
+    "NoticeRows",
     "Records",
     "RecordsAsk",
     "RefusalMessage",
@@ -98,10 +100,11 @@
         address: Its address.
         urgency: Rank for the server.
         predicted: Seconds to the answer or first event.
-        cold: Whether the grant must be used at once.
+        at_once: Whether the grant must be used at once.
         region: Region to send it to, or an empty string.
         copy_from: Address of a server that has cached more of the prompt,
             or an empty string.
+        evidence: What named a limit of the server, for a log line.
     """
 
     number: int
@@ -109,9 +112,10 @@
     address: str
     urgency: int
     predicted: float
-    cold: bool
+    at_once: bool
     region: str
     copy_from: str
+    evidence: str = ""
 
 
 class RefusalMessage(msgspec.Struct, array_like=True, tag="r", frozen=True):
@@ -122,12 +126,14 @@
         retry_after: Seconds after which there should be room.
         predicted: Seconds to an answer if it were admitted.
         servers: Servers of the region that could take requests.
+        evidence: What named the limit that holds it back, for a log line.
     """
 
     number: int
     retry_after: float
     predicted: float
     servers: int
+    evidence: str = ""
 
 
 class LimitMessage(msgspec.Struct, array_like=True, tag="t", frozen=True):
@@ -252,6 +258,8 @@
         tickets: Its requests in progress, or None if they are not told.
         crashes: Digest of what it knows of requests under which servers
             ended.
+        notices: Digest of what it knows that servers of the region say of
+            themselves.
     """
 
     host: str
@@ -270,6 +278,7 @@
     report: Report
     tickets: list[OpenTicket] | None = None
     crashes: int = 0
+    notices: int = 0
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
@@ -327,11 +336,13 @@
         waits: Milliseconds that a new request would wait, by its rank.
         used: Percentage of its places in use.
         token_micros: Microseconds that it needs for an output token.
+        spare: Requests that its limit lets through now; -1 without one.
     """
 
     waits: list[int]
     used: int
     token_micros: int
+    spare: int = -1
 
 
 class ServiceLoad(msgspec.Struct, array_like=True, frozen=True):
@@ -451,6 +462,39 @@
     rows: list[SuspectRow]
 
 
+class NoticeRow(msgspec.Struct, array_like=True, frozen=True):
+    """What a server says of itself.
+
+    Attributes:
+        server_id: The server.
+        start: Name of its start.
+        limit: Requests a second that it takes from all hosts together; -1
+            for a limit that has ended.
+        age_ms: Milliseconds since it was heard.
+        host: Host that heard it.
+        request: Request to which it was the answer.
+    """
+
+    server_id: str
+    start: str
+    limit: float
+    age_ms: int
+    host: str
+    request: str
+
+
+class NoticeRows(msgspec.Struct, array_like=True, tag="n", frozen=True):
+    """Tell what servers of the region say of themselves.
+
+    Attributes:
+        host: Name of the sender.
+        rows: `NoticeRow` of each server.
+    """
+
+    host: str
+    rows: list[NoticeRow]
+
+
 class ViewAsk(msgspec.Struct, array_like=True, tag="v", frozen=True):
     """Ask how surely a host's configuration is the newest.
 
@@ -491,6 +535,7 @@
     | Summary
     | StoreChange
     | Suspects
+    | NoticeRows
     | Transfer
     | TransferAsk
     | ViewAsk
--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -2,28 +2,65 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import INVALID, NOTHING
+from ..traffic.serverlimits import UNLIMITED, LimitNotice
+from .digests import DigestComparison
+from .messages import NoticeRow, NoticeRows
 
-__all__ = ["Notices"]
+__all__ = ["Notices", "limit_details"]
 
 IGNORED_EVERY = 10.0
 """Seconds between two lines on unusable statements of one server."""
 
+TELL_ALL_EVERY = 0.5
+"""Seconds between two messages to all hosts of the region on one server. A
+server may name another limit in each answer; who places hears of each."""
+
+PLACING_HOSTS = 2
+"""Hosts of the region that hear of each change at once: the one that
+places, and the one that would take over."""
+
+ROWS_AT_ONCE = 100
+"""Servers in one datagram, about 10 KB of them."""
+
+NO_LIMIT_TOLD = -1.0
+"""Limit in a row that says that a limit has ended."""
+
 
 class Notices:
-    """Take what servers say in their answers.
+    """Take what servers say, and tell the hosts of the region.
+
+    A server takes requests from its own region only, so nobody else needs
+    to know. Heartbeats bear a digest, as with requests under which servers
+    end; who missed something, or has just started, is told all.
 
     Args:
+        limits: The `ServerLimits`.
         registry: The `Registry`.
+        members: The `Members`.
+        datagrams: The `Datagrams`.
         clock: The runtime's clock.
         timeline: The `Timeline`.
+        spread: Called with a message for all hosts of the region.
     """
 
-    def __init__(self, registry, clock, timeline):
+    def __init__(
+        self, limits, registry, members, datagrams, clock, timeline, spread
+    ):
+        self.limits = limits
         self.registry = registry
+        self.members = members
+        self.datagrams = datagrams
         self.clock = clock
         self.timeline = timeline
-        self.limits = {}
+        self.spread = spread
+        self.comparison = DigestComparison(clock)
         self.ignored = {}
+        self.told_all = {}
+
+    @property
+    def digest(self):
+        """Digest of what servers are known to say."""
+        return self.limits.digest
 
     def listener(self, server_id, request):
         """Return what takes the `Head` of an answer to a request.
@@ -38,23 +75,42 @@
 
         def hear(head):
             if self.registry.start_of(server_id) == start:
-                self.hear(server_id, request, head)
+                self.hear(server_id, start, request, head)
 
         return hear
 
-    def hear(self, server_id, request, head):
+    def hear(self, server_id, start, request, head):
         """Take what the answer to a request says."""
         if head.limit is INVALID:
             self.ignore(server_id, request, "limit")
             return
-        if head.limit == self.limits.get(server_id, NOTHING):
+        unknown = server_id not in self.limits.named
+        # A server that is full may refuse without a word on limits.
+        if head.limit is NOTHING and (head.not_run or unknown):
             return
-        self.limits[server_id] = head.limit
+        now = self.clock.seconds()
+        notice = LimitNotice(
+            server_id=server_id,
+            start=start,
+            limit=UNLIMITED if head.limit is NOTHING else head.limit,
+            at=now,
+            host=self.members.own.name,
+            request=request,
+        )
+        if self.limits.hear(notice, now):
+            self.note_limit(notice, now)
+            self.tell(notice, now)
+
+    def note_limit(self, notice, now):
+        """Put a limit that is new to this host on the time line."""
+        ended = notice.limit == UNLIMITED
         self.timeline.note(
             EventKind.SERVER_LIMITED,
-            server=server_id,
-            limit="none" if head.limit is NOTHING else head.limit,
-            answer_to=request,
+            server=notice.server_id,
+            limit="none" if ended else notice.limit,
+            answer_to=notice.request,
+            heard_by=notice.host,
+            age=round(now - notice.at, 3),
         )
 
     def ignore(self, server_id, request, what):
@@ -69,3 +125,91 @@
             what=what,
             answer_to=request,
         )
+
+    def tell(self, notice, now):
+        """Tell the hosts of the region of a limit heard here."""
+        message = self.message([notice], now)
+        told = self.told_all.get(notice.server_id, -TELL_ALL_EVERY)
+        if now - told >= TELL_ALL_EVERY:
+            self.told_all[notice.server_id] = now
+            self.spread(message)
+            return
+        own = self.members.own
+        first = self.members.placers(now)[:PLACING_HOSTS]
+        self.datagrams.send_all(
+            message, [one for one in first if one is not own]
+        )
+
+    def message(self, notices, now):
+        """Return the message on *notices*."""
+        return NoticeRows(
+            self.members.own.name,
+            [row_of(one, now) for one in notices[:ROWS_AT_ONCE]],
+        )
+
+    def take(self, message):
+        """Take over what another host tells."""
+        now = self.clock.seconds()
+        for row in message.rows:
+            if self.registry.start_of(row.server_id) != row.start:
+                continue
+            if row.server_id not in self.registry.servers:
+                continue
+            notice = notice_of(row, now)
+            if self.limits.hear(notice, now):
+                self.note_limit(notice, now)
+
+    def compare(self, member, digest):
+        """Tell a host of the region all if it knows something else."""
+        if member.region != self.members.own.region:
+            return
+        if not self.comparison.must_tell(member.name, self.digest, digest):
+            return
+        known = self.limits.notices()
+        if known:
+            message = self.message(known, self.clock.seconds())
+            self.datagrams.send(message, member.control)
+
+    def tick(self):
+        """Forget what concerns servers that are gone."""
+        known = self.registry.servers
+        for table in (self.ignored, self.told_all):
+            for server_id in [one for one in table if one not in known]:
+                del table[server_id]
+        for server_id in list(self.limits.named):
+            if server_id not in known:
+                self.limits.forget(server_id)
+
+
+def row_of(notice, now):
+    """Return the `NoticeRow` of a `LimitNotice`, with its age."""
+    ended = notice.limit == UNLIMITED
+    return NoticeRow(
+        notice.server_id,
+        notice.start,
+        NO_LIMIT_TOLD if ended else notice.limit,
+        max(0, round((now - notice.at) * 1000)),
+        notice.host,
+        notice.request,
+    )
+
+
+def notice_of(row, now):
+    """Return the `LimitNotice` of a `NoticeRow`, in times of this host."""
+    return LimitNotice(
+        server_id=row.server_id,
+        start=row.start,
+        limit=UNLIMITED if row.limit < 0 else row.limit,
+        at=now - row.age_ms / 1000,
+        host=row.host,
+        request=row.request,
+    )
+
+
+def limit_details(decision):
+    """Return what a line tells of the limit that bore on a decision.
+
+    Args:
+        decision: A `Placed` or `Refused`.
+    """
+    return {"limited_by": decision.evidence} if decision.evidence else {}
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -25,6 +25,7 @@
 from ..traffic.placing import Placer
 from ..traffic.retries import RetryWindow
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
+from ..traffic.serverlimits import ServerLimits
 from ..traffic.servers import Registry
 from .asking import Asking
 from .callers import FINISH_MARGIN, SERVE_ON, CallerApi
@@ -119,6 +120,8 @@
         self.registry = Registry(settings.regions)
         self.crashes = Crashes()
         self.members = Members(own_member(settings, int(wall() * 1000)))
+        standing = Standing(self.members, self.reactor)
+        self.server_limits = ServerLimits(standing.weight, self.rng)
         self.placer = Placer(
             settings.region,
             self.registry,
@@ -126,6 +129,7 @@
             self.cold_bound,
             self.rng,
             self.members.regions,
+            limits=self.server_limits,
             off=settings.off,
         )
         self.datagrams = Datagrams(
@@ -134,7 +138,6 @@
             ),
             lambda why: self.timeline.note(EventKind.PEER_REFUSED, why=why),
         )
-        standing = Standing(self.members, self.reactor)
         self.limiting = Limiting(
             TokenLimits(
                 len(set(settings.regions.values())),
@@ -207,7 +210,15 @@
                 sharing,
             ),
             sharing=sharing,
-            notices=Notices(self.registry, self.reactor, self.timeline),
+            notices=Notices(
+                self.server_limits,
+                self.registry,
+                self.members,
+                self.datagrams,
+                self.reactor,
+                self.timeline,
+                lambda message: self.membership.spread(message),
+            ),
             codec=headers,
         )
 
@@ -256,6 +267,7 @@
             self.following.copies.neighbour_is_newer,
             self.following.copies.take_change,
             self.state.sharing,
+            self.state.notices,
             self.views,
         )
         self.callers = CallerApi(self.state, self.views)
@@ -358,6 +370,7 @@
         self.following.tick()
         self.views.tick()
         self.state.sharing.tick()
+        self.state.notices.tick()
         self.crash_store.tick()
         self.membership.beat()
 
@@ -369,6 +382,7 @@
             "relayed_in_progress": len(self.relay.relayed),
             "questions_left_out_total": self.asking.left_out,
             "requests_suspected": len(self.crashes.suspects),
+            "servers_limited": self.server_limits.in_force(now),
             "requests_placed": len(self.placer.tickets),
             "hosts_live": len(self.members.live(now)),
             "servers_known": len(self.registry.servers),
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -14,6 +14,7 @@
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Head, Sending, silence_limit
 from .connections import Lane
+from .notices import limit_details
 from .suspicion import HELD_RETRY_AFTER, Suspicion
 from .web import respond_refusal
 
@@ -241,7 +242,8 @@
         number, decision = await self.state.asking.place(self.ask(facts))
         if not isinstance(decision, Placed):
             outcome = NotRun(Reason.OVERLOADED, decision.retry_after)
-            self.refuse(outcome, decision.predicted)
+            details = limit_details(decision)
+            self.refuse(outcome, decision.predicted, **details)
             return
         self.state.timeline.note(
             EventKind.PLACED,
@@ -252,6 +254,7 @@
             copy_from=decision.copy_from,
             peer=self.request.peer_ip,
             placed_by=self.state.asking.placer_of(number),
+            **limit_details(decision),
         )
         if self.sink.gone or self.refuse_for_crashes():
             self.state.asking.note_end(number, Finding.UNUSED)
@@ -364,8 +367,15 @@
         else:
             self.refuse(outcome)
 
-    def refuse(self, outcome, predicted=0.0, evidence=""):
-        """Tell the sender that the request was not run."""
+    def refuse(self, outcome, predicted=0.0, evidence="", **details):
+        """Tell the sender that the request was not run.
+
+        Args:
+            outcome: The `NotRun`.
+            predicted: Seconds to an answer, had it been admitted.
+            evidence: Why servers are kept from it, or "".
+            details: What else the line is to say.
+        """
         self.state.timeline.note(
             EventKind.FORWARD_REFUSED,
             request=self.id,
@@ -374,6 +384,7 @@
             retry_after=round(outcome.retry_after, 3),
             peer=self.request.peer_ip,
             evidence=evidence,
+            **details,
             **self.state.provenance.details(),
         )
         headers = [
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -58,18 +58,20 @@
         address: Its ``ip:port``.
         urgency: Rank for the server; 0 goes first.
         predicted: Seconds to the answer or first event.
-        cold: Whether the server is cold, so that the placement must be
-            used at once or not at all.
+        at_once: Whether the server takes only so many requests a second,
+            so that the placement must be used at once or not at all.
         copy_from: Address of a server from which it is to copy parts of
             the prompt that it has not cached, or an empty string.
+        evidence: What named a limit of the server, for a log line.
     """
 
     server_id: str
     address: str
     urgency: int
     predicted: float
-    cold: bool = False
+    at_once: bool = False
     copy_from: str = ""
+    evidence: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +95,14 @@
         retry_after: Seconds after which there should be room.
         predicted: Seconds to an answer if it were admitted.
         servers: Servers of this region that could take requests.
+        evidence: What named the limit of the server that is first to take
+            one again, for a log line.
     """
 
     retry_after: float
     predicted: float
     servers: int = 0
+    evidence: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/traffic/evidence.py
+++ b/src/hyssopspring/traffic/evidence.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["NOT_RUN", "Evidence", "Finding"]
+__all__ = ["NOT_RUN", "NOT_SENT", "Evidence", "Finding"]
 
 FIRST_PAUSE = 0.5
 """Seconds without requests after a first failure to reach a server; about
@@ -43,6 +43,9 @@
 """Findings that show that the server has not run the request."""
 
 
+NOT_SENT = (Finding.UNREACHED, Finding.UNUSED)
+"""Findings that show that the server has got nothing."""
+
 MAY_BE_SLOW = (Finding.SILENT,)
 """Findings that do not speak against a server that answers others: it is
 busy, or fails some; pausing it would refuse all that it could serve."""
--- a/src/hyssopspring/traffic/otherregions.py
+++ b/src/hyssopspring/traffic/otherregions.py
@@ -75,7 +75,7 @@
             if region in ask.avoided:
                 continue
             load = self.load_of(region, ask.service, now)
-            if not load.servers:
+            if not load.open_servers():
                 continue
             seconds = self.work_away(ask, region, now)
             least = AWAY_SECONDS + seconds * (1.0 + READING_COST)
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -6,7 +6,7 @@
 from .coldrates import ColdRates
 from .decisions import Placed, Refused, urgency_of
 from .decoding import DecodingFigures
-from .evidence import Evidence, Finding
+from .evidence import NOT_SENT, Evidence, Finding
 from .margins import Margin
 from .mechanisms import Mechanism
 from .models import make_work
@@ -17,6 +17,7 @@
     RegionLoad,
     Room,
 )
+from .serverlimits import ServerLimits
 from .servers import Usability
 from .work import Inquiry, Ticket, crowding
 
@@ -109,6 +110,8 @@
         rng: Random number generator.
         live_regions: Called with the time; returns the regions in which
             hosts live.
+        limits: The `ServerLimits`; left out, this host counts for its
+            whole region.
         off: Each `Mechanism` that is switched off.
     """
 
@@ -121,9 +124,11 @@
         rng,
         live_regions,
         *,
+        limits=NOTHING,
         off=frozenset(),
     ):
         self.off = off
+        self.limits = limits or ServerLimits(lambda: 1.0, rng)
         self.region = region
         self.registry = registry
         self.service_of = service_of
@@ -273,6 +278,10 @@
                 now < view.server.cold_until
                 and self.too_cold(view.server, now, cold_allowed)
             )
+            and not (
+                self.limits.named
+                and not self.limits.is_free(view.server.entry.id, now)
+            )
         ]
 
     def views_of(self, name, now):
@@ -334,7 +343,7 @@
         """
         here = self.best_of(servers, ask, LATE_URGENCY, now)
         if here is NO_OFFER:
-            return self.refuse(ask, NO_SERVER_WAIT, 0)
+            return self.refuse_closed(ask, now)
         of_use = here.predicted <= ask.patience
         if of_use and not self.has_late(here.place):
             urgency = LATE_URGENCY
@@ -351,6 +360,31 @@
         )
         return late >= MOST_LATE
 
+    def refuse_closed(self, ask, now):
+        """Return a `Refused` that says when a server takes requests again."""
+        held = self.held_by_limits(ask, now)
+        if not held:
+            return self.refuse(ask, NO_SERVER_WAIT, 0)
+        most = MOST_RETRY * (1.0 + SPREAD * self.rng.random())
+        seconds = self.limits.promise(ask.service, held, now, most)
+        first = min(held, key=lambda one: self.limits.wait(one, now))
+        evidence = self.limits.evidence(first, now)
+        return Refused(max(LEAST_RETRY, seconds), seconds, 0, evidence)
+
+    def held_by_limits(self, ask, now):
+        """Return the servers that could be used but for their limits."""
+        if not self.limits.named:
+            return []
+        if ask.regions and self.region not in ask.regions:
+            return []
+        return [
+            view.server.entry.id
+            for view in self.views_of(ask.service, now)
+            if view.evidence.open(now)
+            and view.server.entry.id not in ask.excluded
+            and not self.limits.is_free(view.server.entry.id, now)
+        ]
+
     def refuse(self, ask, predicted, servers):
         """Return a `Refused` that says when there should be room."""
         over = max(LEAST_RETRY, predicted - ask.time_left * RETURN_SHARE)
@@ -380,11 +414,19 @@
         self.keep(ticket)
         work.begin(ticket, ask.demand)
         self.cold_rates.count(entry.id, now)
+        self.limits.take(entry.id, now)
         self.evidence_of(entry.id).begin_trial(now)
         cold = server.usability(now) is Usability.COLD
         source = offer.copy_from if offer.copied else ""
+        evidence = self.limits.evidence(entry.id, now)
         return Placed(
-            entry.id, entry.address, urgency, offer.predicted, cold, source
+            entry.id,
+            entry.address,
+            urgency,
+            offer.predicted,
+            cold or bool(evidence),
+            source,
+            evidence,
         )
 
     def note_start(self, host, number, seconds, now):
@@ -407,7 +449,11 @@
         Returns:
             Whether its server is now newly suspected.
         """
-        self.drop(host, number, now, whole=finding is Finding.ANSWERED)
+        placed_here = self.drop(
+            host, number, now, whole=finding is Finding.ANSWERED
+        )
+        if placed_here and finding in NOT_SENT:
+            self.limits.give_back(server_id)
         if server_id not in self.registry.servers:
             return False
         return self.evidence_of(server_id).note(finding, now)
@@ -420,14 +466,18 @@
             number: Its number.
             now: The time.
             whole: Whether its answer has come to its end.
+
+        Returns:
+            Whether it was known.
         """
         ticket = self.tickets.pop((host, number), None)
         if ticket is None:
-            return
+            return False
         self.of_host(host).pop(number, None)
         work = self.work.get(ticket.server_id)
         if work is not None:
             work.end(ticket, now, whole=whole)
+        return True
 
     def keep(self, ticket):
         """Remember a placed request."""
@@ -486,12 +536,14 @@
         self.evidence.pop(server_id, None)
         self.views.clear()
         self.cold_rates.forget(server_id)
+        self.limits.forget(server_id)
 
     def sweep(self, now):
         """Forget servers that are gone, and requests past any timeout."""
         known = self.registry.servers
         for server_id in [one for one in self.work if one not in known]:
             self.forget_server(server_id, now)
+        self.limits.expire(now)
         for key, ticket in list(self.tickets.items()):
             if now - ticket.placed_at > LONGEST_TICKET:
                 self.drop(*key, now)
@@ -503,10 +555,15 @@
         for server in self.registry.servers.values():
             if server.region != self.region or not self.tells(server, now):
                 continue
+            spare = self.limits.spare(server.entry.id, now)
+            if spare == 0:
+                continue
             name = server.entry.service
             work = self.work_of(server)
             slots[name] = work.slots
-            room = Room(work.waits(now), work.used(), work.token_time(now))
+            room = Room(
+                work.waits(now), work.used(), work.token_time(now), spare
+            )
             rooms.setdefault(name, []).append(room)
         return {
             name: RegionLoad(
--- a/src/hyssopspring/traffic/regions.py
+++ b/src/hyssopspring/traffic/regions.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..core.hashing import short_id
+from ..core.sentinels import NOTHING
 from .work import RANKS, READING_COST, Demand, answering, crowding
 
 __all__ = ["Brought", "FarLoad", "RegionLoad", "Room", "CachedParts"]
@@ -43,11 +44,14 @@
         waits: Seconds that a new request would wait, by its rank.
         used: Part of its slots or memory in use; may exceed 1.
         token_seconds: Seconds that it needs for an output token.
+        spare: Requests that its limit lets through now, or `NOTHING` if it
+            has none.
     """
 
     waits: tuple
     used: float
     token_seconds: float = 0.0
+    spare: object = NOTHING
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +92,12 @@
     waits: list
     used: float
     token_seconds: float
+    spare: object = NOTHING
+
+    @property
+    def is_open(self):
+        """Whether it takes one more request."""
+        return self.spare is NOTHING or self.spare > 0
 
     def begun(self, brought):
         """Return the seconds until a request would begin."""
@@ -109,6 +119,8 @@
         for rank in range(brought.rank, RANKS):
             self.waits[rank] += brought.seconds
         self.used += 1.0 / slots
+        if self.spare is not NOTHING:
+            self.spare -= 1
 
     def pass_time(self, seconds):
         """Let time pass, in which waiting work is done."""
@@ -143,7 +155,9 @@
         """Take over a report, and count what it cannot know of."""
         self.slots = max(1, load.slots)
         self.servers = [
-            Believed(list(room.waits), room.used, room.token_seconds)
+            Believed(
+                list(room.waits), room.used, room.token_seconds, room.spare
+            )
             for room in load.rooms
         ]
         self.at = now
@@ -164,7 +178,11 @@
         if passed:
             for server in self.servers:
                 server.pass_time(passed)
-        return min(self.servers, key=lambda one: one.cost(brought))
+        return min(self.open_servers(), key=lambda one: one.cost(brought))
+
+    def open_servers(self):
+        """Return the `Believed` servers that take one more request."""
+        return [server for server in self.servers if server.is_open]
 
     def count(self, brought, now):
         """Count a request that is sent there now."""
@@ -173,10 +191,10 @@
 
     def add(self, brought):
         """Put work on the server that would take it."""
-        if not self.servers:
-            return
-        server = min(self.servers, key=lambda one: one.cost(brought))
-        server.add(brought, self.slots)
+        servers = self.open_servers()
+        if servers:
+            server = min(servers, key=lambda one: one.cost(brought))
+            server.add(brought, self.slots)
 
 
 class CachedParts:
--- /dev/null
+++ b/src/hyssopspring/traffic/serverlimits.py
@@ -0,0 +1,293 @@
+"""Limits that servers name, kept by all hosts of a region together.
+
+A server in need says in its answers how many requests a second it takes.
+Who places for the region lets so many through, by a bucket for each such
+server. Hosts that place beside each other, as the region is cut or the
+placing host is lost, use the part of the limit that belongs to the hosts
+that count on them.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..core.hashing import hash_text
+from ..core.sentinels import NOTHING
+
+__all__ = ["UNLIMITED", "LimitNotice", "ServerLimits"]
+
+UNLIMITED = math.inf
+"""Limit of a server that names none any more."""
+
+LEAST_LIMIT = 0.1
+"""Requests a second that a server gets although it names less: only an
+answer can tell that it takes more again."""
+
+HELD_FOR = 1.0
+"""Seconds for which the lowest of several limits holds. Answers overtake
+each other on their way, and on the way between hosts."""
+
+BURST_SECONDS = 0.5
+"""Seconds of a limit that may be let through at once, besides one request.
+The rest of what servers tolerate covers hosts that begin to place."""
+
+PART_FACTOR = 1.25
+PART_EXTRA = 0.5
+"""What a host that counts for a part of the region may use of that part, and
+requests a second for a whole region besides. Servers tolerate more in all;
+without it, half of a limit would lie idle after the loss of a host."""
+
+SMALL_BURST = 0.25
+"""Burst below which a bucket is not filled while nobody asks: each of many
+hosts would hold one request ready."""
+
+IDLE = 2.0
+"""Seconds without a question after which that is so."""
+
+ENDED_KEPT = 10.0
+"""Seconds for which the end of a limit is remembered, so that a host that
+missed it does not bring the limit back."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LimitNotice:
+    """What an answer of a server said of its limit.
+
+    Attributes:
+        server_id: The server.
+        start: Name of its start.
+        limit: Requests a second, or `UNLIMITED`.
+        at: Time at which it was heard.
+        host: Host that heard it.
+        request: Request to which it was the answer.
+    """
+
+    server_id: str
+    start: str
+    limit: float
+    at: float
+    host: str = ""
+    request: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class Bucket:
+    """Requests that may go to one server now.
+
+    Attributes:
+        level: Their number, with a fraction.
+        at: Time for which *level* holds.
+        asked_at: Time of the last question.
+    """
+
+    level: float
+    at: float
+    asked_at: float
+
+
+@dataclass(slots=True, eq=False)
+class Named:
+    """The limit of one server.
+
+    Attributes:
+        newest: The newest `LimitNotice`.
+        bucket: The `Bucket`.
+        recent: Time and limit of each notice of late.
+    """
+
+    newest: LimitNotice
+    bucket: Bucket
+    recent: deque = field(default_factory=deque)
+
+    def limit(self, now):
+        """Return the requests a second that may be sent."""
+        while self.recent and now - self.recent[0][0] > HELD_FOR:
+            self.recent.popleft()
+        lowest = min((limit for _, limit in self.recent), default=UNLIMITED)
+        return max(LEAST_LIMIT, min(lowest, self.newest.limit))
+
+
+class ServerLimits:
+    """Let through what servers take, and say when there is more.
+
+    Args:
+        weight: Called for the part of the region's hosts that count on
+            this one to place, from 0 to 1.
+        rng: Random number generator.
+    """
+
+    def __init__(self, weight, rng):
+        self.weight = weight
+        self.rng = rng
+        self.named = {}
+        self.promised = {}
+        self.digest = 0
+
+    def hear(self, notice, now):
+        """Take a `LimitNotice`.
+
+        Returns:
+            Whether the server names another limit than was known.
+        """
+        named = self.named.get(notice.server_id)
+        if named is not None and named.newest.start != notice.start:
+            named = None
+        if named is None:
+            return notice.limit < UNLIMITED and self.begin(notice, now)
+        if now - notice.at <= HELD_FOR:
+            named.recent.append((notice.at, notice.limit))
+        if notice.at < named.newest.at:
+            return False
+        before = named.newest.limit
+        if before == UNLIMITED and notice.limit < UNLIMITED:
+            named.bucket = self.new_bucket(now)
+        named.newest = notice
+        self.count_digest()
+        return notice.limit != before
+
+    def begin(self, notice, now):
+        """Keep a limit that was not known; return True."""
+        named = Named(notice, self.new_bucket(now))
+        named.recent.append((notice.at, notice.limit))
+        self.named[notice.server_id] = named
+        self.count_digest()
+        return True
+
+    def new_bucket(self, now):
+        """Return a `Bucket` that holds less than one request.
+
+        How much is drawn, so that many hosts that begin to place at the
+        same moment do not all send their first request together.
+        """
+        return Bucket(self.rng.random(), now, now)
+
+    def count_digest(self):
+        """Note anew what sums up all limits that are named."""
+        known = sorted(
+            f"{named.newest.start} {named.newest.limit}"
+            for named in self.named.values()
+            if named.newest.limit < UNLIMITED
+        )
+        self.digest = hash_text("\n".join(known)) if known else 0
+
+    def notices(self):
+        """Return the newest `LimitNotice` of each server."""
+        return [named.newest for named in self.named.values()]
+
+    def forget(self, server_id):
+        """Drop what a server named that is gone or has started anew."""
+        if self.named.pop(server_id, None) is not None:
+            self.count_digest()
+
+    def expire(self, now):
+        """Drop limits that ended a while ago."""
+        ended = [
+            server_id
+            for server_id, named in self.named.items()
+            if named.newest.limit == UNLIMITED
+            and now - named.newest.at > ENDED_KEPT
+        ]
+        for server_id in ended:
+            del self.named[server_id]
+
+    def limit_of(self, server_id, now):
+        """Return the limit of a server in requests a second, or `NOTHING`."""
+        named = self.named.get(server_id)
+        if named is None:
+            return NOTHING
+        limit = named.limit(now)
+        return limit if limit < UNLIMITED else NOTHING
+
+    def in_force(self, now):
+        """Return how many servers have a limit."""
+        return sum(
+            self.limit_of(one, now) is not NOTHING for one in self.named
+        )
+
+    def is_free(self, server_id, now):
+        """Whether a server can be sent a request now."""
+        limit = self.limit_of(server_id, now)
+        return limit is NOTHING or self.settle(server_id, limit, now) >= 1.0
+
+    def take(self, server_id, now):
+        """Count a request that is sent to a server."""
+        limit = self.limit_of(server_id, now)
+        if limit is not NOTHING:
+            self.settle(server_id, limit, now)
+            self.named[server_id].bucket.level -= 1.0
+
+    def give_back(self, server_id):
+        """Take back one that was counted and not sent."""
+        named = self.named.get(server_id)
+        if named is not None:
+            named.bucket.level += 1.0
+
+    def rate(self, limit):
+        """Return the requests a second that this host may let through."""
+        part = self.weight() * (limit * PART_FACTOR + PART_EXTRA)
+        return min(limit, part)
+
+    def settle(self, server_id, limit, now):
+        """Add what the time has brought; return the level of the bucket."""
+        bucket = self.named[server_id].bucket
+        burst = self.weight() * (1.0 + limit * BURST_SECONDS)
+        if burst < SMALL_BURST and now - bucket.asked_at > IDLE:
+            bucket.level = min(bucket.level, self.rng.random())
+        else:
+            seconds = max(0.0, now - bucket.at)
+            level = bucket.level + seconds * self.rate(limit)
+            bucket.level = min(level, max(1.0, burst))
+        bucket.at = bucket.asked_at = now
+        return bucket.level
+
+    def spare(self, server_id, now):
+        """Return the requests that a server takes at once, or `NOTHING`."""
+        limit = self.limit_of(server_id, now)
+        if limit is NOTHING:
+            return NOTHING
+        return max(0, int(self.settle(server_id, limit, now)))
+
+    def wait(self, server_id, now):
+        """Return the seconds until a server can be sent a request."""
+        limit = self.limit_of(server_id, now)
+        if limit is NOTHING:
+            return 0.0
+        missing = 1.0 - self.settle(server_id, limit, now)
+        return max(0.0, missing) / max(self.rate(limit), 1e-3)
+
+    def promise(self, service, server_ids, now, most):
+        """Return the seconds after which a refused caller may come back.
+
+        Callers who are refused one after the other are given one time
+        after the other, as the servers take no more.
+
+        Args:
+            service: The service that they need.
+            server_ids: Its servers that a limit holds back.
+            now: The time.
+            most: Longest time to tell, in seconds.
+        """
+        soonest = min(self.wait(one, now) for one in server_ids)
+        rate = sum(
+            self.rate(self.limit_of(one, now) or LEAST_LIMIT)
+            for one in server_ids
+        )
+        after = self.promised.get(service, now) + 1.0 / max(rate, 1e-3)
+        at = min(now + most, max(now + soonest, after))
+        self.promised[service] = at
+        return at - now
+
+    def evidence(self, server_id, now):
+        """Return what named the limit of a server, for a log line.
+
+        Returns:
+            Text, or "" if it has none.
+        """
+        if self.limit_of(server_id, now) is NOTHING:
+            return ""
+        newest = self.named[server_id].newest
+        return (
+            f"{server_id} takes {newest.limit:g} a second, said "
+            f"{now - newest.at:.1f} s ago to {newest.host} in the answer to "
+            f"{newest.request}"
+        )
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -12,6 +12,7 @@
 
 from hyssopspring.core.addresses import split_address
 from hyssopspring.core.tokenlimits import Allowance, TokenLimits
+from hyssopspring.entry.attempts import Head
 from hyssopspring.entry.crashsharing import CrashSharing
 from hyssopspring.entry.datagrams import Datagrams
 from hyssopspring.entry.limiting import (
@@ -21,11 +22,14 @@
     Standing,
 )
 from hyssopspring.entry.membership import HEARTBEAT_EVERY, Membership
+from hyssopspring.entry.notices import Notices
 from hyssopspring.entry.views import ConfirmedView, ViewChecking
 from hyssopspring.traffic.crashes import Crashes
 from hyssopspring.traffic.decisions import Ask, Placed
 from hyssopspring.traffic.members import Member, Members
 from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
+from hyssopspring.traffic.serverlimits import ServerLimits
+from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.workspaces import TokenLimit, Workspace
 
 REGIONS = ("north", "south", "west")
@@ -47,8 +51,14 @@
 REVOCATION = 5.0
 """Seconds in which a key that was taken away must be refused everywhere."""
 
+FAULTS = ("cut", "freeze", "region", "pair", "end", "slow")
+"""Faults that `begin_fault` knows."""
+
 LIMIT = TokenLimit(rate=60_000.0, burst=60_000.0, plain_tokens=200)
 ALLOWANCE = Allowance(overage=0.1, slack=110_000.0, window=8.0)
+ANSWER_SECONDS = 0.1
+"""Seconds in which a server answers."""
+
 WORKSPACES = {"desk": Workspace(name="desk", limit=LIMIT)}
 
 
@@ -150,6 +160,17 @@
             lambda: self.membership.far_contacts,
         )
         self.quiet.limiting = self.limiting
+        self.registry = Registry({f"{region}-a": region})
+        self.server_limits = ServerLimits(standing.weight, network.rng)
+        self.notices = Notices(
+            self.server_limits,
+            self.registry,
+            self.members,
+            self.datagrams,
+            network.clock,
+            self.quiet,
+            lambda message: self.membership.spread(message),
+        )
         self.membership = Membership(
             self.members,
             self.quiet,
@@ -160,6 +181,7 @@
             lambda member: self.take_version(member.version),
             lambda change: None,
             self.sharing,
+            self.notices,
             self.views,
         )
 
@@ -194,6 +216,7 @@
             now = self.network.clock.seconds()
             self.members.own.up_seconds = now - self.began
             self.sharing.tick()
+            self.notices.tick()
             self.views.tick()
             self.membership.beat()
 
@@ -479,3 +502,149 @@
 def placed():
     """Return a placement at a server."""
     return Placed("server", "10.9.0.1:80", 2, 0.1)
+
+
+def begin_fault(network, kind, host):
+    """Begin a fault at a host, or between its region and others."""
+    if kind == "freeze":
+        network.freeze(host)
+    elif kind == "end":
+        host.up = False
+    elif kind == "region":
+        network.cut_pairs.update(pairs_of(host.region))
+    elif kind == "pair":
+        network.cut_pairs.add(pairs_of(host.region)[0])
+    elif kind == "slow":
+        network.unanswered = 0.5
+    else:
+        network.cut.add(host)
+
+
+def end_fault(network, kind, host):
+    """End a fault."""
+    if kind == "freeze":
+        network.wake(host)
+    elif kind in ("region", "pair"):
+        network.cut_pairs.difference_update(pairs_of(host.region))
+    elif kind == "slow":
+        network.unanswered = 0.0
+    elif kind == "cut":
+        network.cut.discard(host)
+
+
+def pairs_of(region):
+    """Return the pairs of a region with the others."""
+    return [frozenset((region, one)) for one in REGIONS if one != region]
+
+
+class LimitedServers:
+    """Servers that name limits, and callers that send to all hosts.
+
+    Args:
+        network: The `Network`.
+        rate: Called with a region and the time; returns the requests that
+            callers send there a second.
+        limit: Called with the time; returns the limit that each server
+            names, or `NOTHING`.
+        servers: Servers in each region.
+    """
+
+    def __init__(self, network, rate, limit, *, servers=2):
+        self.network = network
+        self.rate = rate
+        self.limit = limit
+        self.owing = dict.fromkeys(REGIONS, 0.0)
+        self.sent = 0
+        self.arrived = {
+            f"{region}-server-{number}": []
+            for region in REGIONS
+            for number in range(servers)
+        }
+        self.introduce(network.hosts.values())
+
+    def introduce(self, hosts):
+        """Let hosts know the servers of their regions."""
+        for host in hosts:
+            for server_id in self.servers_of(host.region):
+                entry = ServerEntry(
+                    id=server_id,
+                    service="plain",
+                    address="10.9.0.1:80",
+                    data_centre=f"{host.region}-a",
+                )
+                host.registry.put(entry, 0.0)
+
+    def servers_of(self, region):
+        """Return the identifiers of the servers of a region."""
+        return [one for one in self.arrived if one.startswith(region)]
+
+    def run(self, seconds):
+        """Let time pass, with requests."""
+        for _ in range(round(seconds * 50)):
+            for region in REGIONS:
+                self.send_in(region)
+            self.network.run(0.02)
+
+    def send_in(self, region):
+        """Make the requests of a step in one region."""
+        now = self.network.clock.seconds()
+        self.owing[region] += 0.02 * self.rate(region, now)
+        names = sorted(self.network.names(region))
+        while self.owing[region] >= 1.0:
+            self.owing[region] -= 1.0
+            if names:
+                name = self.network.rng.choice(names)
+                self.send(self.network.hosts[name], now)
+
+    def send(self, host, now):
+        """Send one request, if who places lets it through."""
+        placing = self.placing_for(host, now)
+        free = [
+            one
+            for one in self.servers_of(host.region)
+            if placing.server_limits.is_free(one, now)
+        ]
+        if not free:
+            return
+        server_id = self.network.rng.choice(free)
+        placing.server_limits.take(server_id, now)
+        self.arrived[server_id].append(now)
+        self.sent += 1
+        head = Head(stamped=True, limit=self.limit(now))
+        hear = host.notices.listener(server_id, f"r{self.sent}")
+        self.network.clock.callLater(
+            ANSWER_SECONDS, lambda: host.up and hear(head)
+        )
+
+    def placing_for(self, host, now):
+        """Return the host whose decision *host* uses."""
+        for turn, member in enumerate(host.members.placers(now)[:2]):
+            other = self.network.hosts[member.name]
+            if other is host:
+                break
+            late = self.network.rng.random() < self.network.unanswered
+            if late or not other.up or self.network.cut & {host, other}:
+                continue
+            name = host.members.own.name
+            standing = other.limiting.standing
+            standing.note_asked(name, second=turn > 0, strayed=late)
+            return other
+        return host
+
+    def most_in(self, window, *, since=0.0):
+        """Return the most requests that a server got in any window."""
+        return max(
+            sum(begin <= at < begin + window for at in times)
+            for times in self.arrived.values()
+            for begin in times
+            if begin >= since
+        )
+
+    def used(self, since, until):
+        """Return the requests a second that a server got, on average."""
+        total = sum(
+            since <= at < until
+            for times in self.arrived.values()
+            for at in times
+        )
+        return total / (until - since) / len(self.arrived)
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -27,7 +27,7 @@
 
 DECISIONS = [
     Placed("server", "127.0.0.1:80", 3, 0.25),
-    Placed("server", "127.0.0.1:80", 2, 0.5, cold=True),
+    Placed("server", "127.0.0.1:80", 2, 0.5, at_once=True),
     Placed("server", "127.0.0.1:80", 2, 0.5, copy_from="127.0.0.2:80"),
     Away("south", 0.4),
     Refused(0.75, 1.5, 4),
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -43,7 +43,7 @@
 async def test_a_line_tells_which_answer_named_a_limit(hosts):
     """Nobody could tell from lines whether a limit was read at all."""
     backend = hosts.backends["plain-north"]
-    for number, limit in enumerate((b"2", b"2", b"x", b"3", None)):
+    for number, limit in enumerate((b"2000", b"2000", b"x", b"3000", None)):
         backend.told = {b"server-limit": limit} if limit else {}
         await hosts.send("h-north", "/lookup/a", identifier=f"r{number}")
     await hosts.until(
@@ -57,9 +57,9 @@
         found,
         Equals(
             [
-                ("server_limited", "2.0", "r0"),
+                ("server_limited", "2000.0", "r0"),
                 ("notice_ignored", "limit", "r2"),
-                ("server_limited", "3.0", "r3"),
+                ("server_limited", "3000.0", "r3"),
                 ("server_limited", "none", "r4"),
             ]
         ),
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -225,7 +225,7 @@
     decisions = [placer.place(ask(), n * 0.01) for n in range(80)]
     sent = [one for one in decisions if isinstance(one, Placed)]
     assert_that(len(sent), Equals(4))
-    assert all(one.cold for one in sent)
+    assert all(one.at_once for one in sent)
 
 
 def test_a_host_that_stands_in_sends_nothing_to_cold_servers(
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -1,11 +1,30 @@
 """Limits that servers name hold over all hosts."""
 
+import random
+
 import pytest
 import pytest_twisted
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from networks import (
+    FAULTS,
+    REGIONS,
+    LimitedServers,
+    Network,
+    begin_fault,
+    end_fault,
+)
 from testtools.assertions import assert_that
-from testtools.matchers import LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 from twisted.internet import defer, reactor, task
 
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.traffic.serverlimits import (
+    UNLIMITED,
+    LimitNotice,
+    ServerLimits,
+)
+
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
 WINDOW = 4.0
 """Seconds over which requests to a server are counted."""
@@ -63,3 +82,192 @@
     await send_for(hosts, WINDOW + 1.0, path, **headers)
     for backend in backends:
         assert_that(most_arrived(backend), LessThan(most_allowed(limit) + 1))
+
+
+@settings(max_examples=40, phases=[Phase.explicit, Phase.generate])
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(FAULTS),
+            st.integers(0, 17),
+            st.integers(1, 9),
+        ),
+        max_size=6,
+    ),
+    st.sampled_from((0.3, 1.0, 1.8, 6.0)),
+)
+def test_a_limit_holds_whatever_fails(faults, limit):
+    """Hosts that count beside each other send a server twice its limit."""
+    network = Network(6)
+    hosts = list(network.hosts.values())
+    network.run(4)
+    servers = LimitedServers(network, lambda r, n: 20.0, lambda now: limit)
+    servers.run(2.0)
+    since = network.clock.seconds()
+    ends = []
+    for second in range(16):
+        for number, (kind, which, length) in enumerate(faults):
+            if second == number * 2:
+                begin_fault(network, kind, hosts[which])
+                ends.append((second + length, kind, hosts[which]))
+        for end, kind, host in ends:
+            if end == second:
+                end_fault(network, kind, host)
+        servers.run(1.0)
+    arrived = servers.most_in(WINDOW, since=since)
+    assert_that(arrived, LessThan(most_allowed(limit) + 1))
+
+
+@pytest.mark.parametrize("limit", [0.3, 1.5, 6.0])
+@pytest.mark.parametrize("hosts", [2, 3, 20])
+def test_what_servers_take_is_used(hosts, limit):
+    """A limit below one request a second for each host lets nothing pass."""
+    network = Network(hosts)
+    network.run(4)
+    servers = LimitedServers(network, lambda r, n: 40.0, lambda now: limit)
+    servers.run(3.0)
+    since = network.clock.seconds()
+    servers.run(20.0)
+    used = servers.used(since, network.clock.seconds())
+    assert_that(used, GreaterThan(0.9 * limit))
+
+
+def test_hosts_that_start_together_keep_limits():
+    """After a power loss no host knows that servers are in need."""
+    network = Network(6)
+    network.run(4)
+    limit = 1.5
+    servers = LimitedServers(network, lambda r, n: 10.0, lambda now: limit)
+    servers.run(6.0)
+    since = network.clock.seconds() - 2.0
+    for host in list(network.hosts.values()):
+        host.up = False
+    network.run(1.0)
+    for number, name in enumerate(list(network.hosts)):
+        region = network.hosts[name].region
+        network.add(name, region, number % 6, 2)
+    network.start_reading()
+    servers.introduce(network.hosts.values())
+    servers.run(8.0)
+    arrived = servers.most_in(WINDOW, since=since)
+    assert_that(arrived, LessThan(most_allowed(limit) + 1))
+
+
+@pytest.mark.parametrize("parts", [(0, 3), (0, 1, 2, 3, 4)])
+def test_both_parts_of_a_region_serve_within_its_limit(parts):
+    """A region that is cut in two gives a server twice what it takes."""
+    network = Network(6)
+    network.run(4)
+    limit = 3.0
+    servers = LimitedServers(network, lambda r, n: 20.0, lambda now: limit)
+    servers.run(3.0)
+    since = network.clock.seconds()
+    for part in parts:
+        network.cut.update(
+            network.hosts[f"{region}-{part}"] for region in REGIONS
+        )
+    servers.run(12.0)
+    assert_that(
+        servers.most_in(WINDOW, since=since),
+        LessThan(most_allowed(limit) + 1),
+    )
+    used = servers.used(since + 4, network.clock.seconds())
+    assert_that(used, GreaterThan(0.5 * limit))
+
+
+def test_a_limit_that_has_ended_is_not_brought_back():
+    """A host that missed the end of a limit tells the others to keep it."""
+    network = Network(6)
+    network.run(4)
+    ends_at = network.clock.seconds() + 4
+    servers = LimitedServers(
+        network,
+        lambda r, n: 20.0,
+        lambda now: 2.0 if now < ends_at else NOTHING,
+    )
+    servers.run(3.0)
+    missing = network.hosts["south-5"]
+    network.cut.add(missing)
+    servers.run(5.0)
+    network.cut.clear()
+    servers.run(4.0)
+    since = network.clock.seconds()
+    servers.run(4.0)
+    used = servers.used(since, network.clock.seconds())
+    assert_that(used, GreaterThan(9.0))
+
+
+def make_limits(weight=1.0):
+    """Return limits of a host that counts for a part of its region."""
+    return ServerLimits(lambda: weight, random.Random(1))
+
+
+def notice(limit, at, start="s1"):
+    """Return a notice of one server."""
+    return LimitNotice(server_id="s1", start=start, limit=limit, at=at)
+
+
+def passed(limits, since, until):
+    """Return how many requests pass, if one asks every 10 ms."""
+    count = 0
+    for hundredth in range(int(since * 100), int(until * 100)):
+        if limits.is_free("s1", hundredth / 100):
+            limits.take("s1", hundredth / 100)
+            count += 1
+    return count
+
+
+def test_the_lowest_of_limits_named_in_turn_holds():
+    """A server that names 1 and 9 in turn gets 9 a second."""
+    limits = make_limits()
+    count = 0
+    for tenth in range(100):
+        limits.hear(notice((1.0, 9.0)[tenth % 2], tenth / 10), tenth / 10)
+        count += passed(limits, tenth / 10, (tenth + 1) / 10)
+    assert_that(count, LessThan(13))
+
+
+def test_an_older_answer_does_not_raise_a_limit():
+    """An answer that was late on its way ends a limit that still holds."""
+    limits = make_limits()
+    limits.hear(notice(1.0, 5.0), 5.0)
+    limits.hear(notice(UNLIMITED, 4.0), 6.0)
+    assert_that(limits.limit_of("s1", 7.0), Equals(1.0))
+
+
+def test_a_server_that_starts_again_has_no_limit():
+    """A fresh server is held to the limit of the one before."""
+    limits = make_limits()
+    limits.hear(notice(1.0, 5.0), 5.0)
+    limits.forget("s1")
+    assert_that(limits.limit_of("s1", 5.0), Equals(NOTHING))
+    assert_that(limits.digest, Equals(0))
+
+
+def test_a_server_that_takes_nothing_is_asked_now_and_then():
+    """Nobody hears that a server takes requests again."""
+    limits = make_limits()
+    limits.hear(notice(0.0, 0.0), 0.0)
+    count = passed(limits, 0.0, 60.0)
+    assert_that(count, GreaterThan(3))
+    assert_that(count, LessThan(9))
+
+
+def test_refused_callers_come_back_one_after_the_other():
+    """All callers who are refused come back at the same moment."""
+    limits = make_limits()
+    limits.hear(notice(2.0, 0.0), 0.0)
+    times = [limits.promise("plain", ["s1"], 0.0, 3.0) for _ in range(9)]
+    steps = [b - a for a, b in zip(times, times[1:], strict=False)]
+    assert_that(round(min(steps[:3]), 6), Equals(0.5))
+    assert_that(times[-1], Equals(3.0))
+
+
+def test_a_request_that_was_not_sent_is_not_counted():
+    """A placement that is not used lies idle in the limit of a server."""
+    limits = make_limits()
+    limits.hear(notice(1.0, 0.0), 0.0)
+    assert_that(limits.is_free("s1", 1.0), Equals(True))
+    limits.take("s1", 1.0)
+    limits.give_back("s1")
+    assert_that(limits.is_free("s1", 1.0), Equals(True))
--- a/tests/test_tokenlimits.py
+++ b/tests/test_tokenlimits.py
@@ -3,7 +3,17 @@
 import pytest
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
-from networks import ALLOWANCE, LIMIT, REGIONS, Askers, Network
+from networks import (
+    ALLOWANCE,
+    FAULTS,
+    LIMIT,
+    REGIONS,
+    Askers,
+    Network,
+    begin_fault,
+    end_fault,
+    pairs_of,
+)
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, Is, LessThan
 from twisted.internet import task
@@ -101,9 +111,6 @@
     assert_that(limits.usages["a"].level, GreaterThan(240.0))
 
 
-FAULTS = ("cut", "freeze", "region", "pair", "end", "slow")
-
-
 @settings(max_examples=40, phases=[Phase.explicit, Phase.generate])
 @given(
     st.lists(
@@ -139,48 +146,15 @@
     for second in range(22):
         for number, (kind, which, length) in enumerate(faults):
             if second == 2 + number * 2:
-                begin(network, kind, hosts[which])
+                begin_fault(network, kind, hosts[which])
                 ends.append((second + length, kind, hosts[which]))
         for end, kind, host in ends:
             if end == second:
-                finish(network, kind, host)
+                end_fault(network, kind, host)
         askers.run(1.0)
     assert_that(askers.most_in(WINDOW), LessThan(BOUND))
 
 
-def begin(network, kind, host):
-    """Begin a fault at a host, or between its region and others."""
-    if kind == "freeze":
-        network.freeze(host)
-    elif kind == "end":
-        host.up = False
-    elif kind == "region":
-        network.cut_pairs.update(pairs_of(host.region))
-    elif kind == "pair":
-        network.cut_pairs.add(pairs_of(host.region)[0])
-    elif kind == "slow":
-        network.unanswered = 0.5
-    else:
-        network.cut.add(host)
-
-
-def finish(network, kind, host):
-    """End a fault."""
-    if kind == "freeze":
-        network.wake(host)
-    elif kind in ("region", "pair"):
-        network.cut_pairs.difference_update(pairs_of(host.region))
-    elif kind == "slow":
-        network.unanswered = 0.0
-    elif kind == "cut":
-        network.cut.discard(host)
-
-
-def pairs_of(region):
-    """Return the pairs of a region with the others."""
-    return [frozenset((region, one)) for one in REGIONS if one != region]
-
-
 def test_one_region_gets_the_whole_limit_if_the_others_need_none():
     """Callers of one region are refused two thirds of what is theirs.
 
