--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -7,7 +7,7 @@
 import time
 from io import BytesIO
 
-from twisted.internet import reactor, task
+from twisted.internet import defer, reactor, task
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
@@ -24,6 +24,12 @@
 from hyssopspring_fakes.metadata import FakeMetadata
 from hyssopspring_fakes.proxies import FaultProxy
 
+USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
+"""Headers of a prompt."""
+
+RATE = 30.0
+"""Requests a second that callers send."""
+
 REGIONS = {"north-a": "north", "south-a": "south"}
 WAIT_EVERY = 0.02
 LONGEST_WAIT = 8.0
@@ -342,3 +348,22 @@
         }
     )
     return document
+
+
+async def send_for(hosts, seconds, path, method=b"GET", **headers):
+    """Send requests to all hosts in turn; return each status."""
+    names = list(hosts.processes)
+    sent = []
+    for number in range(int(seconds * RATE)):
+        sent.append(
+            hosts.send(
+                names[number % len(names)],
+                f"{path}{number}",
+                identifier=f"{path}{number}",
+                method=method,
+                **headers,
+            )
+        )
+        sent[-1] = defer.ensureDeferred(sent[-1])
+        await task.deferLater(reactor, 1 / RATE)
+    return [(await one)[0] for one in sent]
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -4,6 +4,7 @@
 
 import pytest
 import pytest_twisted
+from entry_hosts import USAGE, send_for
 from hypothesis import Phase, given, settings
 from hypothesis import strategies as st
 from networks import (
@@ -16,7 +17,6 @@
 )
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
-from twisted.internet import defer, reactor, task
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.traffic.serverlimits import (
@@ -25,13 +25,9 @@
     ServerLimits,
 )
 
-USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
 WINDOW = 4.0
 """Seconds over which requests to a server are counted."""
 
-RATE = 30.0
-"""Requests a second that callers send."""
-
 
 def most_allowed(limit):
     """Return the requests that a server may get in a window."""
@@ -46,25 +42,6 @@
     )
 
 
-async def send_for(hosts, seconds, path, method=b"GET", **headers):
-    """Send requests to all hosts in turn; return each status."""
-    names = list(hosts.processes)
-    sent = []
-    for number in range(int(seconds * RATE)):
-        sent.append(
-            hosts.send(
-                names[number % len(names)],
-                f"{path}{number}",
-                identifier=f"{path}{number}",
-                method=method,
-                **headers,
-            )
-        )
-        sent[-1] = defer.ensureDeferred(sent[-1])
-        await task.deferLater(reactor, 1 / RATE)
-    return [(await one)[0] for one in sent]
-
-
 @pytest.mark.parametrize(
     ("service", "path", "headers"),
     [("plain", "/lookup/", {}), ("engine", "/quote/", USAGE)],
