Send nothing new to a server that says in an answer that it leaves

What callers saw: nothing; a server that had said to a host that it leaves got requests from it up to 7.0 s later (4 s allowed).

Cause: the header was not read. What hosts know of leaving came from the store, which was out of service for 12 s. Ruled out: a placing host that is behind the host that knows, as a host uses no placement at a server that it knows to leave.

Fix: such an answer closes the server to new requests, on the host that got it at once and on all of the region a message later; digests on heartbeats tell whoever missed it. The word holds for one start of the server, beyond a lapse of its entry. Refusals name the word that closed the last server.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -73,6 +73,7 @@
         reason: `Reason` that a relaying host gives, or `NOTHING`.
         limit: Requests a second that the server takes from all hosts
             together, `INVALID` if that cannot be read, or `NOTHING`.
+        leaving: Whether the server says that it leaves, or `INVALID`.
     """
 
     not_run: bool = False
@@ -83,6 +84,7 @@
     server_id: str = ""
     reason: object = NOTHING
     limit: object = NOTHING
+    leaving: object = False
 
     @property
     def is_of_server(self):
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -3,7 +3,7 @@
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
 from ..traffic.crashes import End, Suspect
-from .digests import DigestComparison
+from .digests import DigestComparison, millis
 from .messages import EndRow, SuspectRow, Suspects
 
 __all__ = ["CrashSharing", "row_of", "suspect_of"]
@@ -214,8 +214,3 @@
     if row.cleared_age_ms >= 0:
         cleared = now - row.cleared_age_ms / 1000
     return Suspect(row.fingerprint, ends, row.blocked, cleared)
-
-
-def millis(seconds):
-    """Return whole milliseconds, none below 0."""
-    return max(0, round(seconds * 1000))
--- a/src/hyssopspring/entry/digests.py
+++ b/src/hyssopspring/entry/digests.py
@@ -1,8 +1,8 @@
-"""Digests of what hosts know, compared on heartbeats."""
+"""What hosts tell each other of the same: digests of it, and its age."""
 
 from ..core.sentinels import NOTHING
 
-__all__ = ["DigestComparison"]
+__all__ = ["DigestComparison", "millis"]
 
 TELL_AGAIN = 1.0
 """Seconds before a host is told all again that still knows something else:
@@ -37,3 +37,8 @@
             return False
         self.told[name] = now
         return True
+
+
+def millis(seconds):
+    """Return whole milliseconds, none below 0."""
+    return max(0, round(seconds * 1000))
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -12,7 +12,7 @@
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Sending, silence_limit
 from .connections import Lane
-from .notices import limit_details
+from .notices import notice_details
 from .relaying import (
     ORDER_HEADER,
     RelayOrder,
@@ -230,7 +230,7 @@
             servers_open=refused.servers,
             excluded=len(self.excluded),
             apart=self.suspicion.apart(),
-            **limit_details(refused),
+            **notice_details(refused),
             **self.state.provenance.details(),
         )
 
@@ -308,7 +308,7 @@
             urgency=placed.urgency,
             copy_from=placed.copy_from,
             placed_by=self.state.asking.placer_of(number),
-            **limit_details(placed),
+            **notice_details(placed),
         )
         headers = self.state.codec.server_headers(
             self.request.requestHeaders,
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -16,8 +16,9 @@
     "EndRow",
     "GrantMessage",
     "Heartbeat",
+    "LeavingRow",
     "LimitMessage",
-    "NoticeRow",
+    "LimitRow",
     "NoticeRows",
     "Records",
     "RecordsAsk",
@@ -462,8 +463,8 @@
     rows: list[SuspectRow]
 
 
-class NoticeRow(msgspec.Struct, array_like=True, frozen=True):
-    """What a server says of itself.
+class LimitRow(msgspec.Struct, array_like=True, frozen=True):
+    """The limit that a server names.
 
     Attributes:
         server_id: The server.
@@ -483,16 +484,38 @@
     request: str
 
 
+class LeavingRow(msgspec.Struct, array_like=True, frozen=True):
+    """A server whose answer said that it leaves.
+
+    Attributes:
+        server_id: The server.
+        start: Name of its start.
+        address: Its ``ip:port``.
+        age_ms: Milliseconds since it was heard.
+        host: Host that heard it.
+        request: Request to which it was the answer.
+    """
+
+    server_id: str
+    start: str
+    address: str
+    age_ms: int
+    host: str
+    request: str
+
+
 class NoticeRows(msgspec.Struct, array_like=True, tag="n", frozen=True):
     """Tell what servers of the region say of themselves.
 
     Attributes:
         host: Name of the sender.
-        rows: `NoticeRow` of each server.
+        limits: `LimitRow` of each server that named a limit.
+        leaving: `LeavingRow` of each server that leaves.
     """
 
     host: str
-    rows: list[NoticeRow]
+    limits: list[LimitRow] = []
+    leaving: list[LeavingRow] = []
 
 
 class ViewAsk(msgspec.Struct, array_like=True, tag="v", frozen=True):
--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -2,11 +2,13 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import INVALID, NOTHING
+from ..traffic.decisions import Placed
 from ..traffic.serverlimits import UNLIMITED, LimitNotice
-from .digests import DigestComparison
-from .messages import NoticeRow, NoticeRows
+from ..traffic.servers import LeavingNotice
+from .digests import DigestComparison, millis
+from .messages import LeavingRow, LimitRow, NoticeRows
 
-__all__ = ["Notices", "limit_details"]
+__all__ = ["Notices", "notice_details"]
 
 IGNORED_EVERY = 10.0
 """Seconds between two lines on unusable statements of one server."""
@@ -38,18 +40,28 @@
         registry: The `Registry`.
         members: The `Members`.
         datagrams: The `Datagrams`.
+        connections: The `Connections`.
         clock: The runtime's clock.
         timeline: The `Timeline`.
         spread: Called with a message for all hosts of the region.
     """
 
     def __init__(
-        self, limits, registry, members, datagrams, clock, timeline, spread
+        self,
+        limits,
+        registry,
+        members,
+        datagrams,
+        connections,
+        clock,
+        timeline,
+        spread,
     ):
         self.limits = limits
         self.registry = registry
         self.members = members
         self.datagrams = datagrams
+        self.connections = connections
         self.clock = clock
         self.timeline = timeline
         self.spread = spread
@@ -60,7 +72,7 @@
     @property
     def digest(self):
         """Digest of what servers are known to say."""
-        return self.limits.digest
+        return self.limits.digest ^ self.registry.left_digest
 
     def listener(self, server_id, request):
         """Return what takes the `Head` of an answer to a request.
@@ -81,6 +93,41 @@
 
     def hear(self, server_id, start, request, head):
         """Take what the answer to a request says."""
+        if head.leaving and server_id in self.registry.servers:
+            self.hear_leaving(server_id, start, request, head)
+        self.hear_limit(server_id, start, request, head)
+
+    def hear_leaving(self, server_id, start, request, head):
+        """Use a server no more that says that it leaves."""
+        if head.leaving is INVALID:
+            self.ignore(server_id, request, "leaving")
+            return
+        now = self.clock.seconds()
+        notice = LeavingNotice(
+            server_id=server_id,
+            start=start,
+            address=self.registry.servers[server_id].entry.address,
+            at=now,
+            host=self.members.own.name,
+            request=request,
+        )
+        if self.registry.note_leaving(notice, now):
+            self.note_leaving(notice, now)
+            self.spread(self.message([], [notice], now))
+
+    def note_leaving(self, notice, now):
+        """Put a server that leaves on the time line; drop its connections."""
+        self.connections.forget(notice.server_id)
+        self.timeline.note(
+            EventKind.SERVER_LEAVING,
+            server=notice.server_id,
+            answer_to=notice.request,
+            heard_by=notice.host,
+            age=round(now - notice.at, 3),
+        )
+
+    def hear_limit(self, server_id, start, request, head):
+        """Take the limit that an answer names, or its end."""
         if head.limit is INVALID:
             self.ignore(server_id, request, "limit")
             return
@@ -128,7 +175,7 @@
 
     def tell(self, notice, now):
         """Tell the hosts of the region of a limit heard here."""
-        message = self.message([notice], now)
+        message = self.message([notice], [], now)
         told = self.told_all.get(notice.server_id, -TELL_ALL_EVERY)
         if now - told >= TELL_ALL_EVERY:
             self.told_all[notice.server_id] = now
@@ -140,24 +187,35 @@
             message, [one for one in first if one is not own]
         )
 
-    def message(self, notices, now):
-        """Return the message on *notices*."""
+    def message(self, limits, leaving, now):
+        """Return the message on some notices.
+
+        Args:
+            limits: Each `LimitNotice`.
+            leaving: Each `LeavingNotice`.
+            now: The time.
+        """
         return NoticeRows(
             self.members.own.name,
-            [row_of(one, now) for one in notices[:ROWS_AT_ONCE]],
+            [limit_row(one, now) for one in limits[:ROWS_AT_ONCE]],
+            [leaving_row(one, now) for one in leaving[:ROWS_AT_ONCE]],
         )
 
     def take(self, message):
         """Take over what another host tells."""
         now = self.clock.seconds()
-        for row in message.rows:
-            if self.registry.start_of(row.server_id) != row.start:
-                continue
-            if row.server_id not in self.registry.servers:
-                continue
-            notice = notice_of(row, now)
+        for row in filter(self.concerns, message.limits):
+            notice = limit_of(row, now)
             if self.limits.hear(notice, now):
                 self.note_limit(notice, now)
+        for row in filter(self.concerns, message.leaving):
+            notice = leaving_of(row, now)
+            if self.registry.note_leaving(notice, now):
+                self.note_leaving(notice, now)
+
+    def concerns(self, row):
+        """Whether a row is on a start of a server that is known here."""
+        return self.registry.is_known(row.server_id, row.start)
 
     def compare(self, member, digest):
         """Tell a host of the region all if it knows something else."""
@@ -165,13 +223,16 @@
             return
         if not self.comparison.must_tell(member.name, self.digest, digest):
             return
-        known = self.limits.notices()
-        if known:
-            message = self.message(known, self.clock.seconds())
+        limits = self.limits.notices()
+        leaving = list(self.registry.left.values())
+        if limits or leaving:
+            now = self.clock.seconds()
+            message = self.message(limits, leaving, now)
             self.datagrams.send(message, member.control)
 
     def tick(self):
         """Forget what concerns servers that are gone."""
+        self.registry.forget_left(self.clock.seconds())
         known = self.registry.servers
         for table in (self.ignored, self.told_all):
             for server_id in [one for one in table if one not in known]:
@@ -181,21 +242,45 @@
                 self.limits.forget(server_id)
 
 
-def row_of(notice, now):
-    """Return the `NoticeRow` of a `LimitNotice`, with its age."""
+def limit_row(notice, now):
+    """Return the `LimitRow` of a `LimitNotice`, with its age."""
     ended = notice.limit == UNLIMITED
-    return NoticeRow(
+    return LimitRow(
         notice.server_id,
         notice.start,
         NO_LIMIT_TOLD if ended else notice.limit,
-        max(0, round((now - notice.at) * 1000)),
+        millis(now - notice.at),
+        notice.host,
+        notice.request,
+    )
+
+
+def leaving_row(notice, now):
+    """Return the `LeavingRow` of a `LeavingNotice`, with its age."""
+    return LeavingRow(
+        notice.server_id,
+        notice.start,
+        notice.address,
+        millis(now - notice.at),
         notice.host,
         notice.request,
     )
 
 
-def notice_of(row, now):
-    """Return the `LimitNotice` of a `NoticeRow`, in times of this host."""
+def leaving_of(row, now):
+    """Return the `LeavingNotice` of a row, in times of this host."""
+    return LeavingNotice(
+        server_id=row.server_id,
+        start=row.start,
+        address=row.address,
+        at=now - row.age_ms / 1000,
+        host=row.host,
+        request=row.request,
+    )
+
+
+def limit_of(row, now):
+    """Return the `LimitNotice` of a row, in times of this host."""
     return LimitNotice(
         server_id=row.server_id,
         start=row.start,
@@ -206,10 +291,13 @@
     )
 
 
-def limit_details(decision):
-    """Return what a line tells of the limit that bore on a decision.
+def notice_details(decision):
+    """Return what a line tells of the notices that bore on a decision.
 
     Args:
         decision: A `Placed` or `Refused`.
     """
-    return {"limited_by": decision.evidence} if decision.evidence else {}
+    if not decision.evidence:
+        return {}
+    name = "limited_by" if isinstance(decision, Placed) else "closed_by"
+    return {name: decision.evidence}
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -14,7 +14,7 @@
 from ..traffic.evidence import Finding
 from .attempts import Attempt, Head, Sending, silence_limit
 from .connections import Lane
-from .notices import limit_details
+from .notices import notice_details
 from .suspicion import HELD_RETRY_AFTER, Suspicion
 from .web import respond_refusal
 
@@ -242,7 +242,7 @@
         number, decision = await self.state.asking.place(self.ask(facts))
         if not isinstance(decision, Placed):
             outcome = NotRun(Reason.OVERLOADED, decision.retry_after)
-            details = limit_details(decision)
+            details = notice_details(decision)
             self.refuse(outcome, decision.predicted, **details)
             return
         self.state.timeline.note(
@@ -254,7 +254,7 @@
             copy_from=decision.copy_from,
             peer=self.request.peer_ip,
             placed_by=self.state.asking.placer_of(number),
-            **limit_details(decision),
+            **notice_details(decision),
         )
         if self.sink.gone or self.refuse_for_crashes():
             self.state.asking.note_end(number, Finding.UNUSED)
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -28,6 +28,7 @@
 NOT_RUN = b"x-not-executed"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 MISDIRECTED = 421
 
 LONGEST_KEY = 200
@@ -204,9 +205,18 @@
         stamped=bool(first_value(headers, STAMP)),
         retry_after=read_number(first_value(headers, RETRY_AFTER), 1.0),
         limit=read_limit(headers),
+        leaving=read_leaving(headers),
     )
 
 
+def read_leaving(headers):
+    """Return whether a server says that it leaves, or `INVALID`."""
+    said = headers.getRawHeaders(SERVER_LEAVING, ())
+    if not said:
+        return False
+    return True if [one.strip() for one in said] == [b"1"] else INVALID
+
+
 def read_limit(headers):
     """Return the requests a second that a server says it takes.
 
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -222,8 +222,8 @@
         text += limit_text(record.details)
     if record.details.get("evidence"):
         text += f", servers ended under it: {record.details['evidence']}"
-    if record.details.get("limited_by"):
-        text += f", no server free: {record.details['limited_by']}"
+    if record.details.get("closed_by"):
+        text += f", no server open: {record.details['closed_by']}"
     if "retry_after" not in record.details:
         return text
     return f"{text}, come back in {record.details['retry_after']} s"
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -1,6 +1,6 @@
 """Place requests: at a server, in another region, or refuse them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..core.sentinels import NOTHING
 from .coldrates import ColdRates
@@ -364,7 +364,9 @@
         """Return a `Refused` that says when a server takes requests again."""
         held = self.held_by_limits(ask, now)
         if not held:
-            return self.refuse(ask, NO_SERVER_WAIT, 0)
+            refused = self.refuse(ask, NO_SERVER_WAIT, 0)
+            evidence = self.registry.who_left(ask.service, self.region, now)
+            return replace(refused, evidence=evidence)
         most = MOST_RETRY * (1.0 + SPREAD * self.rng.random())
         seconds = self.limits.promise(ask.service, held, now, most)
         first = min(held, key=lambda one: self.limits.wait(one, now))
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -3,9 +3,10 @@
 import enum
 from dataclasses import dataclass, replace
 
+from ..core.hashing import hash_text
 from ..core.sentinels import NOTHING
 
-__all__ = ["Registry", "Server", "ServerEntry", "Usability"]
+__all__ = ["LeavingNotice", "Registry", "Server", "ServerEntry", "Usability"]
 
 COLD_MARGIN = 0.7
 """Seconds by which a cold phase is taken to last longer than told, for
@@ -17,6 +18,11 @@
 seconds, and a server that left serves for several more."""
 
 
+LEAVING_KEPT = 30.0
+"""Seconds for which a server that said that it leaves is remembered beyond
+its entry. The entry may lapse and come back, without a word on that."""
+
+
 class Usability(enum.Enum):
     """Whether a server may get requests."""
 
@@ -52,6 +58,27 @@
     gone_in: object = NOTHING
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeavingNotice:
+    """An answer of a server said that it leaves.
+
+    Attributes:
+        server_id: The server.
+        start: Name of its start.
+        at: Time at which it was heard.
+        host: Host that heard it.
+        request: Request to which it was the answer.
+        address: Its ``ip:port``.
+    """
+
+    server_id: str
+    start: str
+    address: str
+    at: float
+    host: str = ""
+    request: str = ""
+
+
 @dataclass(slots=True, eq=False)
 class Server:
     """A server and what this host believes of it.
@@ -90,6 +117,8 @@
         self.evacuated = set()
         self.removed = set()
         self.groups = {}
+        self.left = {}
+        self.left_digest = 0
 
     def put(self, entry, now):
         """Take over an entry of the registry.
@@ -111,7 +140,9 @@
             server = Server(entry, region)
             self.servers[entry.id] = server
             self.groups.clear()
-        if server.entry.leaving and not entry.leaving:
+        self.forget_moved(entry)
+        said = start_name(entry) in self.left
+        if (said or server.entry.leaving) and not entry.leaving:
             entry = replace(entry, leaving=True)
         if differs(entry, server.entry):
             self.groups.clear()
@@ -214,9 +245,86 @@
         by the one before does not hold for it.
         """
         server = self.servers.get(server_id)
-        if server is None or not server.entry.born:
-            return server_id
-        return f"{server_id}/{server.entry.born}"
+        return server_id if server is None else start_name(server.entry)
+
+    def is_known(self, server_id, start):
+        """Whether this start of a server is the one that is known here."""
+        server = self.servers.get(server_id)
+        return server is not None and start_name(server.entry) == start
+
+    def forget_moved(self, entry):
+        """Forget that a server leaves that has moved.
+
+        Without the time of its start in its entry, nothing else shows that
+        it is another one under the same identifier.
+        """
+        notice = self.left.get(start_name(entry))
+        if notice is not None and notice.address != entry.address:
+            del self.left[notice.start]
+            self.count_left()
+
+    def note_leaving(self, notice, now):
+        """Use a server no more that says that it leaves.
+
+        The store may be late to say so, or not say it at all.
+
+        Args:
+            notice: The `LeavingNotice`.
+            now: The time.
+
+        Returns:
+            Whether that start of the server was not known to leave.
+        """
+        if not self.is_known(notice.server_id, notice.start):
+            return False
+        known = self.left.get(notice.start)
+        if known is not None and known.at >= notice.at:
+            return False
+        server = self.servers[notice.server_id]
+        if server.entry.address != notice.address:
+            return False
+        self.left[notice.start] = notice
+        if known is None:
+            self.count_left()
+        if server.entry.leaving:
+            return False
+        server.entry = replace(server.entry, leaving=True)
+        self.groups.clear()
+        return True
+
+    def count_left(self):
+        """Note anew what sums up the servers that said that they leave."""
+        self.left_digest = 0
+        if self.left:
+            self.left_digest = hash_text("\n".join(sorted(self.left)))
+
+    def leaving_by_answer(self):
+        """Return how many servers that are known said that they leave."""
+        return sum(one.server_id in self.servers for one in self.left.values())
+
+    def who_left(self, service, region, now):
+        """Return which servers said that they leave, for a log line."""
+        return ", ".join(
+            f"{one.server_id} leaves, said {now - one.at:.1f} s ago to "
+            f"{one.host} in the answer to {one.request}"
+            for one in self.left.values()
+            if self.is_known(one.server_id, one.start)
+            and self.servers[one.server_id].entry.service == service
+            and self.servers[one.server_id].region == region
+        )
+
+    def forget_left(self, now):
+        """Forget servers that said that they leave, and are gone."""
+        old = [
+            start
+            for start, notice in self.left.items()
+            if now - notice.at > LEAVING_KEPT
+            and not self.is_known(notice.server_id, start)
+        ]
+        for start in old:
+            del self.left[start]
+        if old:
+            self.count_left()
 
     def candidates(self, service, region, now):
         """Return the servers of *service* in *region* that may be used.
@@ -236,6 +344,11 @@
         return found
 
 
+def start_name(entry):
+    """Return the name of the start of a server that an entry tells of."""
+    return f"{entry.id}/{entry.born}" if entry.born else entry.id
+
+
 def differs(entry, known):
     """Whether an entry says something new on who may use a server."""
     return (entry.service, entry.data_centre, entry.leaving) != (
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -92,6 +92,9 @@
     def keep_only(self, host, numbers, now, *, older_than):
         """Do nothing."""
 
+    def forget(self, key):
+        """Do nothing."""
+
     def note(self, kind, **details):
         """Count an event."""
         self.events[kind] += 1
@@ -167,6 +170,7 @@
             self.registry,
             self.members,
             self.datagrams,
+            self.quiet,
             network.clock,
             self.quiet,
             lambda message: self.membership.spread(message),
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -3,11 +3,12 @@
 import pytest
 import pytest_twisted
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 from twisted.web.http_headers import Headers
 
 from hyssopspring.core.sentinels import INVALID, NOTHING
 from hyssopspring.platform.headers import read_head
+from hyssopspring.records import cause_of, read_records
 
 
 def head_of(*limits):
@@ -39,6 +40,16 @@
     assert_that(head_of(*limits).limit, Equals(read))
 
 
+@pytest.mark.parametrize(
+    ("said", "read"),
+    [((), False), ((b"1",), True), ((b"0",), INVALID), ((b"1",) * 2, INVALID)],
+)
+def test_a_senseless_word_on_leaving_is_not_believed(said, read):
+    """A server with a faulty header is never used again."""
+    headers = Headers({b"server-leaving": list(said)})
+    assert_that(read_head(200, headers).leaving, Equals(read))
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_line_tells_which_answer_named_a_limit(hosts):
     """Nobody could tell from lines whether a limit was read at all."""
@@ -64,3 +75,24 @@
             ]
         ),
     )
+
+
+@pytest_twisted.ensureDeferred
+async def test_lines_tell_which_word_of_a_server_led_to_a_refusal(hosts):
+    """A caller is refused, and no line says that servers asked for it."""
+    for name in ("plain-north", "plain-south"):
+        hosts.backends[name].told = {b"server-leaving": b"1"}
+    for host in ("h-north", "h-south"):
+        await hosts.send(host, "/lookup/a", identifier=f"first-{host}")
+    status, headers, _ = await hosts.send(
+        "h-north", "/lookup/a", identifier="r1"
+    )
+    assert_that(status, Equals(503))
+    assert_that(headers.hasHeader(b"retry-after"), Equals(True))
+    await hosts.until(
+        lambda: any('"r1"' in one and "unknown" in one for one in hosts.lines)
+    )
+    records = read_records(hosts.lines)
+    cause = cause_of([one for one in records if one.request == "r1"], records)
+    assert_that(cause, Contains("plain-north leaves, said "))
+    assert_that(cause, Contains("h-north in the answer to first-h-north"))
