Leave a server alone for as long as it asks a host for rest

What callers saw: answers up to 0.8 s late, two refused, as their requests went to servers that had asked the host for 3 s of rest: 6 and 7 requests in one rest (2 allowed).

Cause: the time was handed to the caller, and the server passed over for 0.15 s. Ruled out: repeats to the server that has just refused, as a request asks each server once.

Fix: the host leaves servers at rest out of what it asks for, and declines placements there that were on their way; what it declines, or gives up as the server leaves, is told to the placing host, which counted it. If all servers of the region rest, the caller hears at once when the first is back. A server's own time to come back is not passed to callers any more: it is meant for this host.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -53,6 +53,7 @@
     CRASH_UNSAVED = (414, "ends under a request not written to the store yet")
     CRASH_UNREADABLE = (415, "ends under a request in the store unreadable")
     SERVER_LIMITED = (416, "backend server names a limit, or none any more")
+    SERVER_RESTING = (418, "backend server asks this host for rest")
     NOTICE_IGNORED = (417, "statement of a backend server is not usable")
     PLATFORM_DOWN = (500, "platform does not answer")
     PLATFORM_BACK = (501, "platform answers again")
--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -95,6 +95,7 @@
             counts while the host is suspended.
         timeline: The `Timeline`.
         limiting: The `Limiting`.
+        rests: The `Rests` that servers asked this host for.
         guarded: Called with work whose unexpected failure is logged.
     """
 
@@ -108,6 +109,7 @@
         boot_clock,
         timeline,
         limiting,
+        rests,
         guarded=lambda work: work(),
     ):
         self.members = members
@@ -118,6 +120,7 @@
         self.boot_clock = boot_clock
         self.timeline = timeline
         self.limiting = limiting
+        self.rests = rests
         self.guarded = guarded
         self.number = 0
         self.asks = {}
@@ -144,17 +147,78 @@
         self.number += 1
         number = self.number
         ask = replace(ask, host=self.host, number=number)
+        decision = await self.placed(number, self.without_resting(ask))
+        return number, self.until_first_back(ask, decision)
+
+    def without_resting(self, ask):
+        """Return an `Ask` that leaves out the servers at rest."""
+        resting = self.rests.closed(self.clock.seconds())
+        if not resting:
+            return ask
+        return replace(ask, excluded=(*ask.excluded, *resting))
+
+    def until_first_back(self, ask, decision):
+        """Return a refusal with the end of the first rest.
+
+        A placing host does not know which servers this one leaves alone,
+        nor for how long.
+        """
+        if not isinstance(decision, Refused) or decision.servers:
+            return decision
+        rest = self.first_back(ask.service, ask.excluded)
+        if rest is NOTHING:
+            return decision
+        now = self.clock.seconds()
+        return replace(
+            decision,
+            retry_after=self.rests.wait(rest, now),
+            evidence=rest.evidence(now),
+        )
+
+    def first_back(self, service, excluded=()):
+        """Return the `Rest` that ends first if all servers rest.
+
+        Args:
+            service: The service.
+            excluded: Identifiers of servers that are of no use anyway.
+
+        Returns:
+            `NOTHING` if a server of this region takes requests.
+        """
+        now = self.clock.seconds()
+        region = self.members.own.region
+        found = self.registry.candidates(service, region, now)
+        ids = [one.entry.id for one in found if one.entry.id not in excluded]
+        return self.rests.first_back(ids, now)
+
+    def refused_retry_after(self, service, usual):
+        """Return when a caller may come back whom a server turned away.
+
+        Args:
+            service: The service that it needs.
+            usual: Seconds if not all servers here rest.
+        """
+        rest = self.first_back(service)
+        if rest is NOTHING:
+            return usual
+        return self.rests.wait(rest, self.clock.seconds())
+
+    async def placed(self, number, ask):
+        """Return the decision of the first host that answers, or the own."""
         for turn, member in enumerate(self.placers()[:ASKED_HOSTS]):
             if member is self.members.own:
-                return number, self.decide_here(ask, cold_allowed=True)
+                return self.decide_here(ask, cold_allowed=True)
             second = turn > 0
             if second:
                 self.strayed_at = self.clock.seconds()
             decision = await self.ask_other(member, ask, second=second)
             if self.is_usable(decision):
                 self.keep(number, ask, decision, member.name)
-                return number, decision
-        return number, self.decide_here(ask, cold_allowed=False)
+                return decision
+            if isinstance(decision, Placed):
+                self.decline(number, decision.server_id, member)
+        ask = self.without_resting(ask)
+        return self.decide_here(ask, cold_allowed=False)
 
     def placers(self):
         """Return the hosts that may place, the best first."""
@@ -187,6 +251,7 @@
         """
         if isinstance(decision, Placed):
             self.work[number] = OpenWork(decision, ask.demand, placer)
+            self.rests.count(decision.server_id, self.clock.seconds())
         elif isinstance(decision, Away) and ask.cost:
             self.sent_away[number] = placer
 
@@ -194,16 +259,18 @@
         """Whether a decision of another host may be used.
 
         The other host may lag behind this one: a server of which this
-        host has heard that it leaves gets nothing, whoever placed it.
+        host has heard that it leaves, or that asked it for rest, gets
+        nothing, whoever placed it.
         """
         if decision is NOTHING:
             return False
         if not isinstance(decision, Placed):
             return True
-        usability = self.registry.usability(
-            decision.server_id, self.clock.seconds()
-        )
-        return usability is not Usability.LEAVING
+        now = self.clock.seconds()
+        usability = self.registry.usability(decision.server_id, now)
+        if usability is Usability.LEAVING:
+            return False
+        return not self.rests.is_closed(decision.server_id, now)
 
     def ask_other(self, member, ask, *, second=False):
         """Ask another host; return a deferred of the decision.
@@ -262,13 +329,12 @@
         if member is None or not isinstance(message, GrantMessage):
             return
         if message.server_id or message.region:
-            end = EndMessage(
-                self.host,
-                message.number,
-                message.server_id,
-                int(Finding.UNUSED),
-            )
-            self.datagrams.send(end, member.control)
+            self.decline(message.number, message.server_id, member)
+
+    def decline(self, number, server_id, member):
+        """Tell the host that placed a request that it is not sent."""
+        end = EndMessage(self.host, number, server_id, int(Finding.UNUSED))
+        self.datagrams.send(end, member.control)
 
     def take_question(self, message, member):
         """Queue the question of another host.
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -68,12 +68,15 @@
         misdirected: Whether another server has the address.
         echo: Identifier of the request that it answers, or `NOTHING`.
         stamped: Whether it bears the server's signature.
-        retry_after: Seconds after which to come back, or `NOTHING`.
+        retry_after: Seconds after which to come back, `INVALID` if that
+            cannot be read, or `NOTHING`.
         server_id: Server that gave it, if a relaying host tells.
         reason: `Reason` that a relaying host gives, or `NOTHING`.
         limit: Requests a second that the server takes from all hosts
             together, `INVALID` if that cannot be read, or `NOTHING`.
         leaving: Whether the server says that it leaves, or `INVALID`.
+        turned_away: Whether the server has turned the request away; a time
+            to come back is then a rest that it asks this host for.
     """
 
     not_run: bool = False
@@ -85,6 +88,7 @@
     reason: object = NOTHING
     limit: object = NOTHING
     leaving: object = False
+    turned_away: bool = False
 
     @property
     def is_of_server(self):
@@ -302,11 +306,16 @@
         return Answered(response.code)
 
     def refusal(self, head):
-        """Return the `NotRun` that the other side states."""
-        reason = head.reason if head.reason else Reason.REFUSED
+        """Return the `NotRun` that the other side states.
+
+        A server's own time to come back is meant for this host, not for
+        its callers, whom others may serve.
+        """
+        if head.reason is NOTHING:
+            return NotRun(Reason.REFUSED)
         if head.retry_after is NOTHING:
-            return NotRun(reason)
-        return NotRun(reason, head.retry_after)
+            return NotRun(head.reason)
+        return NotRun(head.reason, head.retry_after)
 
     async def take_stream(self, response, head):
         """Pass whole events on as they come."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -641,7 +641,12 @@
     def fail(self, outcome):
         """Tell the caller that there is no answer, at once."""
         if isinstance(outcome, NotRun) and self.runs == 0:
-            headers = [(b"retry-after", b"%.3f" % outcome.retry_after)]
+            retry_after = outcome.retry_after
+            if outcome.reason is Reason.REFUSED:
+                retry_after = self.state.asking.refused_retry_after(
+                    self.service, retry_after
+                )
+            headers = [(b"retry-after", b"%.3f" % retry_after)]
             if outcome.reason is Reason.CRASHES_SERVERS:
                 # To come back within minutes would be in vain.
                 headers = []
--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -37,6 +37,7 @@
 
     Args:
         limits: The `ServerLimits`.
+        rests: The `Rests`.
         registry: The `Registry`.
         members: The `Members`.
         datagrams: The `Datagrams`.
@@ -49,6 +50,7 @@
     def __init__(
         self,
         limits,
+        rests,
         registry,
         members,
         datagrams,
@@ -58,6 +60,7 @@
         spread,
     ):
         self.limits = limits
+        self.rests = rests
         self.registry = registry
         self.members = members
         self.datagrams = datagrams
@@ -95,8 +98,24 @@
         """Take what the answer to a request says."""
         if head.leaving and server_id in self.registry.servers:
             self.hear_leaving(server_id, start, request, head)
+        if head.turned_away:
+            self.hear_rest(server_id, request, head.retry_after)
         self.hear_limit(server_id, start, request, head)
 
+    def hear_rest(self, server_id, request, seconds):
+        """Leave a server alone for as long as it asks for."""
+        if seconds is INVALID:
+            self.ignore(server_id, request, "rest")
+            return
+        now = self.clock.seconds()
+        if seconds and self.rests.note(server_id, request, seconds, now):
+            self.timeline.note(
+                EventKind.SERVER_RESTING,
+                server=server_id,
+                seconds=seconds,
+                answer_to=request,
+            )
+
     def hear_leaving(self, server_id, start, request, head):
         """Use a server no more that says that it leaves."""
         if head.leaving is INVALID:
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -23,6 +23,7 @@
 from ..traffic.mechanisms import parse_off
 from ..traffic.members import Member, Members
 from ..traffic.placing import Placer
+from ..traffic.rests import Rests
 from ..traffic.retries import RetryWindow
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
 from ..traffic.serverlimits import ServerLimits
@@ -121,6 +122,7 @@
         self.crashes = Crashes()
         self.members = Members(own_member(settings, int(wall() * 1000)))
         standing = Standing(self.members, self.reactor)
+        self.rests = Rests(self.registry, self.rng)
         self.server_limits = ServerLimits(standing.weight, self.rng)
         self.placer = Placer(
             settings.region,
@@ -166,6 +168,7 @@
             boot_clock,
             self.timeline,
             self.limiting,
+            self.rests,
             self.guarded,
         )
         connections = Connections(self.reactor, settings.address)
@@ -212,6 +215,7 @@
             sharing=sharing,
             notices=Notices(
                 self.server_limits,
+                self.rests,
                 self.registry,
                 self.members,
                 self.datagrams,
@@ -384,6 +388,7 @@
             "questions_left_out_total": self.asking.left_out,
             "requests_suspected": len(self.crashes.suspects),
             "servers_leaving_by_answer": self.registry.leaving_by_answer(),
+            "servers_at_rest": self.rests.at_rest(now),
             "servers_limited": self.server_limits.in_force(now),
             "requests_placed": len(self.placer.tickets),
             "hosts_live": len(self.members.live(now)),
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -30,6 +30,7 @@
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
 MISDIRECTED = 421
+TURNED_AWAY = 503
 
 LONGEST_KEY = 200
 """Bytes of the longest key of a caller."""
@@ -203,9 +204,10 @@
         misdirected=status == MISDIRECTED,
         echo=echo or NOTHING,
         stamped=bool(first_value(headers, STAMP)),
-        retry_after=read_number(first_value(headers, RETRY_AFTER), 1.0),
+        retry_after=read_decimal(headers, RETRY_AFTER),
         limit=read_limit(headers),
         leaving=read_leaving(headers),
+        turned_away=status == TURNED_AWAY,
     )
 
 
@@ -221,14 +223,25 @@
     """Return the requests a second that a server says it takes.
 
     Returns:
-        Their number, `NOTHING` if it names none, or `INVALID`. Of two it is
+        Their number, `NOTHING` if it names none, or `INVALID`.
+    """
+    limit = read_decimal(headers, SERVER_LIMIT)
+    if limit in (NOTHING, INVALID) or limit <= MOST_LIMIT:
+        return limit
+    return INVALID
+
+
+def read_decimal(headers, name):
+    """Return the decimal number of a header.
+
+    Returns:
+        The number, `NOTHING` if there is none, or `INVALID`. Of two it is
         open which one holds.
     """
-    named = headers.getRawHeaders(SERVER_LIMIT, ())
-    if not named:
+    values = headers.getRawHeaders(name, ())
+    if not values:
         return NOTHING
-    text = named[0].strip()
-    if len(named) > 1 or not DECIMAL.fullmatch(text):
+    text = values[0].strip()
+    if len(values) > 1 or not DECIMAL.fullmatch(text):
         return INVALID
-    limit = float(text)
-    return limit if limit <= MOST_LIMIT else INVALID
+    return float(text)
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -27,6 +27,7 @@
 from hyssopspring.traffic.crashes import Crashes
 from hyssopspring.traffic.decisions import Ask, Placed
 from hyssopspring.traffic.members import Member, Members
+from hyssopspring.traffic.rests import Rests
 from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
 from hyssopspring.traffic.serverlimits import ServerLimits
 from hyssopspring.traffic.servers import Registry, ServerEntry
@@ -167,6 +168,7 @@
         self.server_limits = ServerLimits(standing.weight, network.rng)
         self.notices = Notices(
             self.server_limits,
+            Rests(self.registry, network.rng),
             self.registry,
             self.members,
             self.datagrams,
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -22,6 +22,7 @@
 from hyssopspring.traffic.decisions import Ask, Away, Limited, Placed, Refused
 from hyssopspring.traffic.members import Member, Members
 from hyssopspring.traffic.placing import Placer
+from hyssopspring.traffic.rests import Rests
 from hyssopspring.traffic.routes import Service
 from hyssopspring.traffic.servers import Registry
 
@@ -115,6 +116,7 @@
         clock.seconds,
         timeline,
         Unlimited(),
+        Rests(registry, random.Random(1)),
     )
     return asking, clock, sent
 
