Soak and emulation: servers that name limits, rest or leave by answer

Emulation: callers of one region, or most of them, use 85% or more of what the engines of three regions take.

--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -1,10 +1,27 @@
 """Stand-in of a backend server behind an entry host, for tests."""
 
+from dataclasses import dataclass
+
 from twisted.internet import task
 
 from .listening import cut_connections, listen_http
 
-__all__ = ["FakeBackend"]
+__all__ = ["FakeBackend", "Said"]
+
+
+@dataclass(frozen=True, slots=True)
+class Said:
+    """What a server said of itself in an answer.
+
+    Attributes:
+        at: Time of the answer.
+        peer: Address of the host that got it.
+        headers: What it said, by header.
+    """
+
+    at: float
+    peer: str
+    headers: dict
 
 
 class FakeBackend:
@@ -20,6 +37,7 @@
         seen: Headers of each request that arrived, by lower-case name.
         arrived: Time and sending address of each of these.
         told: Headers that it adds to each of its answers, by name.
+        said: `Said` of each answer to which headers were added.
         mood: How it behaves: "well", "silent", "cut", "error", "full",
             "reset" or "foreign" (the answer is to another request).
         crashed_by: Body of a request under which the server ends as soon
@@ -41,6 +59,7 @@
         self.seen = []
         self.arrived = []
         self.told = {}
+        self.said = []
         self.stopped = []
         self.mood = "well"
         self.events = 4
@@ -71,6 +90,9 @@
         if headers.get(b"x-expect-instance") != self.name.encode():
             self.answer(request, 421, b"", {b"x-instance-id": b"other"})
             return
+        if self.told:
+            now = self.reactor.seconds()
+            self.said.append(Said(now, peer, dict(self.told)))
         for name, value in self.told.items():
             request.setHeader(name, value)
         if self.mood == "full":
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -16,6 +16,7 @@
 from hyssopspring.traffic.evidence import Finding
 from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import EngineSpec, Service
+from hyssopspring.traffic.serverlimits import LimitNotice
 from hyssopspring.traffic.servers import Registry, ServerEntry
 from hyssopspring.traffic.work import Demand
 
@@ -136,6 +137,7 @@
         choice_seconds: Seconds that the host that places for a region
             needs for each question. It answers the newest first; who
             waits for longer than `ANSWER_WITHIN` decides without it.
+        limits: Requests a second that engines name as their limit, by name.
     """
 
     engines: dict
@@ -149,6 +151,7 @@
     off: frozenset = frozenset()
     pair_seconds: float = 0.0
     choice_seconds: float = 0.0
+    limits: dict = field(default_factory=dict)
 
 
 @dataclass(slots=True, eq=False)
@@ -250,9 +253,11 @@
         self.due = 0.0
         self.started = []
         self.ended = []
+        self.arrived = []
 
-    def add(self, load):
+    def add(self, load, now=0.0):
         """Take a request."""
+        self.arrived.append(now)
         self.waiting.append(load)
         self.waiting.sort(key=lambda one: (one.urgency, one.number))
 
@@ -425,6 +430,7 @@
             )
             for region in shape.engines
         }
+        self.name_limits()
         self.moving = []
         self.asked = {region: deque() for region in shape.engines}
         self.busy_until = dict.fromkeys(shape.engines, 0.0)
@@ -432,6 +438,15 @@
         self.summary_due = 0.0
         self.at_engine = {}
 
+    def name_limits(self):
+        """Let the placer of its region hear each limit."""
+        for name, limit in self.shape.limits.items():
+            region = self.registry.servers[name].region
+            notice = LimitNotice(
+                server_id=name, start=name, limit=limit, at=0.0
+            )
+            self.placers[region].limits.hear(notice, 0.0)
+
     def run(self):
         """Play to the end."""
         now = 0.0
@@ -530,7 +545,7 @@
             engine = self.engines[decision.server_id]
             if decision.copy_from:
                 engine.copy(load, self.engines[decision.copy_from])
-            engine.add(load)
+            engine.add(load, now)
         elif isinstance(decision, Away):
             load.delay = ONE_WAY
             self.moving.append((now + ONE_WAY, load, decision.region))
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -17,6 +17,7 @@
 from .soakchecks import KEPT_ROUTES, ROTATION, service_of
 
 __all__ = [
+    "NOTICE_SERVICE",
     "REGIONS",
     "SETTINGS",
     "HostProcess",
@@ -31,6 +32,9 @@
 between hosts."""
 
 STOP_SECONDS = 5
+NOTICE_SERVICE = "noticing"
+"""Service and route of the servers that say things of themselves."""
+
 RESTART_SECONDS = 0.2
 """Seconds after which a process that has ended by itself is started again."""
 
@@ -69,7 +73,9 @@
         route(f"added-{number}", "plain-0")
         for number in range(first, version + 1)
     ]
+    routes.append(route(NOTICE_SERVICE, NOTICE_SERVICE))
     services = [{"name": service_of(number)} for number in range(ROTATION)]
+    services.append({"name": NOTICE_SERVICE})
     return {
         "version": version,
         "routes": routes,
@@ -270,9 +276,17 @@
 
     def add_backend(self, name, region, number):
         """Start a plain server and register it."""
+        self.register(name, region, service_of(number))
+
+    def add_notice_backend(self, name, region):
+        """Start a server that says things of itself; return it."""
+        return self.register(name, region, NOTICE_SERVICE)
+
+    def register(self, name, region, service):
+        """Start a server and register it; return it."""
         backend = FakeBackend(self.reactor, name, BACKEND_IP)
         address = backend.start()
-        backend.service = service_of(number)
+        backend.service = service
         self.backends[name] = backend
         entry = {
             "service": backend.service,
@@ -285,6 +299,11 @@
             "seq": 1,
         }
         self.store.put_json(f"servers/{name}", entry)
+        return backend
+
+    def remove(self, name):
+        """Remove the entry of a server that has left."""
+        self.store.remove(f"servers/{name}")
 
     def kill_all(self):
         """End all processes without waiting for their ends."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,7 +11,7 @@
 import pytest
 
 from hyssopspring.traffic.mechanisms import Mechanism
-from hyssopspring_fakes.emulation import emulate
+from hyssopspring_fakes.emulation import QUOTE, emulate
 from hyssopspring_fakes.loads import (
     AREQUIPA_PEAK,
     CALM,
@@ -158,3 +158,30 @@
     outcome = play(HALF_OF_DAR, pair_seconds=3.68e-10)
     assert outcome.share("quote") > 0.86
     assert outcome.share("review") > 0.6
+
+
+@pytest.mark.parametrize("share", [1.0, 0.6])
+def test_what_engines_take_is_used_wherever_callers_come_in(share):
+    """Callers of one region are refused while others have room.
+
+    All engines name a limit, and most callers, or all, come to one region.
+    Its own engines take a third of what all take together.
+    """
+    limit = 1.5
+    regions = ("north", "south", "west")
+    engines = [f"{region}-{n}" for region in regions for n in range(2)]
+    shape = dataclasses.replace(
+        CALM,
+        engines=dict.fromkeys(regions, 2),
+        weights=lambda now: {
+            "north": share,
+            "south": (1 - share) / 2,
+            "west": (1 - share) / 2,
+        },
+        limits=dict.fromkeys(engines, limit),
+        kinds=(QUOTE,),
+    )
+    outcome = emulate(shape, 1)
+    served = sum(one.first_at > 0 for one in outcome.loads)
+    assert served > 0.85 * limit * len(engines) * shape.seconds
+    assert served < 1.1 * limit * len(engines) * shape.seconds + 6
