Take what a server says although its entry comes later

Cause: rows on servers that are not known were passed over until the next comparison of digests.

Two tests, one for each word, failed before.

--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -227,14 +227,18 @@
             notice = limit_of(row, now)
             if self.limits.hear(notice, now):
                 self.note_limit(notice, now)
-        for row in filter(self.concerns, message.leaving):
+        for row in message.leaving:
             notice = leaving_of(row, now)
             if self.registry.note_leaving(notice, now):
                 self.note_leaving(notice, now)
 
     def concerns(self, row):
-        """Whether a row is on a start of a server that is known here."""
-        return self.registry.is_known(row.server_id, row.start)
+        """Whether a row is on a start of a server that may be used here.
+
+        Word of a server may come before its entry does.
+        """
+        unknown = row.server_id not in self.registry.servers
+        return unknown or self.registry.is_known(row.server_id, row.start)
 
     def compare(self, member, digest):
         """Tell a host of the region all if it knows something else."""
@@ -251,14 +255,14 @@
 
     def tick(self):
         """Forget what concerns servers that are gone."""
-        self.registry.forget_left(self.clock.seconds())
+        now = self.clock.seconds()
+        self.registry.forget_left(now)
+        self.limits.expire(now)
         known = self.registry.servers
         for table in (self.ignored, self.told_all):
             for server_id in [one for one in table if one not in known]:
                 del table[server_id]
-        for server_id in list(self.limits.named):
-            if server_id not in known:
-                self.limits.forget(server_id)
+        self.limits.forget_unknown(known, now)
 
 
 def limit_row(notice, now):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -545,7 +545,6 @@
         known = self.registry.servers
         for server_id in [one for one in self.work if one not in known]:
             self.forget_server(server_id, now)
-        self.limits.expire(now)
         for key, ticket in list(self.tickets.items()):
             if now - ticket.placed_at > LONGEST_TICKET:
                 self.drop(*key, now)
--- a/src/hyssopspring/traffic/serverlimits.py
+++ b/src/hyssopspring/traffic/serverlimits.py
@@ -44,6 +44,10 @@
 IDLE = 2.0
 """Seconds without a question after which that is so."""
 
+UNKNOWN_KEPT = 5.0
+"""Seconds for which the limit of a server is kept without its entry; word
+of the server may come before it."""
+
 ENDED_KEPT = 10.0
 """Seconds for which the end of a limit is remembered, so that a host that
 missed it does not bring the limit back."""
@@ -179,6 +183,17 @@
         if self.named.pop(server_id, None) is not None:
             self.count_digest()
 
+    def forget_unknown(self, known, now):
+        """Drop limits of servers that are gone.
+
+        Args:
+            known: Identifiers of the servers that are known.
+            now: The time.
+        """
+        for server_id, named in list(self.named.items()):
+            if server_id not in known and now - named.newest.at > UNKNOWN_KEPT:
+                self.forget(server_id)
+
     def expire(self, now):
         """Drop limits that ended a while ago."""
         ended = [
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -266,7 +266,8 @@
     def note_leaving(self, notice, now):
         """Use a server no more that says that it leaves.
 
-        The store may be late to say so, or not say it at all.
+        The store may be late to say so, or not say it at all. Word of a
+        server may come before its entry does.
 
         Args:
             notice: The `LeavingNotice`.
@@ -275,18 +276,16 @@
         Returns:
             Whether that start of the server was not known to leave.
         """
-        if not self.is_known(notice.server_id, notice.start):
+        server = self.servers.get(notice.server_id)
+        if server is not None and not is_about(notice, server.entry):
             return False
         known = self.left.get(notice.start)
         if known is not None and known.at >= notice.at:
             return False
-        server = self.servers[notice.server_id]
-        if server.entry.address != notice.address:
-            return False
         self.left[notice.start] = notice
         if known is None:
             self.count_left()
-        if server.entry.leaving:
+        if server is None or server.entry.leaving:
             return False
         server.entry = replace(server.entry, leaving=True)
         self.groups.clear()
@@ -349,6 +348,12 @@
     return f"{entry.id}/{entry.born}" if entry.born else entry.id
 
 
+def is_about(notice, entry):
+    """Whether a notice is on the start of a server that an entry names."""
+    same = notice.address == entry.address
+    return same and notice.start == start_name(entry)
+
+
 def differs(entry, known):
     """Whether an entry says something new on who may use a server."""
     return (entry.service, entry.data_centre, entry.leaving) != (
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -137,6 +137,15 @@
     assert_that(usable(registry, "s1"), Equals(True))
 
 
+def test_word_of_a_server_may_come_before_its_entry(registry):
+    """A host that hears late of a server sends to it although it leaves."""
+    word = notice(registry)
+    late = Registry({"north-a": "north"})
+    late.note_leaving(word, 1.0)
+    late.put(entry(), 2.0)
+    assert_that(usable(late, "s1"), Equals(False))
+
+
 def test_who_left_is_forgotten_once_it_is_gone(registry):
     """What hosts remember of servers that are gone grows for ever."""
     registry.note_leaving(notice(registry), 1.0)
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -248,3 +248,17 @@
     limits.take("s1", 1.0)
     limits.give_back("s1")
     assert_that(limits.is_free("s1", 1.0), Equals(True))
+
+
+def test_a_limit_may_be_heard_before_the_entry_of_its_server():
+    """A host that hears late of a server sends more than it takes."""
+    network = Network(6)
+    network.run(4)
+    servers = LimitedServers(network, lambda r, n: 20.0, lambda now: 1.0)
+    late = network.hosts["south-2"]
+    late.registry.servers.clear()
+    servers.run(1.0)
+    known = {"south-server-0", "south-server-1"}
+    assert_that(set(late.server_limits.named), Equals(known))
+    network.run(6.0)
+    assert_that(set(late.server_limits.named), Equals(set()))
