Look once at each limited server for a refusal

The part of the region is asked once a look, notices that repeat a limit are kept as one, and the server that is free first is found with the time that is told.

--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -368,9 +368,9 @@
             evidence = self.registry.who_left(ask.service, self.region, now)
             return replace(refused, evidence=evidence)
         most = MOST_RETRY * (1.0 + SPREAD * self.rng.random())
-        seconds = self.limits.promise(ask.service, held, now, most)
-        first = min(held, key=lambda one: self.limits.wait(one, now))
-        evidence = self.limits.evidence(first, now)
+        promise = self.limits.promise(ask.service, held, now, most)
+        evidence = self.limits.evidence(promise.server_id, now)
+        seconds = promise.seconds
         return Refused(max(LEAST_RETRY, seconds), seconds, 0, evidence)
 
     def held_by_limits(self, ask, now):
--- a/src/hyssopspring/traffic/serverlimits.py
+++ b/src/hyssopspring/traffic/serverlimits.py
@@ -37,6 +37,9 @@
 requests a second for a whole region besides. Servers tolerate more in all;
 without it, half of a limit would lie idle after the loss of a host."""
 
+LEAST_RATE = 0.001
+"""Requests a second below which times are not told any longer."""
+
 SMALL_BURST = 0.25
 """Burst below which a bucket is not filled while nobody asks: each of many
 hosts would hold one request ready."""
@@ -74,6 +77,19 @@
     request: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """When a refused caller may come back.
+
+    Attributes:
+        seconds: Seconds from now.
+        server_id: The server that takes a request first.
+    """
+
+    seconds: float
+    server_id: str
+
+
 @dataclass(slots=True, eq=False)
 class Bucket:
     """Requests that may go to one server now.
@@ -96,13 +112,22 @@
     Attributes:
         newest: The newest `LimitNotice`.
         bucket: The `Bucket`.
-        recent: Time and limit of each notice of late.
+        recent: Time and limit of each notice of late that named another
+            limit than the one before it.
     """
 
     newest: LimitNotice
     bucket: Bucket
     recent: deque = field(default_factory=deque)
 
+    def add(self, notice):
+        """Remember what a notice names for a while."""
+        if self.recent and self.recent[-1][1] == notice.limit:
+            at, _ = self.recent.pop()
+            self.recent.append((max(at, notice.at), notice.limit))
+        else:
+            self.recent.append((notice.at, notice.limit))
+
     def limit(self, now):
         """Return the requests a second that may be sent."""
         while self.recent and now - self.recent[0][0] > HELD_FOR:
@@ -138,8 +163,7 @@
             named = None
         if named is None:
             return notice.limit < UNLIMITED and self.begin(notice, now)
-        if now - notice.at <= HELD_FOR:
-            named.recent.append((notice.at, notice.limit))
+        named.add(notice)
         if notice.at < named.newest.at:
             return False
         before = named.newest.limit
@@ -152,7 +176,7 @@
     def begin(self, notice, now):
         """Keep a limit that was not known; return True."""
         named = Named(notice, self.new_bucket(now))
-        named.recent.append((notice.at, notice.limit))
+        named.add(notice)
         self.named[notice.server_id] = named
         self.count_digest()
         return True
@@ -237,20 +261,16 @@
         if named is not None:
             named.bucket.level += 1.0
 
-    def rate(self, limit):
-        """Return the requests a second that this host may let through."""
-        part = self.weight() * (limit * PART_FACTOR + PART_EXTRA)
-        return min(limit, part)
-
     def settle(self, server_id, limit, now):
         """Add what the time has brought; return the level of the bucket."""
         bucket = self.named[server_id].bucket
-        burst = self.weight() * (1.0 + limit * BURST_SECONDS)
+        weight = self.weight()
+        burst = weight * (1.0 + limit * BURST_SECONDS)
         if burst < SMALL_BURST and now - bucket.asked_at > IDLE:
             bucket.level = min(bucket.level, self.rng.random())
         else:
             seconds = max(0.0, now - bucket.at)
-            level = bucket.level + seconds * self.rate(limit)
+            level = bucket.level + seconds * rate_of(limit, weight)
             bucket.level = min(level, max(1.0, burst))
         bucket.at = bucket.asked_at = now
         return bucket.level
@@ -268,10 +288,11 @@
         if limit is NOTHING:
             return 0.0
         missing = 1.0 - self.settle(server_id, limit, now)
-        return max(0.0, missing) / max(self.rate(limit), 1e-3)
+        rate = rate_of(limit, self.weight())
+        return max(0.0, missing) / max(rate, LEAST_RATE)
 
     def promise(self, service, server_ids, now, most):
-        """Return the seconds after which a refused caller may come back.
+        """Return the `Promise` to a caller who is refused.
 
         Callers who are refused one after the other are given one time
         after the other, as the servers take no more.
@@ -282,15 +303,16 @@
             now: The time.
             most: Longest time to tell, in seconds.
         """
-        soonest = min(self.wait(one, now) for one in server_ids)
+        waits = {one: self.wait(one, now) for one in server_ids}
+        first = min(waits, key=waits.get)
+        weight = self.weight()
         rate = sum(
-            self.rate(self.limit_of(one, now) or LEAST_LIMIT)
-            for one in server_ids
+            rate_of(self.named[one].limit(now), weight) for one in server_ids
         )
-        after = self.promised.get(service, now) + 1.0 / max(rate, 1e-3)
-        at = min(now + most, max(now + soonest, after))
+        after = self.promised.get(service, now) + 1.0 / max(rate, LEAST_RATE)
+        at = min(now + most, max(now + waits[first], after))
         self.promised[service] = at
-        return at - now
+        return Promise(at - now, first)
 
     def evidence(self, server_id, now):
         """Return what named the limit of a server, for a log line.
@@ -306,3 +328,13 @@
             f"{now - newest.at:.1f} s ago to {newest.host} in the answer to "
             f"{newest.request}"
         )
+
+
+def rate_of(limit, weight):
+    """Return the requests a second that a host may let through.
+
+    Args:
+        limit: Requests a second that the server takes.
+        weight: Part of the region's hosts that count on this one.
+    """
+    return min(limit, weight * (limit * PART_FACTOR + PART_EXTRA))
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -234,7 +234,9 @@
     """All callers who are refused come back at the same moment."""
     limits = make_limits()
     limits.hear(notice(2.0, 0.0), 0.0)
-    times = [limits.promise("plain", ["s1"], 0.0, 3.0) for _ in range(9)]
+    times = [
+        limits.promise("plain", ["s1"], 0.0, 3.0).seconds for _ in range(9)
+    ]
     steps = [b - a for a, b in zip(times, times[1:], strict=False)]
     assert_that(round(min(steps[:3]), 6), Equals(0.5))
     assert_that(times[-1], Equals(3.0))
