--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -96,3 +96,27 @@
     cause = cause_of([one for one in records if one.request == "r1"], records)
     assert_that(cause, Contains("plain-north leaves, said "))
     assert_that(cause, Contains("h-north in the answer to first-h-north"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_lines_tell_which_limit_held_a_request_back(hosts):
+    """A caller is refused by a limit, and no line says whose it is."""
+    for name in ("plain-north", "plain-south"):
+        hosts.backends[name].told = {b"server-limit": b"0.5"}
+    statuses = {}
+    for number in range(8):
+        status, _, _ = await hosts.send(
+            "h-north", "/lookup/a", identifier=f"r{number}"
+        )
+        statuses[status] = f"r{number}"
+    refused = statuses[503]
+    await hosts.until(
+        lambda: any(
+            f'"{refused}"' in one and "unknown" in one for one in hosts.lines
+        )
+    )
+    records = read_records(hosts.lines)
+    mine = [one for one in records if one.request == refused]
+    cause = cause_of(mine, records)
+    assert_that(cause, Contains("plain-north takes 0.5 a second, said "))
+    assert_that(cause, Contains("ago to h-north in the answer to r"))
