--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -147,7 +147,7 @@
         self.number += 1
         number = self.number
         ask = replace(ask, host=self.host, number=number)
-        decision = await self.placed(number, self.without_resting(ask))
+        decision = await self.decision_for(number, self.without_resting(ask))
         return number, self.until_first_back(ask, decision)
 
     def without_resting(self, ask):
@@ -203,7 +203,7 @@
             return usual
         return self.rests.wait(rest, self.clock.seconds())
 
-    async def placed(self, number, ask):
+    async def decision_for(self, number, ask):
         """Return the decision of the first host that answers, or the own."""
         for turn, member in enumerate(self.placers()[:ASKED_HOSTS]):
             if member is self.members.own:
