Send nothing that was refused at its deadline

What callers saw: 503, which says that nothing ran, while a server ran the request.

Cause: at its deadline an attempt was given up only if it had been sent. One whose connection was still being opened went on, and sent the request after its caller had been refused.

Fix: an attempt in progress is given up, sent or not; what was not sent ends as not run. tests/test_entry.py:: test_what_was_refused_at_its_deadline_runs_nowhere failed before (503, and the server ran it).

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -200,6 +200,11 @@
         self.work.addErrback(self.failed)
         return self.work
 
+    @property
+    def in_progress(self):
+        """Whether it has begun and not ended, sent or not."""
+        return self.work is not NOTHING and not self.work.called
+
     @property
     def broke_off(self):
         """Whether the other side ended it before it was answered whole."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -578,8 +578,9 @@
 
     def expire(self):
         """End the request at the time that the operator allows."""
-        if self.attempt is not NOTHING and self.attempt.sent:
-            self.attempt.abandon(Reason.DEADLINE)
+        attempt = self.attempt
+        if attempt is not NOTHING and (attempt.sent or attempt.in_progress):
+            attempt.abandon(Reason.DEADLINE)
             return
         if not self.sink.started and not self.sink.finished:
             self.fail(NotRun(Reason.DEADLINE, CONNECT_RETRY_AFTER))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -514,3 +514,24 @@
     )
     assert_that((status, body), Equals((200, EVENTS)))
     assert_that(hosts.backends["engine-south"].ran, Equals(["r2"]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_what_was_refused_at_its_deadline_runs_nowhere(hosts):
+    """A server runs a request whose caller was told that it has not run.
+
+    Its time ended while a connection to the server was being opened.
+    """
+    connections = hosts.processes["h-north"].state.connections
+    opened = connections.open
+
+    def open_late(lane, *, kept):
+        return task.deferLater(reactor, 0.6, opened, lane, kept=kept)
+
+    connections.open = open_late
+    status, _, _ = await hosts.send(
+        "h-north", "/lookup/a", identifier="r1", x_deadline_ms="300"
+    )
+    await task.deferLater(reactor, 0.8)
+    assert_that(status, Equals(503))
+    assert_that(hosts.backends["plain-north"].ran, Equals([]))
