Tell callers whom all servers turned away when the first is back

Such a caller was told to come back after 0.9 s while all servers rested for 9 s, as servers that had refused the request itself did not count as resting.

--- a/src/hyssopspring/entry/asking.py
+++ b/src/hyssopspring/entry/asking.py
@@ -180,7 +180,8 @@
 
         Args:
             service: The service.
-            excluded: Identifiers of servers that are of no use anyway.
+            excluded: Identifiers of servers that are of no use anyway,
+                unless they rest.
 
         Returns:
             `NOTHING` if a server of this region takes requests.
@@ -188,7 +189,12 @@
         now = self.clock.seconds()
         region = self.members.own.region
         found = self.registry.candidates(service, region, now)
-        ids = [one.entry.id for one in found if one.entry.id not in excluded]
+        known = [one.entry.id for one in found]
+        ids = [
+            one
+            for one in known
+            if one not in excluded or self.rests.is_closed(one, now)
+        ]
         return self.rests.first_back(ids, now)
 
     def refused_retry_after(self, service, usual):
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -92,6 +92,20 @@
     assert_that(cause, Contains("as it turned r0 away"))
 
 
+@pytest_twisted.ensureDeferred
+async def test_who_is_turned_away_by_all_is_told_when_to_come_back(hosts):
+    """The first callers come back at once to servers that all rest."""
+    for region in ("north", "south"):
+        backend = hosts.backends[f"plain-{region}"]
+        backend.mood, backend.told = "full", {b"retry-after": b"9"}
+    status, headers, _ = await hosts.send(
+        "h-north", "/lookup/a", identifier="r1"
+    )
+    told = float(headers.getRawHeaders(b"retry-after")[0])
+    assert_that(status, Equals(503))
+    assert_that(told, GreaterThan(8.0))
+
+
 @pytest.mark.parametrize(
     ("values", "read"),
     [
