Emulate scarcity, bursts, workspaces and callers that return

The emulation had no load in which requests that may run anywhere and requests bound to two of three regions compete for slots, and refused callers never returned.

--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -40,6 +40,10 @@
 LONGEST_WAIT = 10.0
 """Seconds in which an answer must be whole whose caller has no deadline."""
 
+RETURN_FRACTION = 1 / 3
+"""Largest part of the time to their deadline for which callers wait before
+they return."""
+
 LONGEST_PAUSE = 0.3
 """Seconds between two events after which a stream counts as late."""
 
@@ -64,6 +68,10 @@
         spread_out: Standard deviation of the logarithm of its answer's
             tokens.
         longest_out: Most tokens of its answer.
+        bursts: Factor of its rate, as a function of time.
+        workspaces: Number of workspaces that send it.
+        worth: Worth of an answer in time.
+        late_worth: Worth of one that begins late, or pauses, and is whole.
     """
 
     name: str
@@ -80,6 +88,10 @@
     deadline: float = math.inf
     spread_out: float = 0.0
     longest_out: int = 10**6
+    bursts: object = None
+    workspaces: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.0
 
     def draw_out(self, rng):
         """Return the tokens of an answer."""
@@ -142,6 +154,15 @@
             needs for each question. It answers the newest first; who
             waits for longer than `ANSWER_TIMEOUT_SECONDS` decides without it.
         limits: Requests a second that engines name as their limit, by name.
+        step: Seconds of a step of an empty batch.
+        read_rate: Prompt tokens that are read in a second.
+        chunk: Prompt tokens that are read in a step.
+        longest_pause: Seconds between two events after which a stream counts
+            as late.
+        returns: Whether callers that are refused return once, if they are
+            told a time within a third of what is left to their deadline.
+        heavy: Factor of the load of the first workspace, as a function of
+            time.
     """
 
     engines: dict
@@ -156,6 +177,12 @@
     pair_seconds: float = 0.0
     choice_seconds: float = 0.0
     limits: dict = field(default_factory=dict)
+    step: float = STEP
+    read_rate: float = READ_RATE
+    chunk: int = CHUNK
+    longest_pause: float = LONGEST_PAUSE
+    returns: bool = False
+    heavy: object = None
 
 
 @dataclass(slots=True, eq=False)
@@ -177,6 +204,10 @@
         dropped_at: Time since when its stream stands still, or 0.
         stalled: Whether its stream has stood still for too long.
         whole_at: Time at which its caller has all of its answer, or 0.
+        workspace: Name of its workspace, or an empty string.
+        asked_at: Time at which its caller sent it last.
+        refusals: How often it was refused.
+        returned: Whether its caller has returned.
     """
 
     kind: Kind
@@ -193,6 +224,10 @@
     dropped_at: float = 0.0
     stalled: bool = False
     whole_at: float = 0.0
+    workspace: str = ""
+    asked_at: float = 0.0
+    refusals: int = 0
+    returned: bool = False
 
     @property
     def given_up_at(self):
@@ -209,7 +244,14 @@
             return False
         if self.kind.deadline < math.inf and not self.whole_at:
             return False
-        return self.first_at - self.at <= self.kind.objective
+        return self.first_at - self.asked_at <= self.kind.objective
+
+    @property
+    def worth(self):
+        """What its answer is worth to its caller."""
+        if self.in_time:
+            return self.kind.worth
+        return self.kind.late_worth if self.whole_at else 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -242,6 +284,20 @@
         count = sum(one.refused for one in self.loads)
         return count / max(1, len(self.loads))
 
+    def worth(self):
+        """Return the worth of all answers, as a share of the possible."""
+        most = sum(one.kind.worth for one in self.loads)
+        return sum(one.worth for one in self.loads) / max(1.0, most)
+
+    def refused_twice(self):
+        """Return how many callers returned and were refused again."""
+        return sum(one.refusals > 1 for one in self.loads)
+
+    def served(self, chosen=lambda load: True):
+        """Return the share of the chosen requests that got all of it."""
+        loads = [one for one in self.loads if chosen(one)]
+        return sum(one.whole_at > 0 for one in loads) / max(1, len(loads))
+
 
 class Engine:
     """One engine: reads prompts in chunks between steps of its batch."""
@@ -272,7 +328,7 @@
 
     def step(self, now):
         """Make one step; return its seconds."""
-        seconds = STEP + STEP_PER_REQUEST * len(self.running)
+        seconds = self.shape.step + STEP_PER_REQUEST * len(self.running)
         for load in self.running:
             load.left_out -= 1
         done = [
@@ -290,12 +346,12 @@
         self.waiting = [
             one
             for one in self.waiting
-            if one.dropped_at or now - one.at <= one.kind.patience
+            if one.dropped_at or now - one.asked_at <= one.kind.patience
         ]
         load = self.next_prompt(now)
         if load is None:
             return 0.0
-        chunk = min(CHUNK, load.left_in)
+        chunk = min(self.shape.chunk, load.left_in)
         load.left_in -= chunk
         self.outcome.tokens_read += chunk
         if load.left_in <= 0:
@@ -305,7 +361,10 @@
             self.begin(load, now)
             self.remember(load)
         before = load.demand.tokens_in - load.left_in - chunk / 2
-        return chunk / READ_RATE + chunk * before * self.shape.pair_seconds
+        return (
+            chunk / self.shape.read_rate
+            + chunk * before * self.shape.pair_seconds
+        )
 
     def next_prompt(self, now):
         """Return the prompt that is read now, or None.
@@ -336,7 +395,7 @@
         """Note the first event, or the end of a pause."""
         if not load.dropped_at:
             self.started.append(load)
-        elif now - load.dropped_at > LONGEST_PAUSE:
+        elif now - load.dropped_at > self.shape.longest_pause:
             load.stalled = True
 
     def drop_one(self, load, now):
@@ -428,7 +487,7 @@
                 self.registry,
                 lambda name: service,
                 lambda one: 6.0,
-                rng,
+                random.Random(1) if shape.returns else rng,
                 lambda now: set(shape.engines),
                 disabled=shape.off,
             )
@@ -441,6 +500,7 @@
         self.telling = []
         self.summary_due = 0.0
         self.at_engine = {}
+        self.returning = []
 
     def name_limits(self):
         """Let the placer of its region hear each limit."""
@@ -460,6 +520,7 @@
                 self.summary_due = now + SUMMARY_EVERY
                 self.summarize(now)
             self.hear(now)
+            self.come_back(now)
             if now < self.shape.seconds:
                 self.arrive(now)
             self.answer(now)
@@ -474,7 +535,13 @@
         weights = self.shape.weights(now)
         total = sum(weights.values())
         for kind in self.shape.kinds:
-            if self.rng.random() < kind.rate * TICK * total:
+            burst = kind.bursts(now) if kind.bursts else 1.0
+            expected = kind.rate * TICK * total * burst
+            if kind.workspaces and self.shape.heavy:
+                factor = self.shape.heavy(now) - 1.0
+                expected *= 1.0 + factor / kind.workspaces
+            count = int(expected) + (self.rng.random() < expected % 1.0)
+            for _ in range(count):
                 region = self.rng.choices(
                     list(weights), list(weights.values())
                 )[0]
@@ -501,10 +568,41 @@
             number=number,
             left_in=-1,
             left_out=tokens_out,
+            workspace=self.draw_workspace(kind, now),
+            asked_at=now,
         )
         self.outcome.loads.append(load)
         return load
 
+    def draw_workspace(self, kind, now):
+        """Return the workspace of a new request, or an empty string."""
+        if not kind.workspaces:
+            return ""
+        heavy = self.shape.heavy(now) if self.shape.heavy else 1.0
+        point = self.rng.random() * (kind.workspaces - 1 + heavy)
+        return f"w{max(0, int(point - heavy) + 1) if point > heavy else 0}"
+
+    def refuse(self, load, refused, region, now):
+        """Note a refusal; its caller may return to its own region."""
+        load.refused = True
+        load.refusals += 1
+        left = load.given_up_at - now
+        if (
+            self.shape.returns
+            and not load.returned
+            and refused.retry_after <= left * RETURN_FRACTION
+        ):
+            self.returning.append((now + refused.retry_after, load))
+
+    def come_back(self, now):
+        """Let the callers return whose time has come."""
+        due = [load for at, load in self.returning if at <= now]
+        self.returning = [row for row in self.returning if row[0] > now]
+        for load in due:
+            load.returned, load.refused = True, False
+            load.asked_at, load.delay = now, 0.0
+            self.ask(load, load.region, now)
+
     def ask(self, load, region, now, *, may_leave=True):
         """Ask the host that places for *region*, or do without it."""
         if not self.shape.choice_seconds:
@@ -530,7 +628,7 @@
         if self.shape.policy == "nearest":
             self.send_nearest(load, region)
             return
-        waited = now - load.at
+        waited = now - load.asked_at
         ask = PlacementQuery(
             host="h",
             number=load.number,
@@ -541,6 +639,7 @@
             priority=load.kind.priority,
             regions=load.kind.regions,
             may_leave=may_leave,
+            workspace=load.workspace,
         )
         decision = self.placers[region].place(ask, now)
         if isinstance(decision, Placed):
@@ -554,7 +653,7 @@
             load.delay = ONE_WAY
             self.moving.append((now + ONE_WAY, load, decision.region))
         else:
-            load.refused = True
+            self.refuse(load, decision, region, now)
 
     def send_nearest(self, load, region):
         """Send a request to the least loaded engine of its region."""
--- a/src/hyssopspring_fakes/loads.py
+++ b/src/hyssopspring_fakes/loads.py
@@ -13,6 +13,7 @@
     "MOSTLY_DAR",
     "ONE_LEFT",
     "PEAK",
+    "SCARCE",
 ]
 
 EVEN = {"dar": 1.0, "arusha": 1.0, "mwanza": 1.0}
@@ -154,6 +155,64 @@
 """A region with one engine of five has eight times the callers of each of
 the others, and its urgent requests meet long prompts."""
 
+BATCH = Kind(
+    name="batch",
+    rate=213.0,
+    sizes=(2520, 3780, 2890),
+    choices=(4, 106),
+    tokens_out=54,
+    objective=0.835,
+    patience=3.34,
+    priority=0,
+    spread=1.0,
+    longest=39_600,
+    deadline=4.2,
+    workspaces=16,
+    worth=4.2,
+    late_worth=0.5,
+)
+LINE = Kind(
+    name="line",
+    rate=254.0,
+    sizes=(119, 79, 628),
+    choices=(20, 78),
+    tokens_out=288,
+    objective=2.5,
+    patience=10.0,
+    priority=2,
+    regions=frozenset(("dar", "arusha")),
+    spread=1.0,
+    longest=3_310,
+    deadline=12.0,
+    workspaces=16,
+    worth=1.5,
+    late_worth=0.66,
+    bursts=lambda now: 2.4 if 1.5 <= now < 5.0 else 1.0,
+)
+SCARCE = Shape(
+    engines={"dar": 32, "arusha": 23, "mwanza": 16},
+    weights=lambda now: {
+        "dar": 2.8 * 32 / 71,
+        "arusha": 0.17 * 23 / 71,
+        "mwanza": 0.17 * 16 / 71,
+    },
+    seconds=7.0,
+    kinds=(BATCH, LINE),
+    slots=16,
+    memory=323_292,
+    copy_seconds=163_840 * 8 / 5.5e11,
+    pair_seconds=3.68e-10,
+    step=0.0039,
+    read_rate=91_800.0,
+    chunk=2048,
+    longest_pause=0.4,
+    returns=True,
+    heavy=lambda now: 7.0 if 3.0 <= now < 6.0 else 1.0,
+)
+"""The largest region has 2.8 times its mean, the others 0.17. Lines may be
+served in two regions of three and come in a burst of 2.4 times their rate;
+one workspace of 16 sends seven times its usual load for a while."""
+
 LOADS = {
     "peak": PEAK,
     "one left": ONE_LEFT,
@@ -162,5 +221,6 @@
     "half of dar": HALF_OF_DAR,
     "mostly dar": MOSTLY_DAR,
     "arequipa peak": AREQUIPA_PEAK,
+    "scarce": SCARCE,
 }
 """Each load by its name in tables."""
