--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -408,6 +408,10 @@
             "servers_at_rest": self.retry_after_pauses.count_blocked(now),
             "servers_limited": self.server_limits.count_limited(now),
             "requests_placed": len(self.placer.placements),
+            "requests_sent_for_headroom_total": sum(
+                headroom.sent_away
+                for headroom in self.placer.headrooms.values()
+            ),
             "hosts_live": len(self.members.live(now)),
             "servers_known": len(self.registry.servers),
             "configuration_version": self.keeper.version,
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -59,6 +59,14 @@
 DECODE_SLOWDOWN_RANGE = (0.5, 8.0)
 """Bounds of `decode_slowdown`, the same as for `prefill_slowdown`."""
 
+BEHIND_ALL = 99
+"""Urgency of a request that waits behind all others."""
+
+PREEMPTION_COST_SECONDS = 0.5
+"""Seconds that a preemption adds to the cost of a server. The stream that
+loses its slot stalls, prefills its prompt again and is late, so a free slot in
+another region is better, and a refusal is worse."""
+
 MIN_COPIED_TOKENS = 1024
 """Minimum number of tokens that are copied from another server: one chunk,
 which is prefilled in 30 ms."""
@@ -203,15 +211,44 @@
         )
         return max(remaining, -remaining * OVERDUE_FRACTION)
 
-    def slot_wait(self, tokens, now):
+    def preempts(self, urgency):
+        """Return whether a request takes the slot of a less urgent one."""
+        if (
+            len(self.placements) < self.slots
+            or Mechanism.HEADROOM in self.disabled
+        ):
+            return False
+        return self.slots_held(urgency) < self.slots
+
+    def slots_held(self, urgency):
+        """Return the slots that a request of *urgency* finds in use.
+
+        The engine admits more urgent requests first and preempts less urgent
+        ones for them, so only those that are at least as urgent count.
+        """
+        if Mechanism.HEADROOM in self.disabled:
+            return len(self.placements)
+        return sum(
+            placement.urgency <= urgency
+            for placement in self.placements.values()
+        )
+
+    def slot_wait(self, tokens, now, urgency=BEHIND_ALL):
         """Return the seconds until a slot and memory are free.
 
         An engine that runs out of memory preempts its newest requests in the
         middle of their streams and prefills them again, and callers see their
         streams stall. So a request waits until as many others have ended as
         its slot and its memory need.
+
+        Args:
+            tokens: Tokens of memory that it needs.
+            now: The time.
+            urgency: Its rank among waiting requests.
         """
         slots = len(self.placements) + 1 - self.slots
+        if slots > 0:
+            slots = self.slots_held(urgency) + 1 - self.slots
         memory = (
             self.held_tokens + tokens - self.memory * USABLE_MEMORY_FRACTION
         )
@@ -222,6 +259,9 @@
         ends = [
             (remaining_seconds(placement, token, now), placement.tokens)
             for placement in self.placements.values()
+            if placement.urgency <= urgency
+            or memory > 0
+            or Mechanism.HEADROOM in self.disabled
         ]
         if slots <= 1 and memory <= 0:
             return min(ends)[0]
@@ -259,7 +299,9 @@
     def wait(self, demand, urgency, now):
         """Return the seconds until the engine starts a request."""
         tokens = demand.tokens_in + demand.tokens_out
-        return self.prefill_wait(urgency, now) + self.slot_wait(tokens, now)
+        return self.prefill_wait(urgency, now) + self.slot_wait(
+            tokens, now, urgency
+        )
 
     def own_prefill(self, demand, now, copied):
         """Return the seconds of prefill that a request would add."""
@@ -279,7 +321,8 @@
         own = self.own_prefill(demand, now, copied)
         wait = self.wait(demand, urgency, now)
         predicted = wait + self.copy_time(copied) + own
-        return self.cost_of(demand, now, own, predicted)
+        preemption = PREEMPTION_COST_SECONDS * self.preempts(urgency)
+        return self.cost_of(demand, now, own, predicted) + preemption
 
     def cost_of(self, demand, now, own, predicted):
         """Return the cost of a request whose prediction is given.
@@ -330,9 +373,11 @@
         if least + prefill_wait > limit:
             return NOTHING
         tokens = demand.tokens_in + demand.tokens_out
-        wait = prefill_wait + self.slot_wait(tokens, now)
+        wait = prefill_wait + self.slot_wait(tokens, now, request.urgency)
         predicted = wait + self.copy_time(copied) + own
         cost = self.cost_of(demand, now, own, predicted)
+        if self.preempts(request.urgency):
+            cost += PREEMPTION_COST_SECONDS
         return Estimate(predicted, cost, copied)
 
     def token_time(self, now, backlog=0.0):
@@ -494,10 +539,10 @@
 
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
-        slot = self.slot_wait(1000, now)
         return tuple(
-            self.prefill_wait(2 + 2 * rank, now) + slot
-            for rank in range(RANKS)
+            self.prefill_wait(urgency, now)
+            + self.slot_wait(1000, now, urgency)
+            for urgency in range(2, 2 + 2 * RANKS, 2)
         )
 
     def occupancy(self):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -7,6 +7,7 @@
 from .coldrates import ColdRates
 from .decisions import Placed, Refused, urgency_of
 from .decoding import DecodeTimes
+from .headroom import Headroom
 from .margins import Margin
 from .mechanisms import Mechanism
 from .prefill import PrefillTimes
@@ -15,7 +16,12 @@
 from .serverhealth import NOT_SENT, AttemptResult, ServerHealth
 from .serverlimits import ServerLimits
 from .servers import Usability
-from .work import EstimateRequest, Placement, occupancy_cost
+from .work import (
+    CROWDED_OCCUPANCY,
+    EstimateRequest,
+    Placement,
+    occupancy_cost,
+)
 from .workmodels import make_work
 
 __all__ = ["Placer"]
@@ -155,6 +161,7 @@
         self.prefill_times = {}
         self.decode_times = {}
         self.margins = {}
+        self.headrooms = {}
         self.health = {}
         self.views = {}
         self.placements = {}
@@ -181,6 +188,7 @@
             `Placed`, `PlacedRemotely` or `Refused`.
         """
         urgency = urgency_of(query)
+        self.headroom_of(query.service).record_request(query.regions, now)
         servers = self.eligible_servers(query, now, cold_allowed)
         if query.apart:
             servers = self.isolated(servers, query.apart)
@@ -188,6 +196,11 @@
             servers = self.rotated(servers)
         local = self.best_candidate(servers, query, urgency, now)
         in_time = local.predicted + self.margin(query) <= query.time_left
+        if in_time and self.leaves_room(servers, query, local, now):
+            remote = self.uncontested_region(query, now)
+            if self.should_place_remotely(query, remote, local):
+                self.headroom_of(query.service).sent_away += 1
+                return self.remote_regions.send(query, remote, now)
         if in_time and local.cost <= INTER_REGION_SECONDS:
             # No other region can be better: the round trip alone costs
             # more.
@@ -205,6 +218,35 @@
             return self.place_resumed(query, local, remote, now)
         return self.place_late(servers, query, now)
 
+    def leaves_room(self, servers, query, local, now):
+        """Return whether a request should leave its slot to bound ones.
+
+        It should if other regions may serve it, while the free slots of this
+        region do not cover what region-bound requests need.
+        """
+        if (
+            Mechanism.HEADROOM in self.disabled
+            or query.regions
+            or query.begun
+            or not query.may_leave
+            or self.work_of(local.target).occupancy() < CROWDED_OCCUPANCY
+        ):
+            return False
+        headroom = self.headroom_of(query.service)
+        return self.free_slots(servers) < headroom.missing_slots(now)
+
+    def uncontested_region(self, query, now):
+        """Return the best `Candidate` where no bound request may be served."""
+        contested = self.headroom_of(query.service).contested_regions(now)
+        elsewhere = replace(query, avoided=(*query.avoided, *contested))
+        return self.remote_regions.best(elsewhere, now, UNBOUNDED)
+
+    def free_slots(self, views):
+        """Return the slots of servers that no request is placed on."""
+        return sum(
+            view.work.slots - len(view.work.placements) for view in views
+        )
+
     def isolated(self, views, fingerprint):
         """Return the servers on which no other suspected request runs.
 
@@ -461,6 +503,8 @@
             urgency=urgency,
             predicted=candidate.predicted,
             apart=query.apart,
+            service=entry.service,
+            bound=bool(query.regions),
         )
         self.remote_regions.record_prefilled(entry.service, query.demand, now)
         self.drop(query.host, query.number, now)
@@ -527,6 +571,9 @@
         if placement is None:
             return False
         self.placements_of_host(host).pop(number, None)
+        self.headroom_of(placement.service).end(
+            placement, now, complete=complete
+        )
         work = self.work.get(placement.server_id)
         if work is not None:
             work.end(placement, now, complete=complete)
@@ -538,6 +585,7 @@
         self.placements_by_host.setdefault(placement.host, {})[
             placement.number
         ] = placement
+        self.headroom_of(placement.service).begin(placement)
 
     def placements_of_host(self, host):
         """Return the placements of *host* by number."""
@@ -570,6 +618,7 @@
         if server is None:
             return
         placement.started_at = now
+        placement.service = server.entry.service
         self.add_placement(placement)
         self.work_of(server).begin(placement, NOTHING)
 
@@ -674,6 +723,10 @@
         """Return the `Margin` of a service."""
         return self.margins.setdefault(service, Margin())
 
+    def headroom_of(self, service):
+        """Return the `Headroom` of a service."""
+        return self.headrooms.setdefault(service, Headroom())
+
     def prefill_times_of(self, service):
         """Return the `PrefillTimes` of a service."""
         return self.prefill_times.setdefault(service, PrefillTimes())
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -162,6 +162,8 @@
             started.
         apart: Fingerprint of a request that is isolated from other suspected
             requests, or an empty string.
+        service: Service of its server.
+        bound: Whether it may not be served in every region.
     """
 
     host: str
@@ -180,6 +182,8 @@
     lost: bool = False
     prefill_seconds_at_start: float = 0.0
     apart: str = ""
+    service: str = ""
+    bound: bool = False
 
     @property
     def waiting(self):
