Promise refused callers a time at which they are served

A refused caller was told a time computed from its own request, so callers returned together to a full region and were refused again.

--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -545,6 +545,8 @@
         ask.cost,
         is_fallback,
         recent_fallback,
+        ask.request,
+        round(ask.caller_time_left, 3),
     )
 
 
@@ -571,6 +573,8 @@
         apart=message.apart,
         workspace=message.workspace,
         cost=message.cost,
+        request=message.request,
+        caller_time_left=message.caller_time_left,
     )
 
 
@@ -592,6 +596,7 @@
             decision.predicted,
             decision.servers,
             decision.evidence,
+            decision.promised,
         )
     if isinstance(decision, PlacedRemotely):
         return PlacementGrantMessage(
@@ -626,6 +631,7 @@
             message.predicted,
             message.servers,
             message.evidence,
+            message.promised,
         )
     if message.region:
         return PlacedRemotely(message.region, message.predicted)
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 
 from ..core.events import EventKind
+from ..core.hashing import short_id
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
@@ -243,6 +244,7 @@
             servers_open=refused.servers,
             excluded=len(self.excluded),
             apart=self.crash_check.apart(),
+            promised=refused.promised,
             **notice_details(refused),
             **self.state.provenance.details(),
         )
@@ -283,8 +285,16 @@
             apart=self.crash_check.apart(),
             workspace=self.permissions.workspace,
             cost=self.permissions.cost,
+            request=short_id(self.id),
+            caller_time_left=self.caller_time_left(waited),
         )
 
+    def caller_time_left(self, waited):
+        """Return the seconds to the caller's deadline, or 0 without one."""
+        if self.metadata.deadline is NOTHING:
+            return 0.0
+        return max(0.0, self.metadata.deadline - waited)
+
     def patience(self, waited):
         """Return the seconds within which the next event is still of use.
 
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -71,6 +71,9 @@
         cost: Tokens of the limit that it consumes.
         is_fallback: Whether the host that was queried first did not answer.
         recent_fallback: Whether the sender has used a fallback recently.
+        request: Identifier by which a return of its caller is recognised, or
+            0.
+        caller_time_left: Seconds until the caller's deadline, or 0.
     """
 
     host: str
@@ -93,6 +96,8 @@
     cost: int = 0
     is_fallback: bool = False
     recent_fallback: bool = False
+    request: int = 0
+    caller_time_left: float = 0.0
 
 
 class PlacementGrantMessage(
@@ -136,6 +141,7 @@
         servers: Number of servers of the region that accept requests.
         evidence: Source of the limit that holds the request back, for a log
             line.
+        promised: Whether the caller is served if it returns at that time.
     """
 
     number: int
@@ -143,6 +149,7 @@
     predicted: float
     servers: int
     evidence: str = ""
+    promised: bool = False
 
 
 class WorkspaceLimitMessage(
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -408,6 +408,7 @@
             "servers_at_rest": self.retry_after_pauses.count_blocked(now),
             "servers_limited": self.server_limits.count_limited(now),
             "requests_placed": len(self.placer.placements),
+            **self.placer.return_gauges(),
             "requests_sent_for_headroom_total": sum(
                 headroom.sent_away
                 for headroom in self.placer.headrooms.values()
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -37,6 +37,10 @@
             empty string.
         cost: Tokens that it counts; 0 if there is no limit, or if another host
             has counted them.
+        request: Identifier by which a return of its caller is recognised; 0
+            for a request that a host of another region has forwarded.
+        caller_time_left: Seconds until the caller's deadline; 0 if it states
+            none.
     """
 
     host: str
@@ -54,6 +58,8 @@
     apart: str = ""
     workspace: str = ""
     cost: int = 0
+    request: int = 0
+    caller_time_left: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,12 +110,14 @@
         servers: Number of servers of this region that accept requests.
         evidence: Source of the limit of the server that is the first to accept
             a request again, for a log line.
+        promised: Whether the caller is served if it returns at that time.
     """
 
     retry_after: float
     predicted: float
     servers: int = 0
     evidence: str = ""
+    promised: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -10,9 +10,11 @@
 from .headroom import Headroom
 from .margins import Margin
 from .mechanisms import Mechanism
-from .prefill import PrefillTimes
+from .plainwork import INITIAL_CALL_SECONDS
+from .prefill import PrefillTimes, attention_pairs
 from .regions import RegionLoad, ServerCapacity
 from .remoteregions import INTER_REGION_SECONDS, RemoteRegions
+from .returnschedule import ReturnSchedule
 from .serverhealth import NOT_SENT, AttemptResult, ServerHealth
 from .serverlimits import ServerLimits
 from .servers import Usability
@@ -21,6 +23,7 @@
     EstimateRequest,
     Placement,
     occupancy_cost,
+    rank_of,
 )
 from .workmodels import make_work
 
@@ -40,6 +43,10 @@
 when nothing more urgent waits, so they delay no request that can still be on
 time."""
 
+TYPICAL_DUTY = 0.3
+"""Fraction of time in prefill for which the work of requests is compared. The
+same value holds for completed and for refused work, so its error cancels."""
+
 MAX_LATE_PER_SERVER = 2
 """Maximum number of late requests that wait at one server."""
 
@@ -162,6 +169,7 @@
         self.decode_times = {}
         self.margins = {}
         self.headrooms = {}
+        self.schedules = {}
         self.health = {}
         self.views = {}
         self.placements = {}
@@ -195,7 +203,9 @@
         if not cold_allowed:
             servers = self.rotated(servers)
         local = self.best_candidate(servers, query, urgency, now)
-        in_time = local.predicted + self.margin(query) <= query.time_left
+        promised, due_seconds = self.claim_return(query, urgency, now)
+        needed = local.predicted + self.margin(query) + due_seconds
+        in_time = needed <= query.time_left
         if in_time and self.leaves_room(servers, query, local, now):
             remote = self.uncontested_region(query, now)
             if self.should_place_remotely(query, remote, local):
@@ -216,6 +226,8 @@
             return self.admit(query, local, urgency, now)
         if query.begun:
             return self.place_resumed(query, local, remote, now)
+        if promised and local.predicted <= query.patience:
+            return self.admit(query, local, urgency, now)
         return self.place_late(servers, query, now)
 
     def leaves_room(self, servers, query, local, now):
@@ -290,7 +302,7 @@
         accepts an event that comes late.
         """
         if min(local.predicted, remote.predicted) > query.patience:
-            return self.refuse(query, NO_SERVER_WAIT_SECONDS, 0)
+            return self.refuse(query, NO_SERVER_WAIT_SECONDS, 0, now)
         if remote.predicted < local.predicted:
             return self.remote_regions.send(query, remote, now)
         urgency = urgency_of(query)
@@ -430,7 +442,7 @@
         if useful and not self.late_limit_reached(local.target):
             urgency = LATE_URGENCY
             return self.admit(query, local, urgency, now)
-        return self.refuse(query, local.predicted, len(servers))
+        return self.refuse(query, local.predicted, len(servers), now)
 
     def late_limit_reached(self, server):
         """Return whether the maximum of late requests waits at a server."""
@@ -446,7 +458,7 @@
         """Return a `Refused` with the time until a server accepts requests."""
         blocked = self.blocked_by_limits(query, now)
         if not blocked:
-            refused = self.refuse(query, NO_SERVER_WAIT_SECONDS, 0)
+            refused = self.refuse(query, NO_SERVER_WAIT_SECONDS, 0, now)
             evidence = self.registry.describe_leaving(
                 query.service, self.region, now
             )
@@ -475,8 +487,26 @@
             and not self.limits.can_send(view.server.entry.id, now)
         ]
 
-    def refuse(self, query, predicted, servers):
+    def refuse(self, query, predicted, servers, now):
         """Return a `Refused` with the time until capacity is expected."""
+        rank = rank_of(urgency_of(query))
+        work = self.work_seconds(query)
+        schedule = self.schedule_of(query.service)
+        if (
+            servers
+            and query.request
+            and Mechanism.SCHEDULE not in self.disabled
+            and schedule.knows_rate(rank, work, now)
+        ):
+            seconds, promised = schedule.promise(
+                query.request,
+                rank,
+                work,
+                max(MIN_RETRY_SECONDS, predicted - query.time_left),
+                query.caller_time_left or query.demand.answer_within,
+                now,
+            )
+            return Refused(seconds, predicted, servers, promised=promised)
         seconds_over = max(
             MIN_RETRY_SECONDS,
             predicted - query.time_left * RETRY_TARGET_FRACTION,
@@ -485,6 +515,64 @@
         jitter = 1.0 + RETRY_JITTER_FRACTION * self.rng.random()
         return Refused(seconds * jitter, predicted, servers)
 
+    def claim_return(self, query, urgency, now):
+        """Return whether a place was promised to a request.
+
+        Returns:
+            Whether it returns in its promised time, and the seconds of
+            promised work that a newcomer must leave room for.
+        """
+        schedule = self.schedule_of(query.service)
+        if query.begun or not schedule.promises:
+            return False, 0.0
+        if query.request and schedule.take(query.request, now):
+            return True, 0.0
+        return False, schedule.due_seconds(rank_of(urgency), now)
+
+    def work_seconds(self, query):
+        """Return the seconds of a slot that a request needs, roughly.
+
+        Its shared parts count as cached.
+        """
+        demand = query.demand
+        if self.service_of(query.service).engine is NOTHING:
+            return INITIAL_CALL_SECONDS
+        own = demand.parts[-1][1] if demand.parts else demand.tokens_in
+        return self.prefill_times_of(query.service).seconds(
+            own, attention_pairs(demand.tokens_in, own)
+        ) + demand.tokens_out * self.decode_times_of(query.service).seconds(
+            TYPICAL_DUTY
+        )
+
+    def record_completed(self, placement, now):
+        """Count the work of a complete answer for the service rate."""
+        service = placement.service
+        if not placement.tokens:
+            work = INITIAL_CALL_SECONDS
+        else:
+            work = (
+                placement.prefill_seconds
+                + placement.tokens_out
+                * self.decode_times_of(service).seconds(TYPICAL_DUTY)
+            )
+        self.schedule_of(service).record_completed(
+            rank_of(placement.urgency), work, now
+        )
+
+    def return_gauges(self):
+        """Return the gauges of promised returns, by name."""
+        schedules = self.schedules.values()
+        return {
+            "returns_promised": sum(len(one.promises) for one in schedules),
+            "returns_kept_total": sum(one.kept for one in schedules),
+            "returns_expired_total": sum(one.expired for one in schedules),
+            "returns_declined_total": sum(one.declined for one in schedules),
+        }
+
+    def schedule_of(self, service):
+        """Return the `ReturnSchedule` of a service."""
+        return self.schedules.setdefault(service, ReturnSchedule())
+
     def admit(self, query, candidate, urgency, now):
         """Record the request at the server of *candidate*; return `Placed`."""
         server = candidate.target
@@ -574,6 +662,8 @@
         self.headroom_of(placement.service).end(
             placement, now, complete=complete
         )
+        if complete:
+            self.record_completed(placement, now)
         work = self.work.get(placement.server_id)
         if work is not None:
             work.end(placement, now, complete=complete)
--- a/src/hyssopspring_fakes/loads.py
+++ b/src/hyssopspring_fakes/loads.py
@@ -207,6 +207,7 @@
     chunk=2048,
     longest_pause=0.4,
     returns=True,
+    drain_seconds=9.0,
     heavy=lambda now: 7.0 if 3.0 <= now < 6.0 else 1.0,
 )
 """The largest region has 2.8 times its mean, the others 0.17. Lines may be
