--- a/src/hyssopspring/entry/crashchecks.py
+++ b/src/hyssopspring/entry/crashchecks.py
@@ -1,5 +1,6 @@
 """Check of one request against the recorded server crashes."""
 
+from ..core.hashing import short_id
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
 from ..traffic.crashes import Verdict
@@ -55,6 +56,17 @@
             )
         return self.cached_fingerprint
 
+    def caller_id(self):
+        """Return a number that repeats by the same caller share, or 0.
+
+        A caller that returns after a refusal sends the same request under a
+        new identifier.
+        """
+        # The body cannot be read once the caller has disconnected.
+        if not self.caller or self.request._disconnected:
+            return 0
+        return short_id(f"{self.caller} {self.fingerprint}")
+
     def verdict(self):
         """Return the `Verdict` on the request at this moment."""
         # The body cannot be read once the caller has disconnected.
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -5,7 +5,6 @@
 from twisted.internet import defer
 
 from ..core.events import EventKind
-from ..core.hashing import short_id
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink
@@ -285,7 +284,7 @@
             apart=self.crash_check.apart(),
             workspace=self.permissions.workspace,
             cost=self.permissions.cost,
-            request=short_id(self.id),
+            request=self.crash_check.caller_id(),
             caller_time_left=self.caller_time_left(waited),
         )
 
