Weigh gaps between stream events in placements

Streams beside prompts that are prefilled without a pause exceeded their gap objective, since a placement looked at the first event only. The cost of an engine now includes the streams that a placement makes late, from a model of the longest gap that learns from observed ones. The objective comes from gap_aim_ms of a route; hosts report the gaps of each stream to the placing host.

--- a/benchmarks/entry_slopes.py
+++ b/benchmarks/entry_slopes.py
@@ -96,7 +96,7 @@
         print(f"summary, {services} services: {len(data)} B, {micros:.1f} us")
 
 
-def make_placer(servers, placements):
+def make_placer(servers, placements, gap_objective=0.0):
     """Return a placer with *placements* running requests per server."""
     registry = Registry({"a": "north"})
     for n in range(servers):
@@ -118,13 +118,13 @@
         lambda now: {"north"},
     )
     for n in range(servers * placements):
-        placer.place(make_query(n), 0.0)
+        placer.place(make_query(n, gap_objective), 0.0)
     for key in list(placer.placements):
         placer.record_response_start(*key, 0.1, 0.1)
     return placer
 
 
-def make_query(number):
+def make_query(number, gap_objective=0.0):
     """Return the placement query of one request."""
     parts = ((f"a{number % 4}", 2520), (f"b{number % 100}", 3780))
     return PlacementQuery(
@@ -136,23 +136,24 @@
         ),
         time_left=60.0,
         patience=60.0,
+        gap_objective=gap_objective,
     )
 
 
 def show_placing():
     """Print the processor time to place one request."""
     for servers in (5, 35, 70, 135):
-        for placements in (0, 16):
-            placer = make_placer(servers, placements)
-            query = make_query(1_000_000)
+        for placements, gap in ((0, 0.0), (16, 0.0), (16, 0.3)):
+            placer = make_placer(servers, placements, gap)
+            query = make_query(1_000_000, gap)
 
             def work(placer=placer, query=query):
                 placer.place(query, 1.0)
 
             micros = min_micros(work, 200)
             print(
-                f"place, {servers} servers with {placements} requests each: "
-                f"{micros:.0f} us"
+                f"place, {servers} servers with {placements} requests each, "
+                f"gap objective {gap} s: {micros:.0f} us"
             )
 
 
--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -28,7 +28,13 @@
     WorkspaceLimitMessage,
 )
 
-__all__ = ["ANSWER_TIMEOUT_SECONDS", "PlacementCoordinator"]
+__all__ = [
+    "ANSWER_TIMEOUT_SECONDS",
+    "PlacementCoordinator",
+    "end_message",
+    "query_from_message",
+    "query_message",
+]
 
 ANSWER_TIMEOUT_SECONDS = 0.08
 """Seconds in which a placing host must answer a query. A round trip within
@@ -83,12 +89,14 @@
         demand: The `Demand` of the request.
         placer: Name of the host that placed the request.
         started: Whether the first event of the response has arrived.
+        gap_objective: Its gap objective in seconds, or 0.
     """
 
     placed: Placed
     demand: Demand
     placer: str
     started: bool = False
+    gap_objective: float = 0.0
 
 
 class PlacementCoordinator:
@@ -278,7 +286,10 @@
         """
         if isinstance(decision, Placed):
             self.placements[number] = OpenPlacement(
-                decision, ask.demand, placer
+                decision,
+                ask.demand,
+                placer,
+                gap_objective=ask.gap_objective,
             )
             self.retry_after_pauses.record_sent(
                 decision.server_id, self.clock.seconds()
@@ -438,18 +449,22 @@
             placement.placer, AttemptStartedMessage(self.host, number, seconds)
         )
 
-    def record_attempt_end(self, number, result):
-        """Record and report the end of an attempt or an unused placement."""
+    def record_attempt_end(self, number, result, gaps=NOTHING):
+        """Record and report the end of an attempt or an unused placement.
+
+        Args:
+            number: Number of the request.
+            result: The `AttemptResult`.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
+        """
         if result is AttemptResult.UNUSED:
             self.note_away_end(number, ran=False)
         placement = self.placements.pop(number, None)
         if placement is None:
             return
         server_id = placement.placed.server_id
-        self.handle_end(self.host, number, server_id, result)
-        message = AttemptEndedMessage(
-            self.host, number, server_id, int(result)
-        )
+        self.handle_end(self.host, number, server_id, result, gaps)
+        message = end_message(self.host, number, server_id, result, gaps)
         self.send_to_placer(placement.placer, message)
 
     def note_away_end(self, number, *, ran):
@@ -470,13 +485,18 @@
         )
         self.send_to_placer(placer, message)
 
-    def handle_end(self, host, number, server_id, result):
+    def handle_end(self, host, number, server_id, result, gaps=NOTHING):
         """Update limits and server load for the end of any host's attempt."""
         self.limiter.record_attempt_end(host, number, result)
         if not server_id:
             return
         suspected = self.placer.record_attempt_end(
-            host, number, server_id, result, self.clock.seconds()
+            host,
+            number,
+            server_id,
+            result,
+            self.clock.seconds(),
+            gaps=gaps,
         )
         if suspected:
             self.timeline.note(
@@ -510,6 +530,7 @@
                 placement.demand.tokens_out,
                 placement.placed.urgency,
                 placement.started,
+                placement.gap_objective,
             )
             for number, placement in self.placements.items()
         ]
@@ -545,6 +566,7 @@
         ask.cost,
         is_fallback,
         recent_fallback,
+        ask.gap_objective,
     )
 
 
@@ -571,6 +593,30 @@
         apart=message.apart,
         workspace=message.workspace,
         cost=message.cost,
+        gap_objective=message.gap_objective,
+    )
+
+
+def end_message(host, number, server_id, result, gaps):
+    """Return the message that reports the end of an attempt.
+
+    Args:
+        host: Host that made it.
+        number: Number of the request at that host.
+        server_id: Its server.
+        result: The `AttemptResult`.
+        gaps: `StreamGaps` of its stream, or `NOTHING`.
+    """
+    if gaps is NOTHING:
+        return AttemptEndedMessage(host, number, server_id, int(result))
+    return AttemptEndedMessage(
+        host,
+        number,
+        server_id,
+        int(result),
+        gaps.events,
+        round(gaps.longest, 4),
+        round(gaps.seconds, 4),
     )
 
 
@@ -607,6 +653,7 @@
         "",
         decision.copy_from,
         decision.evidence,
+        round(decision.pause, 3),
     )
 
 
@@ -637,4 +684,5 @@
         message.at_once,
         message.copy_from,
         message.evidence,
+        message.pause,
     )
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -14,6 +14,7 @@
     PlacementQuery,
     RateLimited,
 )
+from ..traffic.pauses import GapMeter, objective_details, pause_details
 from ..traffic.serverhealth import AttemptResult
 from .attempts import Attempt, OutgoingRequest, silence_limit
 from .connections import Endpoint
@@ -95,6 +96,7 @@
         self.attempt_began = 0.0
         self.last_data = 0.0
         self.longest_gap = 0.0
+        self.gap_meter = GapMeter()
         self.predicted = 0.0
         self.excluded = []
         self.tried_hosts = set()
@@ -283,6 +285,7 @@
             apart=self.crash_check.apart(),
             workspace=self.permissions.workspace,
             cost=self.permissions.cost,
+            gap_objective=self.route.gap_objective,
         )
 
     def patience(self, waited):
@@ -322,6 +325,7 @@
             urgency=placed.urgency,
             copy_from=placed.copy_from,
             placed_by=self.state.coordinator.placer_of(number),
+            **pause_details(placed),
             **notice_details(placed),
         )
         headers = self.state.codec.server_headers(
@@ -345,7 +349,9 @@
             on_head=self.state.notices.head_handler(placed.server_id, self.id),
         )
         outcome = await self.run_attempt(placed.predicted)
-        self.state.coordinator.record_attempt_end(number, self.attempt.result)
+        self.state.coordinator.record_attempt_end(
+            number, self.attempt.result, self.gap_meter.gaps()
+        )
         await self.state.crash_detector.examine(
             self.attempt, self.request.peer_ip, placed.predicted
         )
@@ -449,6 +455,7 @@
             self.request.peer_ip,
             self.permissions.workspace,
             self.metadata.key_digest,
+            self.route.gap_objective,
         )
 
     def outgoing(self, headers, *, reuse=False):
@@ -470,6 +477,7 @@
         self.predicted = predicted
         self.attempt_began = self.state.clock.seconds()
         self.last_data = self.attempt_began
+        self.gap_meter = GapMeter()
         outcome = await self.attempt.run()
         if self.attempt.sent:
             self.sent_attempts += 1
@@ -507,6 +515,7 @@
             gap = now - self.last_event_at
             self.longest_gap = max(self.longest_gap, gap)
         self.last_event_at = self.last_data = now
+        self.gap_meter.record(now)
         found = last_event_id(events)
         if found:
             self.last_event = found
@@ -677,6 +686,7 @@
             route=self.route.name,
             objective_ms=int(self.route.objective * 1000),
             longest_gap_ms=int(self.longest_gap * 1000),
+            **objective_details(self.route),
             predicted=round(self.predicted, 3),
             tries=self.tries,
             service=self.service,
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -1,8 +1,11 @@
 """Heartbeats, rosters and load reports between hosts."""
 
+import math
+
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
 from ..traffic.members import Subscription
+from ..traffic.pauses import StreamGaps
 from ..traffic.regions import RegionLoad, ServerCapacity
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.work import RANKS, Placement
@@ -452,6 +455,7 @@
             message.number,
             message.server_id,
             AttemptResult(message.result),
+            gaps_from_message(message),
         )
 
     def handle_load_report(self, message):
@@ -510,4 +514,16 @@
         tokens_out=row.tokens_out,
         urgency=row.urgency,
         started=row.started,
+        gap_objective=row.gap_objective,
     )
+
+
+def gaps_from_message(message):
+    """Return the `StreamGaps` of an end of an attempt, or `NOTHING`.
+
+    A report that no stream can have is not learned from.
+    """
+    longest, seconds = message.longest_gap, message.stream_seconds
+    if message.events < 2 or not 0.0 <= longest <= seconds < math.inf:
+        return NOTHING
+    return StreamGaps(message.events, longest, seconds)
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -71,6 +71,8 @@
         cost: Tokens of the limit that it consumes.
         is_fallback: Whether the host that was queried first did not answer.
         recent_fallback: Whether the sender has used a fallback recently.
+        gap_objective: Longest time between two events in seconds; 0 if none
+            is stated.
     """
 
     host: str
@@ -93,6 +95,7 @@
     cost: int = 0
     is_fallback: bool = False
     recent_fallback: bool = False
+    gap_objective: float = 0.0
 
 
 class PlacementGrantMessage(
@@ -111,6 +114,7 @@
         copy_from: Address of a server that has cached more of the prompt,
             or an empty string.
         evidence: Source of the limit that a server gave, for a log line.
+        pause: Predicted longest gap between two events in seconds.
     """
 
     number: int
@@ -122,6 +126,7 @@
     region: str
     copy_from: str
     evidence: str = ""
+    pause: float = 0.0
 
 
 class PlacementRefusalMessage(
@@ -223,12 +228,18 @@
         number: Number of the request at that host.
         server_id: Identifier of the server.
         result: Number of the `AttemptResult`.
+        events: Number of the events of its stream; 0 if no gap was observed.
+        longest_gap: Longest time between two of them in seconds.
+        stream_seconds: Time from the first to the last of them in seconds.
     """
 
     host: str
     number: int
     server_id: str
     result: int
+    events: int = 0
+    longest_gap: float = 0.0
+    stream_seconds: float = 0.0
 
 
 class PlacementRow(msgspec.Struct, array_like=True, frozen=True):
@@ -242,6 +253,8 @@
         tokens_out: Tokens that it will generate.
         urgency: Rank of the request at the server.
         started: Whether its first event has arrived.
+        gap_objective: Longest time between two events in seconds; 0 if none
+            is stated.
     """
 
     number: int
@@ -251,6 +264,7 @@
     tokens_out: int
     urgency: int
     started: bool
+    gap_objective: float = 0.0
 
 
 class Heartbeat(msgspec.Struct, array_like=True, tag="h", frozen=True):
--- a/src/hyssopspring/entry/prometheus.py
+++ b/src/hyssopspring/entry/prometheus.py
@@ -29,19 +29,28 @@
 """Upper bounds of the histogram buckets. The latency objectives of the first
 users are 0.5, 0.6, 0.8 and 1.0 s."""
 
+GAP_BOUNDS_SECONDS = (0.03, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0)
+"""Upper bounds of the buckets of gaps between stream events. The gap
+objectives of the first users are 0.3 and 0.4 s."""
+
 CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
 class Histogram:
-    """Histogram of durations."""
+    """Histogram of durations.
+
+    Args:
+        bounds: Upper bounds of the buckets in seconds.
+    """
 
-    def __init__(self):
-        self.counts = [0] * (len(BUCKET_BOUNDS_SECONDS) + 1)
+    def __init__(self, bounds=BUCKET_BOUNDS_SECONDS):
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
         self.total = 0.0
 
     def add(self, seconds):
         """Count one duration."""
-        self.counts[bisect_left(BUCKET_BOUNDS_SECONDS, seconds)] += 1
+        self.counts[bisect_left(self.bounds, seconds)] += 1
         self.total += seconds
 
     def lines(self, name):
@@ -52,7 +61,7 @@
         """
         running = 0
         for bound, count in zip(
-            (*BUCKET_BOUNDS_SECONDS, "+Inf"), self.counts, strict=True
+            (*self.bounds, "+Inf"), self.counts, strict=True
         ):
             running += count
             yield f'{name}_bucket{{le="{bound}"}} {running}'
@@ -73,6 +82,7 @@
         self.first = Histogram()
         self.whole = Histogram()
         self.predicted = Histogram()
+        self.longest_gap = Histogram(GAP_BOUNDS_SECONDS)
 
     def __call__(self, event):
         """Count one event and add its durations to the histograms."""
@@ -82,6 +92,9 @@
         if event.number == EventKind.ANSWERED.number:
             self.first.add(float(details.get("first_ms", 0)) / 1000)
             self.whole.add(float(details.get("took_ms", 0)) / 1000)
+            if details.get("gap_objective_ms"):
+                gap = float(details.get("longest_gap_ms", 0)) / 1000
+                self.longest_gap.add(gap)
         elif event.number == EventKind.PLACED.number:
             self.predicted.add(float(details.get("predicted", 0)))
 
@@ -98,6 +111,7 @@
         rows += self.first.lines("hyssop_first_seconds")
         rows += self.whole.lines("hyssop_whole_seconds")
         rows += self.predicted.lines("hyssop_predicted_seconds")
+        rows += self.longest_gap.lines("hyssop_longest_gap_seconds")
         return "\n".join(rows) + "\n"
 
     def handle(self, request):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -11,6 +11,7 @@
 from ..core.sentinels import NOTHING
 from ..net.sinks import AnswerSink, first_value
 from ..traffic.decisions import Placed, PlacementQuery
+from ..traffic.pauses import GapMeter, pause_details
 from ..traffic.serverhealth import AttemptResult
 from .attempts import Attempt, OutgoingRequest, ResponseHead, silence_limit
 from .connections import Endpoint
@@ -52,6 +53,8 @@
         workspace: Name of its workspace. The caller's key itself is not
             forwarded.
         key_digest: Digest of that key, by which repeats are recognised.
+        gap_objective: Longest time between two events in seconds; 0 if none
+            is stated.
     """
 
     route: str
@@ -68,6 +71,7 @@
     caller: str = ""
     workspace: str = ""
     key_digest: str = ""
+    gap_objective: float = 0.0
 
 
 _DECODER = msgspec.json.Decoder(RelayParameters)
@@ -209,6 +213,7 @@
         self.id = ""
         self.began = self.arrived
         self.predicted = 0.0
+        self.gap_meter = GapMeter()
 
     def start(self):
         """Start processing; it ends with the response."""
@@ -264,6 +269,7 @@
             copy_from=decision.copy_from,
             peer=self.request.peer_ip,
             placed_by=self.state.coordinator.placer_of(number),
+            **pause_details(decision),
             **notice_details(decision),
         )
         if self.sink.disconnected or self.refuse_if_crashing():
@@ -303,6 +309,7 @@
             may_leave=False,
             begun=self.parameters.begun,
             apart=self.crash_check.apart(),
+            gap_objective=self.parameters.gap_objective,
         )
 
     async def run_attempt(self, number, placed, metadata):
@@ -336,7 +343,9 @@
             on_head=self.state.notices.head_handler(placed.server_id, self.id),
         )
         outcome = await self.attempt.run()
-        self.state.coordinator.record_attempt_end(number, self.attempt.result)
+        self.state.coordinator.record_attempt_end(
+            number, self.attempt.result, self.gap_meter.gaps()
+        )
         await self.state.crash_detector.examine(
             self.attempt,
             self.parameters.caller,
@@ -352,7 +361,12 @@
             self.relay_headers(buffered_response.headers),
         )
         self.sink.set_producer(response._transport)
-        return self.sink.write
+        return self.forward_events
+
+    def forward_events(self, events):
+        """Forward events and measure the gaps between them."""
+        self.gap_meter.record(self.state.clock.seconds())
+        self.sink.write(events)
 
     def relay_headers(self, headers):
         """Return response headers with those for the sending host."""
--- a/src/hyssopspring/platform/operator.py
+++ b/src/hyssopspring/platform/operator.py
@@ -49,6 +49,7 @@
     kind: str
     timeout_ms: float
     target_latency_ms: float = 1000.0
+    gap_aim_ms: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     priority: int = 0
     service: str = ""
     weighted_services: list[_WeightedService] = []
@@ -211,6 +212,9 @@
         kind=REQUEST_KINDS[row.kind],
         timeout=row.timeout_ms / 1000,
         objective=row.target_latency_ms / 1000,
+        gap_objective=(
+            row.gap_aim_ms / 1000 if row.kind == "streaming" else 0.0
+        ),
         priority=row.priority,
         services=tuple(shares),
         max_attempts=max(1, row.max_attempts),
--- a/src/hyssopspring/traffic/candidates.py
+++ b/src/hyssopspring/traffic/candidates.py
@@ -17,6 +17,7 @@
         cost: Cost in seconds for the comparison of candidates.
         copied: Tokens that the server would copy from another server.
         copy_from: Address of that other server.
+        pause: Predicted longest gap of a stream there in seconds.
     """
 
     target: object
@@ -24,6 +25,7 @@
     cost: float
     copied: int = 0
     copy_from: str = ""
+    pause: float = 0.0
 
 
 UNBOUNDED = float("inf")
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -37,6 +37,8 @@
             empty string.
         cost: Tokens that it counts; 0 if there is no limit, or if another host
             has counted them.
+        gap_objective: Longest gap between two events in seconds with which a
+            stream is on time; 0 if none is stated.
     """
 
     host: str
@@ -54,6 +56,7 @@
     apart: str = ""
     workspace: str = ""
     cost: int = 0
+    gap_objective: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +73,8 @@
         copy_from: Address of a server from which to copy parts of the prompt
             that this server has not cached, or an empty string.
         evidence: Source of the limit of the server, for a log line.
+        pause: Predicted longest gap between two events in seconds; 0 without
+            a gap objective.
     """
 
     server_id: str
@@ -79,6 +84,7 @@
     at_once: bool = False
     copy_from: str = ""
     evidence: str = ""
+    pause: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/traffic/decoding.py
+++ b/src/hyssopspring/traffic/decoding.py
@@ -5,7 +5,12 @@
 
 from .work import RANKS
 
-__all__ = ["DecodeTimes", "DutyCycle", "RankUtilization"]
+__all__ = [
+    "INITIAL_BUSY_TOKEN_SECONDS",
+    "DecodeTimes",
+    "DutyCycle",
+    "RankUtilization",
+]
 
 INITIAL_IDLE_TOKEN_SECONDS = 0.006
 INITIAL_BUSY_TOKEN_SECONDS = 0.035
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -11,6 +11,7 @@
     RankUtilization,
 )
 from .mechanisms import Mechanism
+from .pauses import MAX_GAP_COST_SECONDS, EngineGaps
 from .prefill import PrefillTimes, attention_pairs
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
@@ -102,6 +103,7 @@
         rank_utilization: `RankUtilization` of its prefill.
         decode_slowdown: Observed time of an output token over the expected
             one.
+        gaps: `EngineGaps` of its streams.
     """
 
     spec: EngineSpec
@@ -121,6 +123,7 @@
     duty_cycle: DutyCycle = field(default_factory=DutyCycle)
     rank_utilization: RankUtilization = field(default_factory=RankUtilization)
     decode_slowdown: float = 1.0
+    gaps: EngineGaps = field(default_factory=EngineGaps)
 
     @property
     def slots(self):
@@ -333,7 +336,19 @@
         wait = prefill_wait + self.slot_wait(tokens, now)
         predicted = wait + self.copy_time(copied) + own
         cost = self.cost_of(demand, now, own, predicted)
-        return Estimate(predicted, cost, copied)
+        if not request.weighs_gaps or cost >= limit:
+            return Estimate(predicted, cost, copied)
+        gap_cost, pause = self.gaps.cost(
+            request, own, self.queue.seconds, self.idle_token_seconds
+        )
+        if predicted > request.in_time_within:
+            gap_cost = MAX_GAP_COST_SECONDS
+        return Estimate(predicted, cost, copied, gap_cost, pause)
+
+    @property
+    def idle_token_seconds(self):
+        """Seconds for an output token while no prompt is prefilled."""
+        return self.decode_times.idle * self.decode_slowdown
 
     def token_time(self, now, backlog=0.0):
         """Return the predicted seconds for an output token.
@@ -364,6 +379,8 @@
                 placement.placed_at,
             )
             self.duty_cycle.set_prefilling(True, placement.placed_at)
+            self.gaps.set_prefilling(True, placement.placed_at)
+        self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
         if demand is NOTHING:
@@ -420,6 +437,7 @@
         """
         active_prefill, since = self.active_prefill, self.active_prefill_since
         self.queue.remove(placement)
+        self.gaps.mark_started(placement)
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
@@ -438,7 +456,9 @@
         """Choose the prompt that the engine prefills from now on."""
         self.active_prefill = self.queue.first()
         self.active_prefill_since = now
-        self.duty_cycle.set_prefilling(self.active_prefill is not NOTHING, now)
+        prefilling = self.active_prefill is not NOTHING
+        self.duty_cycle.set_prefilling(prefilling, now)
+        self.gaps.set_prefilling(prefilling, now)
 
     def learn_prefill_slowdown(self, expected, observed, now):
         """Learn from a prompt that was prefilled in *observed* seconds."""
@@ -452,24 +472,28 @@
         )
         self.prefill_slowdown_at = now
 
-    def end(self, placement, now, *, complete=False):
+    def end(self, placement, now, *, complete=False, gaps=NOTHING):
         """Remove a placement, and learn from a complete answer.
 
         Args:
             placement: The `Placement`.
             now: The time.
             complete: Whether its answer is complete.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
         """
         removed = self.placements.pop((placement.host, placement.number), None)
         if removed is not None:
             self.held_tokens -= removed.tokens
             self.queue.remove(removed)
+            self.gaps.remove(removed)
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
         if not complete or not placement.started or not placement.tokens_out:
             return
         self.learn_token(placement, now)
+        if gaps is not NOTHING:
+            self.gaps.learn(placement, gaps, self.idle_token_seconds, now)
 
     def learn_token(self, placement, now):
         """Learn the time of an output token from a complete answer."""
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -9,6 +9,7 @@
 from .decoding import DecodeTimes
 from .margins import Margin
 from .mechanisms import Mechanism
+from .pauses import GapModel
 from .prefill import PrefillTimes
 from .regions import RegionLoad, ServerCapacity
 from .remoteregions import INTER_REGION_SECONDS, RemoteRegions
@@ -154,6 +155,7 @@
         self.work = {}
         self.prefill_times = {}
         self.decode_times = {}
+        self.gap_models = {}
         self.margins = {}
         self.health = {}
         self.views = {}
@@ -268,6 +270,7 @@
             now: The time.
         """
         best = NO_CANDIDATE
+        best_total = UNBOUNDED
         demand = query.demand
         cached_tokens = [
             view.work.cached_prefix_tokens(demand) for view in views
@@ -278,7 +281,13 @@
         )
         copying = most_cached and Mechanism.COPIES not in self.disabled
         request = EstimateRequest(
-            demand, urgency, now, most_cached if copying else 0
+            demand,
+            urgency,
+            now,
+            most_cached if copying else 0,
+            query.gap_objective,
+            self.weighs_gaps(query),
+            query.time_left - self.margin(query),
         )
         weight = (
             0.0 if Mechanism.ERRORS in self.disabled else ERROR_COST_SECONDS
@@ -288,19 +297,35 @@
             pairs.insert(0, (holder, most_cached))
         for view, tokens in pairs:
             errors = view.health.error_rate * weight
-            limit = best.cost - errors
+            limit = best_total - errors
             estimate = view.work.estimate(request, tokens, limit)
-            if estimate is NOTHING or estimate.cost >= limit:
+            if estimate is NOTHING:
+                continue
+            total = estimate.cost + estimate.gap_cost
+            if total >= limit:
                 continue
+            best_total = total + errors
             best = Candidate(
                 view.server,
                 estimate.predicted,
                 estimate.cost + errors,
                 estimate.copied,
                 holder.server.entry.address if estimate.copied else "",
+                estimate.pause,
             )
         return best
 
+    def weighs_gaps(self, query):
+        """Return whether gaps between stream events count for a request.
+
+        They count once its service has a stream with a gap objective.
+        """
+        if Mechanism.PAUSES in self.disabled:
+            return False
+        return bool(
+            query.gap_objective or self.gap_model_of(query.service).streams
+        )
+
     def eligible_servers(self, query, now, cold_allowed):
         """Return the `ServerView` of each server that may get *query*."""
         if query.regions and self.region not in query.regions:
@@ -461,6 +486,7 @@
             urgency=urgency,
             predicted=candidate.predicted,
             apart=query.apart,
+            gap_objective=query.gap_objective,
         )
         self.remote_regions.record_prefilled(entry.service, query.demand, now)
         self.drop(query.host, query.number, now)
@@ -480,6 +506,7 @@
             cold or bool(evidence),
             source,
             evidence,
+            candidate.pause,
         )
 
     def record_response_start(self, host, number, seconds, now):
@@ -496,14 +523,28 @@
             work.start(placement, seconds, now)
             self.health_of(placement.server_id).record_answer(now)
 
-    def record_attempt_end(self, host, number, server_id, result, now):
+    def record_attempt_end(
+        self, host, number, server_id, result, now, *, gaps=NOTHING
+    ):
         """Record the end of an attempt.
 
+        Args:
+            host: Host that made it.
+            number: The host's number for its request.
+            server_id: Its server.
+            result: Its `AttemptResult`.
+            now: The time.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
+
         Returns:
             Whether its server has become suspect through this attempt.
         """
         placed_here = self.drop(
-            host, number, now, complete=result is AttemptResult.ANSWERED
+            host,
+            number,
+            now,
+            complete=result is AttemptResult.ANSWERED,
+            gaps=gaps,
         )
         if placed_here and result in NOT_SENT:
             self.limits.refund(server_id)
@@ -511,7 +552,7 @@
             return False
         return self.health_of(server_id).record_result(result, now)
 
-    def drop(self, host, number, now, *, complete=False):
+    def drop(self, host, number, now, *, complete=False, gaps=NOTHING):
         """Remove one placement.
 
         Args:
@@ -519,6 +560,7 @@
             number: Its number.
             now: The time.
             complete: Whether its answer is complete.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
 
         Returns:
             Whether the placement existed.
@@ -529,7 +571,7 @@
         self.placements_of_host(host).pop(number, None)
         work = self.work.get(placement.server_id)
         if work is not None:
-            work.end(placement, now, complete=complete)
+            work.end(placement, now, complete=complete, gaps=gaps)
         return True
 
     def add_placement(self, placement):
@@ -662,6 +704,7 @@
                 server.entry.slots,
                 prefill_times,
                 decode_times,
+                self.gap_model_of(service.name),
                 disabled=self.disabled,
             )
             self.work[server.entry.id] = work
@@ -682,6 +725,10 @@
         """Return the `DecodeTimes` of a service."""
         return self.decode_times.setdefault(service, DecodeTimes())
 
+    def gap_model_of(self, service):
+        """Return the `GapModel` of a service."""
+        return self.gap_models.setdefault(service, GapModel())
+
     def health_of(self, server_id):
         """Return the `ServerHealth` on a server."""
         health = self.health.get(server_id)
--- a/src/hyssopspring/traffic/plainwork.py
+++ b/src/hyssopspring/traffic/plainwork.py
@@ -80,7 +80,7 @@
         placement.started = True
         placement.started_at = now
 
-    def end(self, placement, now, *, complete=False):
+    def end(self, placement, now, *, complete=False, gaps=NOTHING):
         """Remove the placement of a request."""
         self.placements.pop((placement.host, placement.number), None)
 
--- a/src/hyssopspring/traffic/routes.py
+++ b/src/hyssopspring/traffic/routes.py
@@ -54,6 +54,8 @@
         timeout: Longest time to keep a request unanswered, in seconds.
         objective: Target time to the response, or to a stream's first event,
             in seconds.
+        gap_objective: Longest time between two events of a stream, in seconds,
+            with which it is on time; 0 if none is stated.
         priority: Rank among the routes of a service; 0 is the highest.
         services: `WeightedService` of each service it is split over.
         max_attempts: Largest number of servers that may run one request.
@@ -68,6 +70,7 @@
     kind: RequestKind
     timeout: float
     objective: float
+    gap_objective: float = 0.0
     priority: int = 0
     services: tuple[WeightedService, ...]
     max_attempts: int = 1
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -111,6 +111,10 @@
         now: The time.
         most_cached: Largest number of tokens of the prompt that one server has
             cached.
+        gap_objective: Longest gap between two of its events in seconds; 0 if
+            none is stated.
+        weighs_gaps: Whether gaps between stream events count.
+        in_time_within: Predicted seconds within which it meets its objective.
         idle_seconds_by_tokens: Prefill time in seconds by number of tokens,
             cached from one server to the next.
     """
@@ -119,6 +123,9 @@
     urgency: int
     now: float
     most_cached: int = 0
+    gap_objective: float = 0.0
+    weighs_gaps: bool = False
+    in_time_within: float = float("inf")
     idle_seconds_by_tokens: dict = field(default_factory=dict)
 
 
@@ -130,11 +137,15 @@
         predicted: Seconds to the answer or first event.
         cost: Cost in seconds for the comparison of servers.
         copied: Tokens that it would copy from another server.
+        gap_cost: Further cost in seconds, of the gaps between stream events.
+        pause: Predicted longest gap of the request's stream in seconds.
     """
 
     predicted: float
     cost: float
     copied: int = 0
+    gap_cost: float = 0.0
+    pause: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -162,6 +173,8 @@
             started.
         apart: Fingerprint of a request that is isolated from other suspected
             requests, or an empty string.
+        gap_objective: Longest gap between two of its events in seconds; 0 if
+            none is stated.
     """
 
     host: str
@@ -180,6 +193,7 @@
     lost: bool = False
     prefill_seconds_at_start: float = 0.0
     apart: str = ""
+    gap_objective: float = 0.0
 
     @property
     def waiting(self):
--- a/src/hyssopspring/traffic/workmodels.py
+++ b/src/hyssopspring/traffic/workmodels.py
@@ -2,13 +2,20 @@
 
 from ..core.sentinels import NOTHING
 from .enginework import EngineWork
+from .pauses import EngineGaps
 from .plainwork import PlainServerWork
 
 __all__ = ["make_work"]
 
 
 def make_work(
-    service, slots, prefill_times, decode_times, *, disabled=frozenset()
+    service,
+    slots,
+    prefill_times,
+    decode_times,
+    gap_model,
+    *,
+    disabled=frozenset(),
 ):
     """Return the model of a server's work in progress.
 
@@ -17,10 +24,15 @@
         slots: Requests that it runs concurrently, according to its entry.
         prefill_times: `PrefillTimes` of the service.
         decode_times: `DecodeTimes` of the service.
+        gap_model: `GapModel` of the service.
         disabled: Each `Mechanism` that is disabled.
     """
     if service.engine is NOTHING:
         return PlainServerWork(max(1, slots))
     return EngineWork(
-        service.engine, prefill_times, decode_times, disabled=disabled
+        service.engine,
+        prefill_times,
+        decode_times,
+        disabled=disabled,
+        gaps=EngineGaps(gap_model),
     )
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -11,12 +11,14 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
+from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.entry.coordinator import ANSWER_TIMEOUT_SECONDS
 from hyssopspring.traffic.decisions import (
     Placed,
     PlacedRemotely,
     PlacementQuery,
 )
+from hyssopspring.traffic.pauses import StreamGaps
 from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.serverhealth import AttemptResult
@@ -64,6 +66,8 @@
         spread_out: Standard deviation of the logarithm of its answer's
             tokens.
         longest_out: Most tokens of its answer.
+        gap_objective: Longest time between two of its events in seconds; 0 if
+            any is in time.
     """
 
     name: str
@@ -80,6 +84,7 @@
     deadline: float = math.inf
     spread_out: float = 0.0
     longest_out: int = 10**6
+    gap_objective: float = 0.0
 
     def draw_out(self, rng):
         """Return the tokens of an answer."""
@@ -142,6 +147,11 @@
             needs for each question. It answers the newest first; who
             waits for longer than `ANSWER_TIMEOUT_SECONDS` decides without it.
         limits: Requests a second that engines name as their limit, by name.
+        event_tokens: Tokens of an event; 0 to record no gaps between events.
+        step: Seconds of an engine's step without a prompt and a batch.
+        read_rate: Prompt tokens that an engine reads in a second.
+        chunk: Most prompt tokens that it reads in a step.
+        gap_reports: Share of the reports of gaps that reach the placer.
     """
 
     engines: dict
@@ -156,6 +166,11 @@
     pair_seconds: float = 0.0
     choice_seconds: float = 0.0
     limits: dict = field(default_factory=dict)
+    event_tokens: int = 0
+    step: float = STEP
+    read_rate: float = READ_RATE
+    chunk: int = CHUNK
+    gap_reports: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -177,6 +192,9 @@
         dropped_at: Time since when its stream stands still, or 0.
         stalled: Whether its stream has stood still for too long.
         whole_at: Time at which its caller has all of its answer, or 0.
+        last_event_at: Time of its last event at its engine.
+        longest_gap: Longest time between two of its events in seconds.
+        events: Number of its events.
     """
 
     kind: Kind
@@ -193,6 +211,23 @@
     dropped_at: float = 0.0
     stalled: bool = False
     whole_at: float = 0.0
+    last_event_at: float = 0.0
+    longest_gap: float = 0.0
+    events: int = 0
+
+    def record_event(self, at):
+        """Record an event, and the gap since the one before it."""
+        if self.events:
+            gap = at - self.last_event_at
+            self.longest_gap = max(self.longest_gap, gap)
+        self.events += 1
+        self.last_event_at = at
+
+    @property
+    def gap_in_time(self):
+        """Whether no gap between its events exceeded its objective."""
+        objective = self.kind.gap_objective
+        return not objective or self.longest_gap <= objective
 
     @property
     def given_up_at(self):
@@ -205,7 +240,7 @@
 
         Where callers have a deadline, the answer must be whole by then.
         """
-        if not self.first_at or self.stalled:
+        if not self.first_at or self.stalled or not self.gap_in_time:
             return False
         if self.kind.deadline < math.inf and not self.whole_at:
             return False
@@ -255,6 +290,7 @@
         self.running = []
         self.cached = OrderedDict()
         self.due = 0.0
+        self.step_began = 0.0
         self.started = []
         self.ended = []
         self.arrived = []
@@ -268,13 +304,18 @@
     def advance(self, now):
         """Make the steps that are due."""
         while self.due <= now:
-            self.due = max(self.due, now - TICK) + self.step(now)
+            self.step_began = max(self.due, now - TICK)
+            self.due = self.step_began + self.step(now)
 
     def step(self, now):
         """Make one step; return its seconds."""
-        seconds = STEP + STEP_PER_REQUEST * len(self.running)
+        seconds = self.shape.step + STEP_PER_REQUEST * len(self.running)
+        size = self.shape.event_tokens
         for load in self.running:
             load.left_out -= 1
+            made = load.demand.tokens_out - load.left_out
+            if size and (made % size == 0 or load.left_out == 0):
+                load.record_event(self.step_began)
         done = [
             one
             for one in self.running
@@ -295,7 +336,7 @@
         load = self.next_prompt(now)
         if load is None:
             return 0.0
-        chunk = min(CHUNK, load.left_in)
+        chunk = min(self.shape.chunk, load.left_in)
         load.left_in -= chunk
         self.outcome.tokens_read += chunk
         if load.left_in <= 0:
@@ -305,7 +346,10 @@
             self.begin(load, now)
             self.remember(load)
         before = load.demand.tokens_in - load.left_in - chunk / 2
-        return chunk / READ_RATE + chunk * before * self.shape.pair_seconds
+        return (
+            chunk / self.shape.read_rate
+            + chunk * before * self.shape.pair_seconds
+        )
 
     def next_prompt(self, now):
         """Return the prompt that is read now, or None.
@@ -336,6 +380,8 @@
         """Note the first event, or the end of a pause."""
         if not load.dropped_at:
             self.started.append(load)
+            if self.shape.event_tokens:
+                load.record_event(self.step_began)
         elif now - load.dropped_at > LONGEST_PAUSE:
             load.stalled = True
 
@@ -541,6 +587,7 @@
             priority=load.kind.priority,
             regions=load.kind.regions,
             may_leave=may_leave,
+            gap_objective=load.kind.gap_objective,
         )
         decision = self.placers[region].place(ask, now)
         if isinstance(decision, Placed):
@@ -592,11 +639,22 @@
                     else AttemptResult.CANCELLED
                 )
                 self.placers[region].record_attempt_end(
-                    "h", load.number, engine.name, result, now
+                    "h",
+                    load.number,
+                    engine.name,
+                    result,
+                    now,
+                    gaps=self.reported_gaps(load),
                 )
         engine.started.clear()
         engine.ended.clear()
 
+    def reported_gaps(self, load):
+        """Return the `StreamGaps` that reach the placer, or `NOTHING`."""
+        if load.number % 100 >= self.shape.gap_reports * 100:
+            return NOTHING
+        return StreamGaps(load.events, load.longest_gap)
+
     def summarize(self, now):
         """Let each region tell the others its load, which takes a while."""
         self.telling += [
--- a/src/hyssopspring_fakes/loads.py
+++ b/src/hyssopspring_fakes/loads.py
@@ -13,6 +13,8 @@
     "MOSTLY_DAR",
     "ONE_LEFT",
     "PEAK",
+    "UNEVEN",
+    "UNEVEN_CALM",
 ]
 
 EVEN = {"dar": 1.0, "arusha": 1.0, "mwanza": 1.0}
@@ -154,6 +156,55 @@
 """A region with one engine of five has eight times the callers of each of
 the others, and its urgent requests meet long prompts."""
 
+SUMMARY = Kind(
+    name="summary",
+    rate=227.0,
+    sizes=(2520, 3780, 2890),
+    choices=(4, 60),
+    tokens_out=56,
+    objective=0.835,
+    patience=3.3,
+    priority=1,
+    gap_objective=0.3,
+)
+NOTE = Kind(
+    name="note",
+    rate=211.0,
+    sizes=(119, 79, 628),
+    choices=(40, 19),
+    tokens_out=288,
+    objective=0.615,
+    patience=2.5,
+    priority=0,
+    regions=frozenset(("dar", "arusha")),
+    gap_objective=0.3,
+)
+SLOWNESS = 2.17
+"""Time of an engine's work over that of a fast one that has its machine for
+itself: that of the slow quarter of the engines, at 0.46 times the speed."""
+
+UNEVEN = Shape(
+    engines={"dar": 20, "arusha": 15, "mwanza": 10},
+    weights=scaled({"dar": 2.8, "arusha": 0.17, "mwanza": 0.17}, 0.8),
+    seconds=8.0,
+    kinds=(SUMMARY, NOTE),
+    slots=48,
+    memory=407_703,
+    pair_seconds=3.67e-10,
+    event_tokens=8,
+    step=0.00341 * SLOWNESS,
+    read_rate=112_000.0 / SLOWNESS,
+    chunk=2048,
+)
+"""Summaries with long prompts and notes with long streams share the engines,
+and neither may have a gap over 0.3 s. One region has its peak. All engines are
+equally slow, so that each exceeds 0.3 s while it reads prompts throughout."""
+
+UNEVEN_CALM = dataclasses.replace(
+    UNEVEN, weights=scaled({"dar": 20, "arusha": 15, "mwanza": 10}, 0.4)
+)
+"""The same kinds at 0.4 times their mean, spread like the engines."""
+
 LOADS = {
     "peak": PEAK,
     "one left": ONE_LEFT,
@@ -162,5 +213,7 @@
     "half of dar": HALF_OF_DAR,
     "mostly dar": MOSTLY_DAR,
     "arequipa peak": AREQUIPA_PEAK,
+    "uneven": UNEVEN,
+    "uneven calm": UNEVEN_CALM,
 }
 """Each load by its name in tables."""
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -311,6 +311,8 @@
         stream = route["kind"] == "streaming"
         route.update(host="a.example", timeout_ms=6000 if stream else 1500)
         route.update(target_latency_ms=500)
+        if stream:
+            route.update(gap_aim_ms=300)
         route.update(changes.get(route["name"], {}))
     return {
         "version": version,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -47,6 +47,7 @@
             "kind": "streaming",
             "timeout_ms": 15000,
             "target_latency_ms": 600,
+            "gap_aim_ms": 300,
             "priority": 0,
             "service": "s1",
             "max_attempts": 2,
@@ -124,6 +125,7 @@
     quote, rate = configuration.routes
     assert_that(quote.kind, Is(RequestKind.STREAM))
     assert_that(quote.objective, Equals(0.6))
+    assert_that(quote.gap_objective, Equals(0.3))
     assert_that(quote.homes, Equals(frozenset({"north"})))
     assert quote.repeatable and not rate.repeatable
     assert_that(
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -27,15 +27,18 @@
     Refused,
 )
 from hyssopspring.traffic.members import Member, Members
+from hyssopspring.traffic.pauses import StreamGaps
 from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.retryafter import RetryAfterPauses
 from hyssopspring.traffic.routes import Service
+from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring.traffic.servers import Registry
 
 DECISIONS = [
     Placed("server", "127.0.0.1:80", 3, 0.25),
     Placed("server", "127.0.0.1:80", 2, 0.5, at_once=True),
     Placed("server", "127.0.0.1:80", 2, 0.5, copy_from="127.0.0.2:80"),
+    Placed("server", "127.0.0.1:80", 2, 0.5, pause=0.125),
     PlacedRemotely("south", 0.4),
     Refused(0.75, 1.5, 4),
     RateLimited(0.3, "placer", 3333, -120, 90_000),
@@ -158,6 +161,17 @@
     assert_that(coordinator.queries_dropped, Equals(30))
 
 
+def test_the_gaps_of_a_stream_are_reported_to_the_placing_host():
+    """Guards against a placing host that never learns the gaps it causes."""
+    coordinator, _, sent = make_coordinator("asker", "placer")
+    ask = PlacementQuery(host="asker", number=1, service="s")
+    coordinator.track_placement(1, ask, DECISIONS[0], "placer")
+    gaps = StreamGaps(36, 0.25, 2.5)
+    coordinator.record_attempt_end(1, AttemptResult.ANSWERED, gaps)
+    message, _ = sent[-1]
+    assert_that((message.events, message.longest_gap), Equals((36, 0.25)))
+
+
 def test_a_late_placement_is_released():
     """Guards against servers that look loaded by requests they never get.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -357,6 +357,31 @@
     assert_that(ended["reason"], Equals("refused_by_server"))
 
 
+@pytest_twisted.ensureDeferred
+@pytest.mark.parametrize("away", [False, True])
+async def test_log_lines_show_the_gaps_of_a_stream(hosts, away):
+    """Guards against a gap objective that is lost on its way to a placement.
+
+    It goes from the configuration to the host that places the stream, which
+    may be in another region.
+    """
+    if away:
+        hosts.backends["engine-north"].mood = "full"
+    await hosts.send(
+        "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+    )
+    for process in hosts.processes.values():
+        process.log_writer.flush()
+    rows = [json.loads(line) for line in hosts.lines]
+    rows = [row for row in rows if row.get("request") == "r1"]
+    placed = [row for row in rows if row["event"] == "placed"]
+    assert_that(len(placed), Equals(1 + away))
+    for row in placed:
+        assert int(row["pause_ms"]) > 0
+    ended = next(row for row in rows if row["event"] == "answered")
+    assert_that(int(ended["gap_objective_ms"]), Equals(300))
+
+
 @pytest_twisted.ensureDeferred
 async def test_changes_reach_hosts_that_do_not_watch(hosts):
     """Calls to the store do not grow with hosts times servers.
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -104,7 +104,8 @@
     metrics = PrometheusMetrics(lambda: {"hosts_live": 7})
     timeline = Timeline("h1", HybridClock(clock.seconds), listeners=[metrics])
     timeline.note(EventKind.PLACED, predicted=0.25)
-    timeline.note(EventKind.ANSWERED, first_ms=500, took_ms=900)
+    gaps = {"longest_gap_ms": 250, "gap_objective_ms": 300}
+    timeline.note(EventKind.ANSWERED, first_ms=500, took_ms=900, **gaps)
     text = metrics.text()
     for line in (
         'hyssop_events_total{event="answered"} 1',
@@ -113,6 +114,8 @@
         'hyssop_first_seconds_bucket{le="0.6"} 1',
         "hyssop_whole_seconds_sum 0.900000",
         'hyssop_predicted_seconds_bucket{le="+Inf"} 1',
+        'hyssop_longest_gap_seconds_bucket{le="0.3"} 1',
+        "hyssop_longest_gap_seconds_count 1",
     ):
         assert_that(text, Contains(line + "\n"))
 
