Describe the placement by gaps and evaluate each engine once

The engine with the longest cached prefix was evaluated twice for each placement, so it is now left out the second time. A changed engine specification counted the streams of an engine twice, which is fixed.

--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -516,6 +516,11 @@
         ) * LEARNING_RATE
         self.decode_times.learn(duty, observed)
 
+    def retire(self):
+        """Remove its streams from the counts of the service."""
+        for placement in self.placements.values():
+            self.gaps.remove(placement)
+
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         slot = self.slot_wait(1000, now)
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -280,21 +280,22 @@
             views[cached_tokens.index(most_cached)] if most_cached else NOTHING
         )
         copying = most_cached and Mechanism.COPIES not in self.disabled
+        weighs_gaps = self.weighs_gaps(query)
         request = EstimateRequest(
             demand,
             urgency,
             now,
             most_cached if copying else 0,
             query.gap_objective,
-            self.weighs_gaps(query),
-            query.time_left - self.margin(query),
+            weighs_gaps,
+            query.time_left - self.margin(query) if weighs_gaps else UNBOUNDED,
         )
         weight = (
             0.0 if Mechanism.ERRORS in self.disabled else ERROR_COST_SECONDS
         )
         pairs = list(zip(views, cached_tokens, strict=True))
         if holder is not NOTHING:
-            pairs.insert(0, (holder, most_cached))
+            pairs.insert(0, pairs.pop(cached_tokens.index(most_cached)))
         for view, tokens in pairs:
             errors = view.health.error_rate * weight
             limit = best_total - errors
@@ -709,6 +710,7 @@
             )
             self.work[server.entry.id] = work
             if previous is not None:
+                previous.retire()
                 for placement in previous.placements.values():
                     work.begin(placement, NOTHING)
         return work
--- a/src/hyssopspring/traffic/plainwork.py
+++ b/src/hyssopspring/traffic/plainwork.py
@@ -84,6 +84,9 @@
         """Remove the placement of a request."""
         self.placements.pop((placement.host, placement.number), None)
 
+    def retire(self):
+        """Do nothing; a plain server shares no counts with others."""
+
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         return (self.predict(NOTHING, 5, now) - self.seconds,) * RANKS
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -235,6 +235,17 @@
     assert_that((model.streams, sum(counts)), Equals((0, 0)))
 
 
+def test_a_changed_engine_does_not_count_its_streams_twice(placer):
+    """Guards against counts that stay after a new configuration."""
+    placer.place(query(1, NOTE), 0.0)
+    spec = EngineSpec(slots=32, memory_tokens=407_703)
+    placer.service_of = lambda name: Service(name=name, engine=spec)
+    placer.views.clear()
+    placer.place(query(2, NOTE), 0.1)
+    placer.forget_host("h", 0.2)
+    assert_that(placer.gap_model_of("engine").streams, Equals(0))
+
+
 def test_messages_carry_gaps_and_lack_them_from_older_hosts():
     """Guards against unread messages while hosts of two builds run."""
     gaps = StreamGaps(36, 0.25, 2.5)
