--- a/src/hyssopspring/core/accepted.py
+++ b/src/hyssopspring/core/accepted.py
@@ -2,12 +2,13 @@
 
 import enum
 import zlib
-from dataclasses import dataclass, field, replace
+from dataclasses import field, replace
 
 import msgspec
 
 from .configuration import Configuration, Limits, Offer, Workspace
 from .exceptions import ProtocolError, ensure
+from .records import dataclass
 from .sentinels import NOTHING
 
 ACCEPTED_KEY = "/hyssop/accepted"
--- a/src/hyssopspring/core/claims.py
+++ b/src/hyssopspring/core/claims.py
@@ -7,11 +7,12 @@
 
 import enum
 import hashlib
-from dataclasses import dataclass, field, replace
+from dataclasses import field, replace
 
 import msgspec
 
 from .exceptions import ProtocolError, ensure
+from .records import dataclass
 from .sentinels import NOTHING
 
 SHARD_COUNT = 32
--- a/src/hyssopspring/core/configuration.py
+++ b/src/hyssopspring/core/configuration.py
@@ -1,7 +1,8 @@
 """In-memory model of the merged configuration."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from .records import dataclass
 from .requests import Target, TargetKind
 from .sentinels import NOTHING
 
--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -2,7 +2,9 @@
 
 import enum
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from .records import dataclass
 
 MAX_EVENTS = 2_000
 """Number of events that a process keeps in memory."""
--- a/src/hyssopspring/core/membership.py
+++ b/src/hyssopspring/core/membership.py
@@ -1,8 +1,9 @@
 """Liveness of the hosts of a data centre and assignment of their work."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from .hashing import hash_text
+from .records import dataclass
 
 HEARTBEAT_INTERVAL_SECONDS = 1.0
 """Interval between two heartbeats of a host."""
--- a/src/hyssopspring/core/outcomes.py
+++ b/src/hyssopspring/core/outcomes.py
@@ -1,7 +1,8 @@
 """Outcomes of attempts and requests."""
 
 import enum
-from dataclasses import dataclass
+
+from .records import dataclass
 
 
 class Reason(enum.StrEnum):
--- a/src/hyssopspring/core/placement.py
+++ b/src/hyssopspring/core/placement.py
@@ -1,8 +1,9 @@
 """Ranking of the data centres that may serve a request, by cost."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import field, replace
 
 from .configuration import Weights
+from .records import dataclass
 from .requests import Priority
 from .sentinels import NOTHING
 
--- a/src/hyssopspring/core/plans.py
+++ b/src/hyssopspring/core/plans.py
@@ -1,11 +1,10 @@
 """Sequence of attempts of one request: next step and termination."""
 
-from dataclasses import dataclass
-
 from .choice import DEFAULT_POLICY, find_policy
 from .exceptions import ensure
 from .outcomes import Answered, NotRun, Reason, Unknown, combine
 from .placement import CentreSummary, permitted_regions, rank_data_centres
+from .records import dataclass
 from .requests import Request, Target
 from .sentinels import NOTHING
 from .servers import Server
--- a/src/hyssopspring/core/requests.py
+++ b/src/hyssopspring/core/requests.py
@@ -1,8 +1,9 @@
 """Model of a request after its headers and rights are resolved."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from .records import dataclass
 from .sentinels import NOTHING
 
 
--- a/src/hyssopspring/core/servers.py
+++ b/src/hyssopspring/core/servers.py
@@ -1,8 +1,9 @@
 """State of the backend servers of a data centre, as seen by one host."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from .hashing import short_id
+from .records import dataclass
 from .sentinels import NOTHING
 
 REPORT_HALF_LIFE_SECONDS = 2.0
--- a/src/hyssopspring/core/shares.py
+++ b/src/hyssopspring/core/shares.py
@@ -8,12 +8,13 @@
 responses are lost.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 import msgspec
 
 from .exceptions import ProtocolError, ensure
 from .hashing import hash_text
+from .records import dataclass
 from .sentinels import NOTHING
 
 TOTAL_UNITS = 10_000
--- a/src/hyssopspring/core/tokenlimits.py
+++ b/src/hyssopspring/core/tokenlimits.py
@@ -14,8 +14,9 @@
 
 import math
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from .records import dataclass
 from .sentinels import NOTHING
 from .shares import TOTAL_UNITS, fair_units
 
--- a/src/hyssopspring/entry/admission.py
+++ b/src/hyssopspring/entry/admission.py
@@ -1,8 +1,7 @@
 """Whether a caller may use a route, and with which permissions."""
 
-from dataclasses import dataclass
-
 from ..core.outcomes import Reason
+from ..core.records import dataclass
 from ..core.sentinels import INVALID, NOTHING
 
 __all__ = ["Denied", "Permissions", "authorize"]
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -1,6 +1,6 @@
 """One attempt of a request at a server, or at a host that relays it."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from twisted.internet import defer, error, protocol
 from twisted.web._newclient import Request as ClientRequest
@@ -11,6 +11,7 @@
 from zope.interface import implementer
 
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from ..traffic.serverhealth import AttemptResult
 
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -2,12 +2,12 @@
 
 import math
 import socket
-from dataclasses import dataclass
 
 from twisted.internet import defer, error, protocol
 from twisted.web._newclient import HTTP11ClientProtocol
 
 from ..core.addresses import split_address
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["Connections", "Connection", "enable_keepalive"]
--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -1,11 +1,12 @@
 """Query the placing host of the region for a server for each request."""
 
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from twisted.internet import defer
 
 from ..core.events import EventKind
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from ..traffic.decisions import (
     Placed,
--- a/src/hyssopspring/entry/holding.py
+++ b/src/hyssopspring/entry/holding.py
@@ -1,7 +1,8 @@
 """Queue of requests that wait until this host can process them."""
 
 from collections import deque
-from dataclasses import dataclass
+
+from ..core.records import dataclass
 
 __all__ = ["QueuedRequest", "HoldingQueue"]
 
--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -1,12 +1,11 @@
 """A local mirror of a store prefix, and the watcher that keeps it current."""
 
-from dataclasses import dataclass
-
 from twisted.internet import defer, task
 from twisted.python.failure import Failure
 
 from ..core.events import EventKind
 from ..core.exceptions import KeyValueError
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .provenance import Channel, Origin
 
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -1,4 +1,4 @@
-"""The entry program: composition root and command of ``hyssop-entry``."""
+"""The entry program: composition root of ``hyssop-entry``."""
 
 import os
 import random
@@ -7,7 +7,6 @@
 import time
 from dataclasses import replace
 
-import click
 from twisted.internet import defer, task
 from twisted.python.failure import Failure
 
@@ -17,7 +16,7 @@
 from ..core.tokenlimits import Allowance, TokenLimits
 from ..platform import headers, layout
 from ..platform.directory import DirectoryHandler
-from ..platform.settings import PATH_VARIABLE, read_settings
+from ..platform.settings import read_settings
 from ..platform.store import PlatformStore
 from ..traffic.crashes import CrashTracker
 from ..traffic.mechanisms import parse_disabled
@@ -57,7 +56,7 @@
 from .views import ConfirmedView, ViewVerifier
 from .web import WebFactory
 
-__all__ = ["EntryProcess", "main"]
+__all__ = ["EntryProcess", "run_command"]
 
 CHECK_INTERVAL_SECONDS = 0.1
 """Interval between checks of the requests in progress; a request is answered
@@ -587,44 +586,16 @@
     reactor.run()
 
 
-@click.command("hyssop-entry")
-@click.option(
-    "--settings",
-    "path",
-    default=lambda: os.environ.get(PATH_VARIABLE, ""),
-    metavar="FILE",
-    help=f"Platform settings file; defaults to ${PATH_VARIABLE}.",
-)
-@click.option(
-    "--metrics",
-    "metrics_port",
-    default=0,
-    help="Port of the metrics page; 0 disables it.",
-)
-@click.option(
-    "--without",
-    default="",
-    metavar="NAME,...",
-    help="Policy mechanisms to disable, to measure their effect.",
-)
-@click.option(
-    "--check", is_flag=True, help="Check the settings file and exit."
-)
-@click.version_option(package_name="hyssopspring")
-def main(path, metrics_port, without, check):
-    """Run an entry process on the users' platform."""
+def run_command(path, metrics_port, without, check):
+    """Run the entry program with the values of its command-line options."""
     try:
         settings = replace(
             read_settings(path), disabled_mechanisms=parse_disabled(without)
         )
     except SettingsError as problem:
-        click.echo(str(problem), err=True)
+        print(problem, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     if check:
-        click.echo(f"{path}: settings are valid")
+        print(f"{path}: settings are valid")
         return
     run(settings, metrics_port)
-
-
-if __name__ == "__main__":
-    main()
--- a/src/hyssopspring/entry/provenance.py
+++ b/src/hyssopspring/entry/provenance.py
@@ -1,8 +1,8 @@
 """The origin of the configuration in force, for log lines."""
 
 import enum
-from dataclasses import dataclass
 
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["Channel", "Origin", "Provenance"]
--- a/src/hyssopspring/entry/requests.py
+++ b/src/hyssopspring/entry/requests.py
@@ -1,7 +1,6 @@
 """Metadata of a caller's request."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from ..traffic.work import Demand
 
--- a/src/hyssopspring/entry/settings.py
+++ b/src/hyssopspring/entry/settings.py
@@ -1,8 +1,9 @@
 """Settings of an entry process, independent of their file format."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.exceptions import SettingsError
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["EntrySettings", "check_settings"]
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -1,7 +1,6 @@
 """State shared by the parts of an entry process."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["EntryState"]
--- a/src/hyssopspring/stores/claimlogs.py
+++ b/src/hyssopspring/stores/claimlogs.py
@@ -1,7 +1,6 @@
 """Claim logs in the key-value service, written with group commit."""
 
 from collections import deque
-from dataclasses import dataclass
 
 from twisted.internet import defer, task
 
@@ -20,6 +19,7 @@
 )
 from ..core.events import EventKind
 from ..core.exceptions import KeyValueError, ProtocolError, ensure
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .keyvalues import Applied, NotApplied
 
--- a/src/hyssopspring/stores/hosts.py
+++ b/src/hyssopspring/stores/hosts.py
@@ -1,10 +1,9 @@
 """Client of the platform's host list and client directory."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from ..core.exceptions import NoAnswerError, PlatformError, ProtocolError
+from ..core.records import dataclass
 from ..core.requests import Target, TargetKind
 from ..core.servers import ServerEntry
 from ..net.clients import fetch_json
--- a/src/hyssopspring/stores/keyvalues.py
+++ b/src/hyssopspring/stores/keyvalues.py
@@ -1,8 +1,7 @@
 """Interface to key-value services and registry of its clients."""
 
-from dataclasses import dataclass
-
 from ..core.exceptions import UnknownPolicyError
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 CLIENTS = {}
--- a/src/hyssopspring/traffic/candidates.py
+++ b/src/hyssopspring/traffic/candidates.py
@@ -1,7 +1,6 @@
 """Candidates for the placement of a request."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["UNBOUNDED", "NO_CANDIDATE", "Candidate"]
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -16,9 +16,10 @@
 
 import enum
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.hashing import hash_text
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["CrashTracker", "ServerCrash", "Suspect", "Verdict", "may_be_cause"]
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -1,7 +1,6 @@
 """Placement queries, and the decisions on them."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from .work import Demand
 
 __all__ = [
--- a/src/hyssopspring/traffic/decoding.py
+++ b/src/hyssopspring/traffic/decoding.py
@@ -1,8 +1,9 @@
 """Times of the engines of a service for an output token, learned."""
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from ..core.records import dataclass
 from .work import RANKS
 
 __all__ = ["DecodeTimes", "DutyCycle", "RankUtilization"]
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -1,8 +1,9 @@
 """The model of an inference engine: its prefill queue and its cache."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .decoding import (
     DUTY_CYCLE_SECONDS,
--- a/src/hyssopspring/traffic/margins.py
+++ b/src/hyssopspring/traffic/margins.py
@@ -1,6 +1,6 @@
 """Safety margins of predictions, learned from their errors."""
 
-from dataclasses import dataclass
+from ..core.records import dataclass
 
 __all__ = ["Margin"]
 
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -1,9 +1,10 @@
 """Which hosts of the system are alive, and which of them place requests."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.hashing import hash_text, short_id
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = [
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -1,7 +1,8 @@
 """Place requests on a server, place them in another region, or refuse them."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .candidates import NO_CANDIDATE, UNBOUNDED, Candidate
 from .coldrates import ColdRates
--- a/src/hyssopspring/traffic/plainwork.py
+++ b/src/hyssopspring/traffic/plainwork.py
@@ -1,7 +1,8 @@
 """The model of a plain server, which answers one call per slot."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .work import RANKS, Estimate, occupancy_cost
 
--- a/src/hyssopspring/traffic/prefill.py
+++ b/src/hyssopspring/traffic/prefill.py
@@ -1,6 +1,8 @@
 """Prefill times of the engines of a service, learned from requests."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from ..core.records import dataclass
 
 __all__ = ["PrefillTimes", "attention_pairs"]
 
--- a/src/hyssopspring/traffic/prefillqueue.py
+++ b/src/hyssopspring/traffic/prefillqueue.py
@@ -1,7 +1,8 @@
 """The queue of prompts to prefill on one engine."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
 
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["PrefillQueue"]
--- a/src/hyssopspring/traffic/regions.py
+++ b/src/hyssopspring/traffic/regions.py
@@ -1,9 +1,10 @@
 """Estimated capacity of the servers of other regions."""
 
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.hashing import short_id
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 from .work import (
     PREFILL_COST_FACTOR,
--- a/src/hyssopspring/traffic/retryafter.py
+++ b/src/hyssopspring/traffic/retryafter.py
@@ -1,7 +1,6 @@
 """Pauses that servers request from a host by Retry-After."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["RetryAfterPause", "RetryAfterPauses"]
--- a/src/hyssopspring/traffic/routes.py
+++ b/src/hyssopspring/traffic/routes.py
@@ -1,9 +1,10 @@
 """Routes, services and the versioned configuration that contains them."""
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.hashing import hash_text
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = [
--- a/src/hyssopspring/traffic/serverhealth.py
+++ b/src/hyssopspring/traffic/serverhealth.py
@@ -1,7 +1,8 @@
 """Health of servers as observed in attempts, beyond their own reports."""
 
 import enum
-from dataclasses import dataclass
+
+from ..core.records import dataclass
 
 __all__ = ["NOT_RUN", "NOT_SENT", "AttemptResult", "ServerHealth"]
 
--- a/src/hyssopspring/traffic/serverlimits.py
+++ b/src/hyssopspring/traffic/serverlimits.py
@@ -9,9 +9,10 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from ..core.hashing import hash_text
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["UNLIMITED", "LimitNotice", "ServerLimits"]
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -1,9 +1,10 @@
 """Backend servers listed in the registry, and which of them may be used."""
 
 import enum
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from ..core.hashing import hash_text
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["LeavingNotice", "Registry", "Server", "ServerEntry", "Usability"]
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -1,6 +1,8 @@
 """Resource demand of requests, and their cost on a server."""
 
-from dataclasses import dataclass, field
+from dataclasses import field
+
+from ..core.records import dataclass
 
 __all__ = [
     "PREFILL_COST_FACTOR",
--- a/src/hyssopspring/traffic/workspaces.py
+++ b/src/hyssopspring/traffic/workspaces.py
@@ -1,7 +1,6 @@
 """Workspaces: their keys, their permissions and their token limits."""
 
-from dataclasses import dataclass
-
+from ..core.records import dataclass
 from ..core.sentinels import NOTHING
 
 __all__ = ["TokenLimit", "Workspace"]
