--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -11,7 +11,13 @@
 
 
 class EventKind(enum.Enum):
-    """Catalogue of events: number, and description for operators."""
+    """Catalogue of events: number, and description for operators.
+
+    Attributes:
+        number: Number of the event in the catalogue.
+        meaning: One-line description for operators.
+        label: Name of the event in log lines and metrics.
+    """
 
     STARTED = (100, "process started")
     STOPPING = (101, "planned shutdown began")
@@ -70,15 +76,10 @@
     CLAIM_UNAVAILABLE = (602, "claims cannot be committed now")
     SHARES_CHANGED = (700, "shares of limits written")
 
-    @property
-    def number(self):
-        """Number of the event in the catalogue."""
-        return self.value[0]
-
-    @property
-    def meaning(self):
-        """One-line description for operators."""
-        return self.value[1]
+    def __init__(self, number, meaning):
+        self.number = number
+        self.meaning = meaning
+        self.label = self._name_.lower()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -162,7 +163,7 @@
             counter=counter,
             host=self.host,
             number=kind.number,
-            name=kind.name.lower(),
+            name=kind.label,
             request=request,
             details={key: str(value) for key, value in details.items()},
         )
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -468,6 +468,8 @@
 
 def split_events(data):
     """Return the complete events at the start of *data*, and the rest."""
+    if data.endswith(EVENT_TERMINATORS):
+        return data, b""
     boundary = 0
     for terminator in EVENT_TERMINATORS:
         found = data.rfind(terminator)
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -81,18 +81,20 @@
         return UNANNOUNCED_IDLE_SECONDS
 
 
+KEEPALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+)
+
+
 def enable_keepalive(transport):
     """Enable TCP keepalive probes and the user timeout of a connection."""
-    handle = transport.getHandle()
-    options = (
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    )
-    for level, option, value in options:
-        handle.setsockopt(level, option, value)
+    set_option = transport.getHandle().setsockopt
+    for level, option, value in KEEPALIVE_OPTIONS:
+        set_option(level, option, value)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/entry/prometheus.py
+++ b/src/hyssopspring/entry/prometheus.py
@@ -29,6 +29,9 @@
 """Upper bounds of the histogram buckets. The latency objectives of the first
 users are 0.5, 0.6, 0.8 and 1.0 s."""
 
+ANSWERED = EventKind.ANSWERED.number
+PLACED = EventKind.PLACED.number
+
 CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -69,7 +72,7 @@
 
     def __init__(self, gauges):
         self.gauges = gauges
-        self.events = {kind.name.lower(): 0 for kind in EventKind}
+        self.events = {kind.label: 0 for kind in EventKind}
         self.first = Histogram()
         self.whole = Histogram()
         self.predicted = Histogram()
@@ -79,10 +82,10 @@
         ensure(event.name in self.events, "event is not in the catalogue")
         self.events[event.name] += 1
         details = event.details
-        if event.number == EventKind.ANSWERED.number:
+        if event.number == ANSWERED:
             self.first.add(float(details.get("first_ms", 0)) / 1000)
             self.whole.add(float(details.get("took_ms", 0)) / 1000)
-        elif event.number == EventKind.PLACED.number:
+        elif event.number == PLACED:
             self.predicted.add(float(details.get("predicted", 0)))
 
     def text(self):
