--- a/src/hyssopspring/entry/prometheus.py
+++ b/src/hyssopspring/entry/prometheus.py
@@ -33,6 +33,9 @@
 """Upper bounds of the buckets of gaps between stream events. The gap
 objectives of the first users are 0.3 and 0.4 s."""
 
+ANSWERED = EventKind.ANSWERED.number
+PLACED = EventKind.PLACED.number
+
 CONTENT_TYPE = b"text/plain; version=0.0.4"
 
 
@@ -78,7 +81,7 @@
 
     def __init__(self, gauges):
         self.gauges = gauges
-        self.events = {kind.name.lower(): 0 for kind in EventKind}
+        self.events = {kind.label: 0 for kind in EventKind}
         self.first = Histogram()
         self.whole = Histogram()
         self.predicted = Histogram()
@@ -89,13 +92,13 @@
         ensure(event.name in self.events, "event is not in the catalogue")
         self.events[event.name] += 1
         details = event.details
-        if event.number == EventKind.ANSWERED.number:
+        if event.number == ANSWERED:
             self.first.add(float(details.get("first_ms", 0)) / 1000)
             self.whole.add(float(details.get("took_ms", 0)) / 1000)
             if details.get("gap_objective_ms"):
                 gap = float(details.get("longest_gap_ms", 0)) / 1000
                 self.longest_gap.add(gap)
-        elif event.number == EventKind.PLACED.number:
+        elif event.number == PLACED:
             self.predicted.add(float(details.get("predicted", 0)))
 
     def text(self):
