--- a/src/hyssopspring/entry/launch.py
+++ b/src/hyssopspring/entry/launch.py
@@ -8,9 +8,34 @@
 """
 
 import gc
+import os
 import signal
+import sys
 
-__all__ = ["main"]
+__all__ = ["environment_options", "main"]
+
+METRICS_VARIABLE = "HYSSOP_METRICS_PORT"
+"""Environment variable with the port of the metrics page."""
+
+
+def environment_options():
+    """Return the options that the environment states, or None.
+
+    Without a command line there is nothing to parse, and `click` is not
+    loaded. An invalid port is left to `click`, which reads the same variables
+    and explains the mistake.
+    """
+    from ..platform.settings import PATH_VARIABLE
+
+    port = os.environ.get(METRICS_VARIABLE, "0")
+    if not (port.isascii() and port.isdigit()):
+        return None
+    return {
+        "path": os.environ.get(PATH_VARIABLE, ""),
+        "metrics_port": int(port),
+        "without": "",
+        "check": False,
+    }
 
 
 def main():
@@ -21,11 +46,20 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
-    from .process import main as run_process
+    from .deferredmodules import deferred_modules
 
+    with deferred_modules():
+        from .process import run_command
+
+    options = None if sys.argv[1:] else environment_options()
     gc.freeze()
     gc.enable()
-    run_process()
+    if options is None:
+        from .command import main as run_command_line
+
+        run_command_line()
+    else:
+        run_command(**options)
 
 
 if __name__ == "__main__":
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -10,6 +10,7 @@
 from .headroom import Headroom
 from .margins import Margin
 from .mechanisms import Mechanism
+from .pauses import GapModel
 from .plainwork import INITIAL_CALL_SECONDS
 from .prefill import PrefillTimes, attention_pairs
 from .regions import RegionLoad, ServerCapacity
@@ -167,6 +168,7 @@
         self.work = {}
         self.prefill_times = {}
         self.decode_times = {}
+        self.gap_models = {}
         self.margins = {}
         self.headrooms = {}
         self.schedules = {}
@@ -322,6 +324,7 @@
             now: The time.
         """
         best = NO_CANDIDATE
+        best_total = UNBOUNDED
         demand = query.demand
         cached_tokens = [
             view.work.cached_prefix_tokens(demand) for view in views
@@ -331,30 +334,53 @@
             views[cached_tokens.index(most_cached)] if most_cached else NOTHING
         )
         copying = most_cached and Mechanism.COPIES not in self.disabled
+        weighs_gaps = self.weighs_gaps(query)
         request = EstimateRequest(
-            demand, urgency, now, most_cached if copying else 0
+            demand,
+            urgency,
+            now,
+            most_cached if copying else 0,
+            query.gap_objective,
+            weighs_gaps,
+            query.time_left - self.margin(query) if weighs_gaps else UNBOUNDED,
         )
         weight = (
             0.0 if Mechanism.ERRORS in self.disabled else ERROR_COST_SECONDS
         )
         pairs = list(zip(views, cached_tokens, strict=True))
         if holder is not NOTHING:
-            pairs.insert(0, (holder, most_cached))
+            pairs.insert(0, pairs.pop(cached_tokens.index(most_cached)))
         for view, tokens in pairs:
             errors = view.health.error_rate * weight
-            limit = best.cost - errors
+            limit = best_total - errors
             estimate = view.work.estimate(request, tokens, limit)
-            if estimate is NOTHING or estimate.cost >= limit:
+            if estimate is NOTHING:
+                continue
+            total = estimate.cost + estimate.gap_cost
+            if total >= limit:
                 continue
+            best_total = total + errors
             best = Candidate(
                 view.server,
                 estimate.predicted,
                 estimate.cost + errors,
                 estimate.copied,
                 holder.server.entry.address if estimate.copied else "",
+                estimate.pause,
             )
         return best
 
+    def weighs_gaps(self, query):
+        """Return whether gaps between stream events count for a request.
+
+        They count once its service has a stream with a gap objective.
+        """
+        if Mechanism.PAUSES in self.disabled:
+            return False
+        return bool(
+            query.gap_objective or self.gap_model_of(query.service).streams
+        )
+
     def eligible_servers(self, query, now, cold_allowed):
         """Return the `ServerView` of each server that may get *query*."""
         if query.regions and self.region not in query.regions:
@@ -591,6 +617,7 @@
             urgency=urgency,
             predicted=candidate.predicted,
             apart=query.apart,
+            gap_objective=query.gap_objective,
             service=entry.service,
             bound=bool(query.regions),
         )
@@ -612,6 +639,7 @@
             cold or bool(evidence),
             source,
             evidence,
+            candidate.pause,
         )
 
     def record_response_start(self, host, number, seconds, now):
@@ -628,14 +656,28 @@
             work.start(placement, seconds, now)
             self.health_of(placement.server_id).record_answer(now)
 
-    def record_attempt_end(self, host, number, server_id, result, now):
+    def record_attempt_end(
+        self, host, number, server_id, result, now, *, gaps=NOTHING
+    ):
         """Record the end of an attempt.
 
+        Args:
+            host: Host that made it.
+            number: The host's number for its request.
+            server_id: Its server.
+            result: Its `AttemptResult`.
+            now: The time.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
+
         Returns:
             Whether its server has become suspect through this attempt.
         """
         placed_here = self.drop(
-            host, number, now, complete=result is AttemptResult.ANSWERED
+            host,
+            number,
+            now,
+            complete=result is AttemptResult.ANSWERED,
+            gaps=gaps,
         )
         if placed_here and result in NOT_SENT:
             self.limits.refund(server_id)
@@ -643,7 +685,7 @@
             return False
         return self.health_of(server_id).record_result(result, now)
 
-    def drop(self, host, number, now, *, complete=False):
+    def drop(self, host, number, now, *, complete=False, gaps=NOTHING):
         """Remove one placement.
 
         Args:
@@ -651,6 +693,7 @@
             number: Its number.
             now: The time.
             complete: Whether its answer is complete.
+            gaps: `StreamGaps` of its stream, or `NOTHING`.
 
         Returns:
             Whether the placement existed.
@@ -666,7 +709,7 @@
             self.record_completed(placement, now)
         work = self.work.get(placement.server_id)
         if work is not None:
-            work.end(placement, now, complete=complete)
+            work.end(placement, now, complete=complete, gaps=gaps)
         return True
 
     def add_placement(self, placement):
@@ -801,10 +844,12 @@
                 server.entry.slots,
                 prefill_times,
                 decode_times,
+                self.gap_model_of(service.name),
                 disabled=self.disabled,
             )
             self.work[server.entry.id] = work
             if previous is not None:
+                previous.retire()
                 for placement in previous.placements.values():
                     work.begin(placement, NOTHING)
         return work
@@ -825,6 +870,10 @@
         """Return the `DecodeTimes` of a service."""
         return self.decode_times.setdefault(service, DecodeTimes())
 
+    def gap_model_of(self, service):
+        """Return the `GapModel` of a service."""
+        return self.gap_models.setdefault(service, GapModel())
+
     def health_of(self, server_id):
         """Return the `ServerHealth` on a server."""
         health = self.health.get(server_id)
--- a/src/hyssopspring/traffic/plainwork.py
+++ b/src/hyssopspring/traffic/plainwork.py
@@ -80,10 +80,13 @@
         placement.started = True
         placement.started_at = now
 
-    def end(self, placement, now, *, complete=False):
+    def end(self, placement, now, *, complete=False, gaps=NOTHING):
         """Remove the placement of a request."""
         self.placements.pop((placement.host, placement.number), None)
 
+    def retire(self):
+        """Do nothing; a plain server shares no counts with others."""
+
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         return (self.predict(NOTHING, 5, now) - self.seconds,) * RANKS
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -12,12 +12,14 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
+from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.entry.coordinator import ANSWER_TIMEOUT_SECONDS
 from hyssopspring.traffic.decisions import (
     Placed,
     PlacedRemotely,
     PlacementQuery,
 )
+from hyssopspring.traffic.pauses import StreamGaps
 from hyssopspring.traffic.placing import Placer
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.serverhealth import AttemptResult
@@ -73,6 +75,8 @@
         workspaces: Number of workspaces that send it.
         worth: Worth of an answer in time.
         late_worth: Worth of one that begins late, or pauses, and is whole.
+        gap_objective: Longest time between two of its events in seconds; 0 if
+            any is in time.
     """
 
     name: str
@@ -93,6 +97,7 @@
     workspaces: int = 0
     worth: float = 1.0
     late_worth: float = 0.0
+    gap_objective: float = 0.0
 
     def draw_out(self, rng):
         """Return the tokens of an answer."""
@@ -155,9 +160,6 @@
             needs for each question. It answers the newest first; who
             waits for longer than `ANSWER_TIMEOUT_SECONDS` decides without it.
         limits: Requests a second that engines name as their limit, by name.
-        step: Seconds of a step of an empty batch.
-        read_rate: Prompt tokens that are read in a second.
-        chunk: Prompt tokens that are read in a step.
         longest_pause: Seconds between two events after which a stream counts
             as late.
         returns: Whether callers that are refused return once, if they are
@@ -165,6 +167,11 @@
         heavy: Factor of the load of the first workspace, as a function of
             time.
         drain_seconds: Seconds after the last arrival in which answers end.
+        event_tokens: Tokens of an event; 0 to record no gaps between events.
+        step: Seconds of an engine's step without a prompt and a batch.
+        read_rate: Prompt tokens that an engine reads in a second.
+        chunk: Most prompt tokens that it reads in a step.
+        gap_reports: Share of the reports of gaps that reach the placer.
     """
 
     engines: dict
@@ -186,6 +193,8 @@
     returns: bool = False
     heavy: object = None
     drain_seconds: float = 4.0
+    event_tokens: int = 0
+    gap_reports: float = 1.0
 
 
 @dataclass(slots=True, eq=False)
@@ -212,6 +221,9 @@
         refusals: How often it was refused.
         returned: Whether its caller has returned.
         avoided: Regions that refused it.
+        last_event_at: Time of its last event at its engine.
+        longest_gap: Longest time between two of its events in seconds.
+        events: Number of its events.
     """
 
     kind: Kind
@@ -233,6 +245,23 @@
     refusals: int = 0
     returned: bool = False
     avoided: tuple = ()
+    last_event_at: float = 0.0
+    longest_gap: float = 0.0
+    events: int = 0
+
+    def record_event(self, at):
+        """Record an event, and the gap since the one before it."""
+        if self.events:
+            gap = at - self.last_event_at
+            self.longest_gap = max(self.longest_gap, gap)
+        self.events += 1
+        self.last_event_at = at
+
+    @property
+    def gap_in_time(self):
+        """Whether no gap between its events exceeded its objective."""
+        objective = self.kind.gap_objective
+        return not objective or self.longest_gap <= objective
 
     @property
     def given_up_at(self):
@@ -245,7 +274,7 @@
 
         Where callers have a deadline, the answer must be whole by then.
         """
-        if not self.first_at or self.stalled:
+        if not self.first_at or self.stalled or not self.gap_in_time:
             return False
         if self.kind.deadline < math.inf and not self.whole_at:
             return False
@@ -316,6 +345,7 @@
         self.running = []
         self.cached = OrderedDict()
         self.due = 0.0
+        self.step_began = 0.0
         self.started = []
         self.ended = []
         self.arrived = []
@@ -329,13 +359,18 @@
     def advance(self, now):
         """Make the steps that are due."""
         while self.due <= now:
-            self.due = max(self.due, now - TICK) + self.step(now)
+            self.step_began = max(self.due, now - TICK)
+            self.due = self.step_began + self.step(now)
 
     def step(self, now):
         """Make one step; return its seconds."""
         seconds = self.shape.step + STEP_PER_REQUEST * len(self.running)
+        size = self.shape.event_tokens
         for load in self.running:
             load.left_out -= 1
+            made = load.demand.tokens_out - load.left_out
+            if size and (made % size == 0 or load.left_out == 0):
+                load.record_event(self.step_began)
         done = [
             one
             for one in self.running
@@ -400,6 +435,8 @@
         """Note the first event, or the end of a pause."""
         if not load.dropped_at:
             self.started.append(load)
+            if self.shape.event_tokens:
+                load.record_event(self.step_began)
         elif now - load.dropped_at > self.shape.longest_pause:
             load.stalled = True
 
@@ -657,6 +694,7 @@
             caller_time_left=(
                 load.given_up_at - now if self.shape.returns else 0.0
             ),
+            gap_objective=load.kind.gap_objective,
         )
         if region != load.region:
             ask = dataclasses.replace(ask, request=0)
@@ -710,11 +748,22 @@
                     else AttemptResult.CANCELLED
                 )
                 self.placers[region].record_attempt_end(
-                    "h", load.number, engine.name, result, now
+                    "h",
+                    load.number,
+                    engine.name,
+                    result,
+                    now,
+                    gaps=self.reported_gaps(load),
                 )
         engine.started.clear()
         engine.ended.clear()
 
+    def reported_gaps(self, load):
+        """Return the `StreamGaps` that reach the placer, or `NOTHING`."""
+        if load.number % 100 >= self.shape.gap_reports * 100:
+            return NOTHING
+        return StreamGaps(load.events, load.longest_gap)
+
     def summarize(self, now):
         """Let each region tell the others its load, which takes a while."""
         self.telling += [
