Tell a wait for a slot from a prefill

With all slots of an engine in use, a prompt that waits for one counted as in prefill. The model counts slots by urgency now and starts the prefill when one is free.

--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -15,6 +15,7 @@
 from .prefill import PrefillTimes, attention_pairs
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
+from .slotuse import SlotUse
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -112,6 +113,9 @@
         decode_slowdown: Observed time of an output token over the expected
             one.
         gaps: `EngineGaps` of its streams.
+        slot_use: `SlotUse` of its requests.
+        waits_for_slot: Whether the prompt in `active_prefill` waits until a
+            request ends.
     """
 
     spec: EngineSpec
@@ -132,6 +136,11 @@
     rank_utilization: RankUtilization = field(default_factory=RankUtilization)
     decode_slowdown: float = 1.0
     gaps: EngineGaps = field(default_factory=EngineGaps)
+    slot_use: SlotUse = field(init=False)
+    waits_for_slot: bool = False
+
+    def __post_init__(self):
+        self.slot_use = SlotUse(self.slots)
 
     @property
     def slots(self):
@@ -206,6 +215,11 @@
 
     def active_prefill_remaining(self, now):
         """Return the remaining seconds of the prompt in prefill."""
+        if self.waits_for_slot:
+            return (
+                self.active_prefill.prefill_seconds
+                * self.current_prefill_slowdown(now)
+            )
         elapsed = now - self.active_prefill_since
         remaining = (
             self.active_prefill.prefill_seconds
@@ -221,20 +235,13 @@
             or Mechanism.HEADROOM in self.disabled
         ):
             return False
-        return self.slots_held(urgency) < self.slots
+        return self.slot_use.held(urgency) < self.slots
 
     def slots_held(self, urgency):
-        """Return the slots that a request of *urgency* finds in use.
-
-        The engine admits more urgent requests first and preempts less urgent
-        ones for them, so only those that are at least as urgent count.
-        """
+        """Return the slots that a request of *urgency* finds in use."""
         if Mechanism.HEADROOM in self.disabled:
             return len(self.placements)
-        return sum(
-            placement.urgency <= urgency
-            for placement in self.placements.values()
-        )
+        return self.slot_use.held(urgency)
 
     def slot_wait(self, tokens, now, urgency=BEHIND_ALL):
         """Return the seconds until a slot and memory are free.
@@ -423,8 +430,12 @@
                 placement,
                 placement.placed_at,
             )
-            self.duty_cycle.set_prefilling(True, placement.placed_at)
-            self.gaps.set_prefilling(True, placement.placed_at)
+            self.update_prefilling(placement.placed_at)
+            placement.found_idle &= not self.waits_for_slot
+        elif self.waits_for_slot and placement.waiting:
+            # A more urgent prompt gets the next slot first.
+            self.start_next_prefill(placement.placed_at)
+        self.slot_use.add(placement)
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
@@ -483,6 +494,7 @@
         active_prefill, since = self.active_prefill, self.active_prefill_since
         self.queue.remove(placement)
         self.gaps.mark_started(placement)
+        self.slot_use.mark_started(placement)
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
@@ -492,6 +504,7 @@
         if (
             placement is not active_prefill
             and placement.placed_at > since + STEP_SECONDS
+            and not self.waits_for_slot
         ):
             self.queue.remove(active_prefill)
             active_prefill.lost = True
@@ -501,7 +514,26 @@
         """Choose the prompt that the engine prefills from now on."""
         self.active_prefill = self.queue.first()
         self.active_prefill_since = now
-        prefilling = self.active_prefill is not NOTHING
+        self.update_prefilling(now)
+
+    def update_prefilling(self, now):
+        """Record whether the engine prefills the next prompt from now on.
+
+        A prompt for which no slot is free waits until a request ends. If that
+        counted as prefill, the engine would seem slow and busy: with all slots
+        in use, a first event was predicted in 2.2 s and came in 0.75 s, and
+        requests were refused while slots became free.
+        """
+        active_prefill = self.active_prefill
+        waited = self.waits_for_slot
+        self.waits_for_slot = (
+            active_prefill is not NOTHING
+            and Mechanism.SLOTS not in self.disabled
+            and self.slot_use.is_full(active_prefill.urgency)
+        )
+        if waited and not self.waits_for_slot:
+            self.active_prefill_since = now
+        prefilling = active_prefill is not NOTHING and not self.waits_for_slot
         self.duty_cycle.set_prefilling(prefilling, now)
         self.gaps.set_prefilling(prefilling, now)
 
@@ -531,9 +563,12 @@
             self.held_tokens -= removed.tokens
             self.queue.remove(removed)
             self.gaps.remove(removed)
+            self.slot_use.remove(removed)
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
+        elif self.waits_for_slot:
+            self.update_prefilling(now)
         if not complete or not placement.started or not placement.tokens_out:
             return
         self.learn_token(placement, now)
--- a/src/hyssopspring/traffic/mechanisms.py
+++ b/src/hyssopspring/traffic/mechanisms.py
@@ -21,6 +21,7 @@
     MARGIN = "what is predicted just in time is taken to be in time"
     ERRORS = "how often a server fails does not count"
     PAUSES = "gaps between the events of streams do not count"
+    SLOTS = "a prompt that waits for a slot is taken to be in prefill"
     HEADROOM = "all wait alike for slots, and none leaves room for bound ones"
     SCHEDULE = "who is refused is told a time that nothing is kept free for"
 
--- a/tests/test_enginework.py
+++ b/tests/test_enginework.py
@@ -11,6 +11,7 @@
     RankUtilization,
 )
 from hyssopspring.traffic.enginework import EngineWork
+from hyssopspring.traffic.mechanisms import Mechanism
 from hyssopspring.traffic.prefill import PrefillTimes, attention_pairs
 from hyssopspring.traffic.routes import EngineSpec
 from hyssopspring.traffic.work import Demand, Placement, answer_cost
@@ -213,3 +214,43 @@
     duty.advance(30.0)
     assert duty.recent < 0.01
     assert_that(duty.total, Equals(10.0))
+
+
+@pytest.mark.parametrize(
+    ("disabled", "holds"), [((), True), ((Mechanism.SLOTS,), False)]
+)
+def test_a_wait_for_a_slot_is_no_prefill(disabled, holds):
+    """Guard against refusals on an engine whose slots become free.
+
+    Both slots are in use for a second. The third request waited that long,
+    and the engine counted as busy with its prefill, slow and without time for
+    output tokens, so that all further requests were predicted far too late.
+    """
+    spec = EngineSpec(slots=2, memory_tokens=408_193)
+    engine = EngineWork(
+        spec, PrefillTimes(), DecodeTimes(), disabled=frozenset(disabled)
+    )
+
+    def place(number, now):
+        placement = Placement(
+            host="h1",
+            number=number,
+            server_id="e1",
+            placed_at=now,
+            uncached_tokens=4_000,
+            tokens=4_300,
+            tokens_out=300,
+            urgency=6,
+        )
+        engine.begin(placement, NOTHING)
+        return placement
+
+    running = [place(number, 0.0) for number in (1, 2)]
+    for placement in running:
+        engine.start(placement, 0.1, 0.1)
+    waiting = place(3, 0.2)
+    prefill = waiting.prefill_seconds
+    assert_that(engine.prefill_wait(6, 1.0) < 2 * prefill, Is(holds))
+    engine.end(running[0], 1.1, complete=True)
+    engine.start(waiting, 0.9 + prefill, 1.1 + prefill)
+    assert_that(engine.prefill_slowdown < 1.1, Is(holds))
