--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -567,6 +567,8 @@
         is_fallback,
         recent_fallback,
         ask.gap_objective,
+        ask.request,
+        round(ask.caller_time_left, 3),
     )
 
 
@@ -594,6 +596,8 @@
         workspace=message.workspace,
         cost=message.cost,
         gap_objective=message.gap_objective,
+        request=message.request,
+        caller_time_left=message.caller_time_left,
     )
 
 
@@ -638,6 +642,7 @@
             decision.predicted,
             decision.servers,
             decision.evidence,
+            decision.promised,
         )
     if isinstance(decision, PlacedRemotely):
         return PlacementGrantMessage(
@@ -673,6 +678,7 @@
             message.predicted,
             message.servers,
             message.evidence,
+            message.promised,
         )
     if message.region:
         return PlacedRemotely(message.region, message.predicted)
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -245,6 +245,7 @@
             servers_open=refused.servers,
             excluded=len(self.excluded),
             apart=self.crash_check.apart(),
+            promised=refused.promised,
             **notice_details(refused),
             **self.state.provenance.details(),
         )
@@ -286,8 +287,16 @@
             workspace=self.permissions.workspace,
             cost=self.permissions.cost,
             gap_objective=self.route.gap_objective,
+            request=self.crash_check.caller_id(),
+            caller_time_left=self.caller_time_left(waited),
         )
 
+    def caller_time_left(self, waited):
+        """Return the seconds to the caller's deadline, or 0 without one."""
+        if self.metadata.deadline is NOTHING:
+            return 0.0
+        return max(0.0, self.metadata.deadline - waited)
+
     def patience(self, waited):
         """Return the seconds within which the next event is still of use.
 
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -73,6 +73,9 @@
         recent_fallback: Whether the sender has used a fallback recently.
         gap_objective: Longest time between two events in seconds; 0 if none
             is stated.
+        request: Identifier by which a return of its caller is recognised, or
+            0.
+        caller_time_left: Seconds until the caller's deadline, or 0.
     """
 
     host: str
@@ -96,6 +99,8 @@
     is_fallback: bool = False
     recent_fallback: bool = False
     gap_objective: float = 0.0
+    request: int = 0
+    caller_time_left: float = 0.0
 
 
 class PlacementGrantMessage(
@@ -141,6 +146,7 @@
         servers: Number of servers of the region that accept requests.
         evidence: Source of the limit that holds the request back, for a log
             line.
+        promised: Whether the caller is served if it returns at that time.
     """
 
     number: int
@@ -148,6 +154,7 @@
     predicted: float
     servers: int
     evidence: str = ""
+    promised: bool = False
 
 
 class WorkspaceLimitMessage(
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -15,6 +15,7 @@
 from .prefill import PrefillTimes, attention_pairs
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
+from .slotuse import SlotUse
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -60,6 +61,14 @@
 DECODE_SLOWDOWN_RANGE = (0.5, 8.0)
 """Bounds of `decode_slowdown`, the same as for `prefill_slowdown`."""
 
+BEHIND_ALL = 99
+"""Urgency of a request that waits behind all others."""
+
+PREEMPTION_COST_SECONDS = 0.5
+"""Seconds that a preemption adds to the cost of a server. The stream that
+loses its slot stalls, prefills its prompt again and is late, so a free slot in
+another region is better, and a refusal is worse."""
+
 MIN_COPIED_TOKENS = 1024
 """Minimum number of tokens that are copied from another server: one chunk,
 which is prefilled in 30 ms."""
@@ -104,6 +113,9 @@
         decode_slowdown: Observed time of an output token over the expected
             one.
         gaps: `EngineGaps` of its streams.
+        slot_use: `SlotUse` of its requests.
+        waits_for_slot: Whether the prompt in `active_prefill` waits until a
+            request ends.
     """
 
     spec: EngineSpec
@@ -124,6 +136,11 @@
     rank_utilization: RankUtilization = field(default_factory=RankUtilization)
     decode_slowdown: float = 1.0
     gaps: EngineGaps = field(default_factory=EngineGaps)
+    slot_use: SlotUse = field(init=False)
+    waits_for_slot: bool = False
+
+    def __post_init__(self):
+        self.slot_use = SlotUse(self.slots)
 
     @property
     def slots(self):
@@ -198,6 +215,11 @@
 
     def active_prefill_remaining(self, now):
         """Return the remaining seconds of the prompt in prefill."""
+        if self.waits_for_slot:
+            return (
+                self.active_prefill.prefill_seconds
+                * self.current_prefill_slowdown(now)
+            )
         elapsed = now - self.active_prefill_since
         remaining = (
             self.active_prefill.prefill_seconds
@@ -206,15 +228,37 @@
         )
         return max(remaining, -remaining * OVERDUE_FRACTION)
 
-    def slot_wait(self, tokens, now):
+    def preempts(self, urgency):
+        """Return whether a request takes the slot of a less urgent one."""
+        if (
+            len(self.placements) < self.slots
+            or Mechanism.HEADROOM in self.disabled
+        ):
+            return False
+        return self.slot_use.held(urgency) < self.slots
+
+    def slots_held(self, urgency):
+        """Return the slots that a request of *urgency* finds in use."""
+        if Mechanism.HEADROOM in self.disabled:
+            return len(self.placements)
+        return self.slot_use.held(urgency)
+
+    def slot_wait(self, tokens, now, urgency=BEHIND_ALL):
         """Return the seconds until a slot and memory are free.
 
         An engine that runs out of memory preempts its newest requests in the
         middle of their streams and prefills them again, and callers see their
         streams stall. So a request waits until as many others have ended as
         its slot and its memory need.
+
+        Args:
+            tokens: Tokens of memory that it needs.
+            now: The time.
+            urgency: Its rank among waiting requests.
         """
         slots = len(self.placements) + 1 - self.slots
+        if slots > 0:
+            slots = self.slots_held(urgency) + 1 - self.slots
         memory = (
             self.held_tokens + tokens - self.memory * USABLE_MEMORY_FRACTION
         )
@@ -225,6 +269,9 @@
         ends = [
             (remaining_seconds(placement, token, now), placement.tokens)
             for placement in self.placements.values()
+            if placement.urgency <= urgency
+            or memory > 0
+            or Mechanism.HEADROOM in self.disabled
         ]
         if slots <= 1 and memory <= 0:
             return min(ends)[0]
@@ -262,7 +309,9 @@
     def wait(self, demand, urgency, now):
         """Return the seconds until the engine starts a request."""
         tokens = demand.tokens_in + demand.tokens_out
-        return self.prefill_wait(urgency, now) + self.slot_wait(tokens, now)
+        return self.prefill_wait(urgency, now) + self.slot_wait(
+            tokens, now, urgency
+        )
 
     def own_prefill(self, demand, now, copied):
         """Return the seconds of prefill that a request would add."""
@@ -282,7 +331,8 @@
         own = self.own_prefill(demand, now, copied)
         wait = self.wait(demand, urgency, now)
         predicted = wait + self.copy_time(copied) + own
-        return self.cost_of(demand, now, own, predicted)
+        preemption = PREEMPTION_COST_SECONDS * self.preempts(urgency)
+        return self.cost_of(demand, now, own, predicted) + preemption
 
     def cost_of(self, demand, now, own, predicted):
         """Return the cost of a request whose prediction is given.
@@ -333,9 +383,11 @@
         if least + prefill_wait > limit:
             return NOTHING
         tokens = demand.tokens_in + demand.tokens_out
-        wait = prefill_wait + self.slot_wait(tokens, now)
+        wait = prefill_wait + self.slot_wait(tokens, now, request.urgency)
         predicted = wait + self.copy_time(copied) + own
         cost = self.cost_of(demand, now, own, predicted)
+        if self.preempts(request.urgency):
+            cost += PREEMPTION_COST_SECONDS
         if not request.weighs_gaps or cost >= limit:
             return Estimate(predicted, cost, copied)
         gap_cost, pause = self.gaps.cost(
@@ -378,8 +430,12 @@
                 placement,
                 placement.placed_at,
             )
-            self.duty_cycle.set_prefilling(True, placement.placed_at)
-            self.gaps.set_prefilling(True, placement.placed_at)
+            self.update_prefilling(placement.placed_at)
+            placement.found_idle &= not self.waits_for_slot
+        elif self.waits_for_slot and placement.waiting:
+            # A more urgent prompt gets the next slot first.
+            self.start_next_prefill(placement.placed_at)
+        self.slot_use.add(placement)
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
@@ -438,6 +494,7 @@
         active_prefill, since = self.active_prefill, self.active_prefill_since
         self.queue.remove(placement)
         self.gaps.mark_started(placement)
+        self.slot_use.mark_started(placement)
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
@@ -447,6 +504,7 @@
         if (
             placement is not active_prefill
             and placement.placed_at > since + STEP_SECONDS
+            and not self.waits_for_slot
         ):
             self.queue.remove(active_prefill)
             active_prefill.lost = True
@@ -456,7 +514,26 @@
         """Choose the prompt that the engine prefills from now on."""
         self.active_prefill = self.queue.first()
         self.active_prefill_since = now
-        prefilling = self.active_prefill is not NOTHING
+        self.update_prefilling(now)
+
+    def update_prefilling(self, now):
+        """Record whether the engine prefills the next prompt from now on.
+
+        A prompt for which no slot is free waits until a request ends. If that
+        counted as prefill, the engine would seem slow and busy: with all slots
+        in use, a first event was predicted in 2.2 s and came in 0.75 s, and
+        requests were refused while slots became free.
+        """
+        active_prefill = self.active_prefill
+        waited = self.waits_for_slot
+        self.waits_for_slot = (
+            active_prefill is not NOTHING
+            and Mechanism.SLOTS not in self.disabled
+            and self.slot_use.is_full(active_prefill.urgency)
+        )
+        if waited and not self.waits_for_slot:
+            self.active_prefill_since = now
+        prefilling = active_prefill is not NOTHING and not self.waits_for_slot
         self.duty_cycle.set_prefilling(prefilling, now)
         self.gaps.set_prefilling(prefilling, now)
 
@@ -486,9 +563,12 @@
             self.held_tokens -= removed.tokens
             self.queue.remove(removed)
             self.gaps.remove(removed)
+            self.slot_use.remove(removed)
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
+        elif self.waits_for_slot:
+            self.update_prefilling(now)
         if not complete or not placement.started or not placement.tokens_out:
             return
         self.learn_token(placement, now)
@@ -523,10 +603,10 @@
 
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
-        slot = self.slot_wait(1000, now)
         return tuple(
-            self.prefill_wait(2 + 2 * rank, now) + slot
-            for rank in range(RANKS)
+            self.prefill_wait(urgency, now)
+            + self.slot_wait(1000, now, urgency)
+            for urgency in range(2, 2 + 2 * RANKS, 2)
         )
 
     def occupancy(self):
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -175,6 +175,8 @@
             requests, or an empty string.
         gap_objective: Longest gap between two of its events in seconds; 0 if
             none is stated.
+        service: Service of its server.
+        bound: Whether it may not be served in every region.
     """
 
     host: str
@@ -194,6 +196,8 @@
     prefill_seconds_at_start: float = 0.0
     apart: str = ""
     gap_objective: float = 0.0
+    service: str = ""
+    bound: bool = False
 
     @property
     def waiting(self):
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -6,6 +6,7 @@
 289,720 tokens.
 """
 
+import dataclasses
 import math
 import random
 from collections import OrderedDict, deque
@@ -42,6 +43,10 @@
 LONGEST_WAIT = 10.0
 """Seconds in which an answer must be whole whose caller has no deadline."""
 
+RETURN_FRACTION = 1 / 3
+"""Largest part of the time to their deadline for which callers wait before
+they return."""
+
 LONGEST_PAUSE = 0.3
 """Seconds between two events after which a stream counts as late."""
 
@@ -66,6 +71,10 @@
         spread_out: Standard deviation of the logarithm of its answer's
             tokens.
         longest_out: Most tokens of its answer.
+        bursts: Factor of its rate, as a function of time.
+        workspaces: Number of workspaces that send it.
+        worth: Worth of an answer in time.
+        late_worth: Worth of one that begins late, or pauses, and is whole.
         gap_objective: Longest time between two of its events in seconds; 0 if
             any is in time.
     """
@@ -84,6 +93,10 @@
     deadline: float = math.inf
     spread_out: float = 0.0
     longest_out: int = 10**6
+    bursts: object = None
+    workspaces: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.0
     gap_objective: float = 0.0
 
     def draw_out(self, rng):
@@ -147,6 +160,13 @@
             needs for each question. It answers the newest first; who
             waits for longer than `ANSWER_TIMEOUT_SECONDS` decides without it.
         limits: Requests a second that engines name as their limit, by name.
+        longest_pause: Seconds between two events after which a stream counts
+            as late.
+        returns: Whether callers that are refused return once, if they are
+            told a time within a third of what is left to their deadline.
+        heavy: Factor of the load of the first workspace, as a function of
+            time.
+        drain_seconds: Seconds after the last arrival in which answers end.
         event_tokens: Tokens of an event; 0 to record no gaps between events.
         step: Seconds of an engine's step without a prompt and a batch.
         read_rate: Prompt tokens that an engine reads in a second.
@@ -166,10 +186,14 @@
     pair_seconds: float = 0.0
     choice_seconds: float = 0.0
     limits: dict = field(default_factory=dict)
-    event_tokens: int = 0
     step: float = STEP
     read_rate: float = READ_RATE
     chunk: int = CHUNK
+    longest_pause: float = LONGEST_PAUSE
+    returns: bool = False
+    heavy: object = None
+    drain_seconds: float = 4.0
+    event_tokens: int = 0
     gap_reports: float = 1.0
 
 
@@ -192,6 +216,11 @@
         dropped_at: Time since when its stream stands still, or 0.
         stalled: Whether its stream has stood still for too long.
         whole_at: Time at which its caller has all of its answer, or 0.
+        workspace: Name of its workspace, or an empty string.
+        asked_at: Time at which its caller sent it last.
+        refusals: How often it was refused.
+        returned: Whether its caller has returned.
+        avoided: Regions that refused it.
         last_event_at: Time of its last event at its engine.
         longest_gap: Longest time between two of its events in seconds.
         events: Number of its events.
@@ -211,6 +240,11 @@
     dropped_at: float = 0.0
     stalled: bool = False
     whole_at: float = 0.0
+    workspace: str = ""
+    asked_at: float = 0.0
+    refusals: int = 0
+    returned: bool = False
+    avoided: tuple = ()
     last_event_at: float = 0.0
     longest_gap: float = 0.0
     events: int = 0
@@ -244,7 +278,14 @@
             return False
         if self.kind.deadline < math.inf and not self.whole_at:
             return False
-        return self.first_at - self.at <= self.kind.objective
+        return self.first_at - self.asked_at <= self.kind.objective
+
+    @property
+    def worth(self):
+        """What its answer is worth to its caller."""
+        if self.in_time:
+            return self.kind.worth
+        return self.kind.late_worth if self.whole_at else 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -277,6 +318,20 @@
         count = sum(one.refused for one in self.loads)
         return count / max(1, len(self.loads))
 
+    def worth(self):
+        """Return the worth of all answers, as a share of the possible."""
+        most = sum(one.kind.worth for one in self.loads)
+        return sum(one.worth for one in self.loads) / max(1.0, most)
+
+    def refused_twice(self):
+        """Return how many callers returned and were refused again."""
+        return sum(one.refusals > 1 for one in self.loads)
+
+    def served(self, chosen=lambda load: True):
+        """Return the share of the chosen requests that got all of it."""
+        loads = [one for one in self.loads if chosen(one)]
+        return sum(one.whole_at > 0 for one in loads) / max(1, len(loads))
+
 
 class Engine:
     """One engine: reads prompts in chunks between steps of its batch."""
@@ -331,7 +386,7 @@
         self.waiting = [
             one
             for one in self.waiting
-            if one.dropped_at or now - one.at <= one.kind.patience
+            if one.dropped_at or now - one.asked_at <= one.kind.patience
         ]
         load = self.next_prompt(now)
         if load is None:
@@ -382,7 +437,7 @@
             self.started.append(load)
             if self.shape.event_tokens:
                 load.record_event(self.step_began)
-        elif now - load.dropped_at > LONGEST_PAUSE:
+        elif now - load.dropped_at > self.shape.longest_pause:
             load.stalled = True
 
     def drop_one(self, load, now):
@@ -474,7 +529,7 @@
                 self.registry,
                 lambda name: service,
                 lambda one: 6.0,
-                rng,
+                random.Random(1) if shape.returns else rng,
                 lambda now: set(shape.engines),
                 disabled=shape.off,
             )
@@ -487,6 +542,7 @@
         self.telling = []
         self.summary_due = 0.0
         self.at_engine = {}
+        self.returning = []
 
     def name_limits(self):
         """Let the placer of its region hear each limit."""
@@ -500,12 +556,13 @@
     def run(self):
         """Play to the end."""
         now = 0.0
-        while now < self.shape.seconds + 4.0:
+        while now < self.shape.seconds + self.shape.drain_seconds:
             now += TICK
             if now >= self.summary_due:
                 self.summary_due = now + SUMMARY_EVERY
                 self.summarize(now)
             self.hear(now)
+            self.come_back(now)
             if now < self.shape.seconds:
                 self.arrive(now)
             self.answer(now)
@@ -520,7 +577,13 @@
         weights = self.shape.weights(now)
         total = sum(weights.values())
         for kind in self.shape.kinds:
-            if self.rng.random() < kind.rate * TICK * total:
+            burst = kind.bursts(now) if kind.bursts else 1.0
+            expected = kind.rate * TICK * total * burst
+            if kind.workspaces and self.shape.heavy:
+                factor = self.shape.heavy(now) - 1.0
+                expected *= 1.0 + factor / kind.workspaces
+            count = int(expected) + (self.rng.random() < expected % 1.0)
+            for _ in range(count):
                 region = self.rng.choices(
                     list(weights), list(weights.values())
                 )[0]
@@ -547,10 +610,48 @@
             number=number,
             left_in=-1,
             left_out=tokens_out,
+            workspace=self.draw_workspace(kind, now),
+            asked_at=now,
         )
         self.outcome.loads.append(load)
         return load
 
+    def draw_workspace(self, kind, now):
+        """Return the workspace of a new request, or an empty string."""
+        if not kind.workspaces:
+            return ""
+        heavy = self.shape.heavy(now) if self.shape.heavy else 1.0
+        point = self.rng.random() * (kind.workspaces - 1 + heavy)
+        return f"w{max(0, int(point - heavy) + 1) if point > heavy else 0}"
+
+    def refuse(self, load, refused, region, now):
+        """Note a refusal; its caller may return to its own region.
+
+        What another region refuses is placed at home once more first.
+        """
+        if self.shape.returns and region != load.region:
+            load.delay, load.avoided = 0.0, (region,)
+            self.moving.append((now + ONE_WAY, load, load.region))
+            return
+        load.refused = True
+        load.refusals += 1
+        left = load.given_up_at - now
+        if (
+            self.shape.returns
+            and not load.returned
+            and refused.retry_after <= left * RETURN_FRACTION
+        ):
+            self.returning.append((now + refused.retry_after, load))
+
+    def come_back(self, now):
+        """Let the callers return whose time has come."""
+        due = [load for at, load in self.returning if at <= now]
+        self.returning = [row for row in self.returning if row[0] > now]
+        for load in due:
+            load.returned, load.refused = True, False
+            load.asked_at, load.delay, load.avoided = now, 0.0, ()
+            self.ask(load, load.region, now)
+
     def ask(self, load, region, now, *, may_leave=True):
         """Ask the host that places for *region*, or do without it."""
         if not self.shape.choice_seconds:
@@ -576,7 +677,7 @@
         if self.shape.policy == "nearest":
             self.send_nearest(load, region)
             return
-        waited = now - load.at
+        waited = now - load.asked_at
         ask = PlacementQuery(
             host="h",
             number=load.number,
@@ -587,8 +688,16 @@
             priority=load.kind.priority,
             regions=load.kind.regions,
             may_leave=may_leave,
+            workspace=load.workspace,
+            request=load.number + 1 if self.shape.returns else 0,
+            avoided=load.avoided,
+            caller_time_left=(
+                load.given_up_at - now if self.shape.returns else 0.0
+            ),
             gap_objective=load.kind.gap_objective,
         )
+        if region != load.region:
+            ask = dataclasses.replace(ask, request=0)
         decision = self.placers[region].place(ask, now)
         if isinstance(decision, Placed):
             load.urgency = decision.urgency
@@ -601,7 +710,7 @@
             load.delay = ONE_WAY
             self.moving.append((now + ONE_WAY, load, decision.region))
         else:
-            load.refused = True
+            self.refuse(load, decision, region, now)
 
     def send_nearest(self, load, region):
         """Send a request to the least loaded engine of its region."""
