Place requests by the steady speed and the reported load of servers

The model took servers that are slow for good and servers that are slow for a moment for the same thing, so slow servers got streams that they could not complete in time. Each server instance now has steady factors for prefill, decoding and calls, and a live slowdown from X-Server-Load. The placing host hands the factors to its successor in heartbeats.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -78,6 +78,8 @@
         leaving: Whether the server announces that it is leaving, or `INVALID`.
         rejected: Whether the server has rejected the request. A Retry-After
             value then asks this host to pause its requests to the server.
+        load: `ReportedLoad` of the server, `INVALID` if the value cannot be
+            used, or `NOTHING`.
     """
 
     not_run: bool = False
@@ -90,6 +92,7 @@
     limit: object = NOTHING
     leaving: object = False
     rejected: bool = False
+    load: object = NOTHING
 
     @property
     def is_from_server(self):
--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -14,6 +14,7 @@
     RateLimited,
     Refused,
 )
+from ..traffic.reportedload import ReportedLoad
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.servers import Usability
 from ..traffic.work import Demand
@@ -21,6 +22,7 @@
 from .messages import (
     AttemptEndedMessage,
     AttemptStartedMessage,
+    LoadRow,
     PlacementGrantMessage,
     PlacementQueryMessage,
     PlacementRefusalMessage,
@@ -54,6 +56,9 @@
 that was suspended in the meantime would otherwise send a request that the
 placing host no longer counts."""
 
+MAX_SENT_SLOWDOWN = 100.0
+"""Maximum slowdown in a message; the placing host caps it further."""
+
 
 @dataclass(slots=True, eq=False)
 class PendingQuery:
@@ -83,12 +88,16 @@
         demand: The `Demand` of the request.
         placer: Name of the host that placed the request.
         started: Whether the first event of the response has arrived.
+        placed_at: Time of the decision.
+        load: `LoadRow` that the placing host has not received yet, or None.
     """
 
     placed: Placed
     demand: Demand
     placer: str
     started: bool = False
+    placed_at: float = 0.0
+    load: object = None
 
 
 class PlacementCoordinator:
@@ -278,7 +287,10 @@
         """
         if isinstance(decision, Placed):
             self.placements[number] = OpenPlacement(
-                decision, ask.demand, placer
+                decision,
+                ask.demand,
+                placer,
+                placed_at=self.clock.seconds(),
             )
             self.retry_after_pauses.record_sent(
                 decision.server_id, self.clock.seconds()
@@ -425,6 +437,25 @@
             answer_message(ask.number, decision), member.control
         )
 
+    def record_load(self, server_id, number, load):
+        """Record the load in the head of a response.
+
+        It is sent to the placing host with the next message on the request.
+        """
+        now = self.clock.seconds()
+        placement = self.placements.get(number)
+        if placement is None or placement.placed.server_id != server_id:
+            self.placer.record_load(server_id, load, now, now)
+            return
+        seconds = now - placement.placed_at
+        if placement.placer == self.host:
+            self.placer.record_placement_load(
+                self.host, number, load, seconds, now
+            )
+            return
+        self.placer.record_load(server_id, load, now, now)
+        placement.load = load_row(load, seconds)
+
     def record_response_start(self, number, seconds):
         """Record and report that a request has received its first event."""
         placement = self.placements.get(number)
@@ -434,9 +465,11 @@
         self.placer.record_response_start(
             self.host, number, seconds, self.clock.seconds()
         )
-        self.send_to_placer(
-            placement.placer, AttemptStartedMessage(self.host, number, seconds)
+        message = AttemptStartedMessage(
+            self.host, number, seconds, placement.load
         )
+        placement.load = None
+        self.send_to_placer(placement.placer, message)
 
     def record_attempt_end(self, number, result):
         """Record and report the end of an attempt or an unused placement."""
@@ -448,7 +481,7 @@
         server_id = placement.placed.server_id
         self.handle_end(self.host, number, server_id, result)
         message = AttemptEndedMessage(
-            self.host, number, server_id, int(result)
+            self.host, number, server_id, int(result), placement.load
         )
         self.send_to_placer(placement.placer, message)
 
@@ -515,6 +548,31 @@
         ]
 
 
+def load_row(load, seconds):
+    """Return the `LoadRow` of a `ReportedLoad`.
+
+    Args:
+        load: The `ReportedLoad`.
+        seconds: Seconds from the placement to the head of the response.
+    """
+    slowdown = -1
+    if load.slowdown is not NOTHING:
+        slowdown = round(min(load.slowdown, MAX_SENT_SLOWDOWN) * 100)
+    return LoadRow(
+        load.running,
+        load.waiting,
+        load.slots,
+        slowdown,
+        round(seconds * 1000),
+    )
+
+
+def load_from_row(row):
+    """Return the `ReportedLoad` of a `LoadRow`."""
+    slowdown = row.slowdown / 100 if row.slowdown > 0 else NOTHING
+    return ReportedLoad(row.running, row.waiting, row.slots, slowdown)
+
+
 def query_message(ask, *, is_fallback=False, recent_fallback=False):
     """Return the message that carries a `PlacementQuery`.
 
@@ -607,6 +665,9 @@
         "",
         decision.copy_from,
         decision.evidence,
+        round(decision.speed, 2),
+        round(decision.slowdown, 2),
+        round(decision.slowdown_age, 2),
     )
 
 
@@ -637,4 +698,7 @@
         message.at_once,
         message.copy_from,
         message.evidence,
+        message.speed,
+        message.slowdown,
+        message.slowdown_age,
     )
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -342,7 +342,9 @@
             self.state.clock,
             on_stream=self.open_stream,
             on_first_data=lambda: self.record_start(number, began),
-            on_head=self.state.notices.head_handler(placed.server_id, self.id),
+            on_head=self.state.notices.head_handler(
+                placed.server_id, self.id, number
+            ),
         )
         outcome = await self.run_attempt(placed.predicted)
         self.state.coordinator.record_attempt_end(number, self.attempt.result)
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -5,7 +5,9 @@
 from ..traffic.members import Subscription
 from ..traffic.regions import RegionLoad, ServerCapacity
 from ..traffic.serverhealth import AttemptResult
+from ..traffic.speedhandover import SpeedHandover
 from ..traffic.work import RANKS, Placement
+from .coordinator import load_from_row
 from .hostentries import member_from_entry
 from .messages import (
     AttemptEndedMessage,
@@ -116,6 +118,7 @@
         self.on_peer_ahead = on_peer_ahead
         self.sharing = sharing
         self.notices = notices
+        self.speed_handover = SpeedHandover(placer.speeds, placer.registry)
         self.heartbeats_sent = 0
         self.remote_contacts = []
         self.previously_live = set()
@@ -189,8 +192,15 @@
         The first of them sends rosters of all other hosts in return.
         """
         placements = self.coordinator.placement_rows()
+        now = self.clock.seconds()
+        speeds = []
+        if contacts and self.is_placing(now):
+            speeds = self.speed_handover.rows(contacts[0].name, now)
         reports = (
-            (contacts[:1], self.heartbeat(Subscription.ROSTERS, placements)),
+            (
+                contacts[:1],
+                self.heartbeat(Subscription.ROSTERS, placements, speeds),
+            ),
             (
                 contacts[1:PLACEMENT_REPORT_HOSTS],
                 self.heartbeat(Subscription.HEARTBEATS, placements),
@@ -281,12 +291,13 @@
         if is_remote and self.is_placing(self.clock.seconds()):
             self.datagrams.send(self.load_report(), member.control)
 
-    def heartbeat(self, report=Subscription.NONE, placements=None):
+    def heartbeat(self, report=Subscription.NONE, placements=None, speeds=()):
         """Return a heartbeat with the current state.
 
         Args:
             report: The `Subscription`.
             placements: `PlacementRow` of each request in progress, or None.
+            speeds: Rows of `SpeedHandover`.
         """
         own = self.members.own
         return Heartbeat(
@@ -307,6 +318,7 @@
             placements,
             self.sharing.crashes.digest,
             self.notices.digest,
+            list(speeds),
         )
 
     def update_live_hosts(self, now):
@@ -379,6 +391,8 @@
             self.on_peer_ahead(member)
         self.sharing.compare(member, message.crashes)
         self.notices.compare(member, message.notices)
+        if member.region == own.region:
+            self.speed_handover.merge(message.speeds, now)
         if message.placements is not None:
             self.handle_placements(message, now)
 
@@ -438,6 +452,7 @@
 
     def handle_attempt_started(self, message):
         """Record the first event of another host's request."""
+        self.handle_reported_load(message)
         self.placer.record_response_start(
             message.host,
             message.number,
@@ -447,6 +462,7 @@
 
     def handle_attempt_ended(self, message):
         """Record the end of another host's attempt."""
+        self.handle_reported_load(message)
         self.coordinator.handle_end(
             message.host,
             message.number,
@@ -454,6 +470,18 @@
             AttemptResult(message.result),
         )
 
+    def handle_reported_load(self, message):
+        """Record the load of a server that a report of an attempt carries."""
+        row = message.load
+        if row is not None:
+            self.placer.record_placement_load(
+                message.host,
+                message.number,
+                load_from_row(row),
+                row.head_ms / 1000,
+                self.clock.seconds(),
+            )
+
     def handle_load_report(self, message):
         """Record another region's load."""
         now = self.clock.seconds()
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -19,6 +19,7 @@
     "HostEntriesRequest",
     "LeavingRow",
     "LimitRow",
+    "LoadRow",
     "PlacementGrantMessage",
     "PlacementQueryMessage",
     "PlacementRefusalMessage",
@@ -111,6 +112,9 @@
         copy_from: Address of a server that has cached more of the prompt,
             or an empty string.
         evidence: Source of the limit that a server gave, for a log line.
+        speed: Steady factor of the times of the server, for a log line.
+        slowdown: Its current slowdown, for a log line.
+        slowdown_age: Seconds since it reported its load.
     """
 
     number: int
@@ -122,6 +126,9 @@
     region: str
     copy_from: str
     evidence: str = ""
+    speed: float = 1.0
+    slowdown: float = 1.0
+    slowdown_age: float = 0.0
 
 
 class PlacementRefusalMessage(
@@ -197,6 +204,24 @@
     rows: list[tuple[int, int]]
 
 
+class LoadRow(msgspec.Struct, array_like=True, frozen=True):
+    """Load that a server reported in the head of a response.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait.
+        slots: Requests that can run concurrently.
+        slowdown: Percentage of the usual duration of work; -1 if unknown.
+        head_ms: Milliseconds from the placement of the request to the head.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: int = -1
+    head_ms: int = 0
+
+
 class AttemptStartedMessage(
     msgspec.Struct, array_like=True, tag="s", frozen=True
 ):
@@ -206,11 +231,13 @@
         host: Host that sent the request to a server.
         number: Number of the request at that host.
         seconds: Seconds since the request was sent.
+        load: `LoadRow` of the response, or None.
     """
 
     host: str
     number: int
     seconds: float
+    load: LoadRow | None = None
 
 
 class AttemptEndedMessage(
@@ -223,12 +250,15 @@
         number: Number of the request at that host.
         server_id: Identifier of the server.
         result: Number of the `AttemptResult`.
+        load: `LoadRow` of the response unless a message on the start of the
+            response carried it, or None.
     """
 
     host: str
     number: int
     server_id: str
     result: int
+    load: LoadRow | None = None
 
 
 class PlacementRow(msgspec.Struct, array_like=True, frozen=True):
@@ -276,6 +306,8 @@
         crashes: Digest of its records of requests that crash servers.
         notices: Digest of the notices of servers of the region that it has
             received.
+        speeds: Rows of `SpeedHandover`, from the placing host to the one that
+            would take over.
     """
 
     host: str
@@ -295,6 +327,7 @@
     placements: list[PlacementRow] | None = None
     crashes: int = 0
     notices: int = 0
+    speeds: list[tuple[int, int, int, int, int]] = []
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -47,6 +47,8 @@
         clock: The clock of the reactor.
         timeline: The `Timeline`.
         broadcast: Called with a message to send to all hosts of the region.
+        on_load: Called with a server, the number of the request and the
+            `ReportedLoad` in its response.
     """
 
     def __init__(
@@ -60,6 +62,7 @@
         clock,
         timeline,
         broadcast,
+        on_load=lambda server_id, number, load: None,
     ):
         self.limits = limits
         self.retry_after_pauses = retry_after_pauses
@@ -70,6 +73,7 @@
         self.clock = clock
         self.timeline = timeline
         self.broadcast = broadcast
+        self.on_load = on_load
         self.comparison = DigestComparison(clock)
         self.ignored_at = {}
         self.broadcast_at = {}
@@ -79,7 +83,7 @@
         """Digest of the notices that this host has received."""
         return self.limits.digest ^ self.registry.leaving_digest
 
-    def head_handler(self, server_id, request):
+    def head_handler(self, server_id, request, number=NOTHING):
         """Return a callable that takes the `ResponseHead` of a response.
 
         The head is ignored if the server has restarted since the request
@@ -88,12 +92,14 @@
         Args:
             server_id: Identifier of the server that gets the request.
             request: Identifier of the request.
+            number: Number of its placement, or `NOTHING`.
         """
         start = self.registry.current_instance(server_id)
 
         def pass_head(head):
             if self.registry.current_instance(server_id) == start:
                 self.handle_head(server_id, start, request, head)
+                self.handle_load(server_id, request, number, head.load)
 
         return pass_head
 
@@ -105,6 +111,13 @@
             self.handle_pause(server_id, request, head.retry_after)
         self.handle_limit(server_id, start, request, head)
 
+    def handle_load(self, server_id, request, number, load):
+        """Pass on the load that a server reports."""
+        if load is INVALID:
+            self.log_ignored(server_id, request, "load")
+        elif load is not NOTHING:
+            self.on_load(server_id, number, load)
+
     def handle_pause(self, server_id, request, seconds):
         """Pause requests to a server for the Retry-After that it sent."""
         if seconds is INVALID:
@@ -329,12 +342,29 @@
 
 
 def notice_details(decision):
-    """Return the log fields for the notices that affected a decision.
+    """Return the log fields for what servers reported before a decision.
 
     Args:
         decision: A `Placed` or `Refused`.
     """
-    if not decision.evidence:
-        return {}
-    name = "limited_by" if isinstance(decision, Placed) else "closed_by"
-    return {name: decision.evidence}
+    placed = isinstance(decision, Placed)
+    details = speed_details(decision) if placed else {}
+    if decision.evidence:
+        name = "limited_by" if placed else "closed_by"
+        details[name] = decision.evidence
+    return details
+
+
+def speed_details(placed):
+    """Return the log fields for the speed of a server, if not the usual.
+
+    Args:
+        placed: The `Placed` decision.
+    """
+    details = {}
+    if round(placed.speed, 2) != 1.0:
+        details["speed"] = round(placed.speed, 2)
+    if round(placed.slowdown, 2) != 1.0:
+        details["slowdown"] = round(placed.slowdown, 2)
+        details["slowdown_age"] = round(placed.slowdown_age, 2)
+    return details
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -77,6 +77,9 @@
 
 LISTEN_BACKLOG = 512
 
+SLOW_SERVER = 1.5
+"""Current slowdown above which a server counts as slow on the metrics page."""
+
 
 class EntryProcess:
     """An entry process with all of its parts connected.
@@ -232,6 +235,7 @@
                 self.reactor,
                 self.timeline,
                 lambda message: self.membership.broadcast_in_region(message),
+                self.coordinator.record_load,
             ),
             codec=headers,
         )
@@ -406,6 +410,8 @@
             "requests_suspected": len(self.crashes.suspects),
             "servers_leaving_by_answer": self.registry.leaving_by_answer(),
             "servers_at_rest": self.retry_after_pauses.count_blocked(now),
+            "servers_slow": self.placer.speeds.count_slow(now, SLOW_SERVER),
+            "server_speed_spread": round(self.placer.speeds.spread(), 2),
             "servers_limited": self.server_limits.count_limited(now),
             "requests_placed": len(self.placer.placements),
             "hosts_live": len(self.members.live(now)),
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -333,7 +333,9 @@
             on_first_data=lambda: self.state.coordinator.record_response_start(
                 number, self.state.clock.seconds() - began
             ),
-            on_head=self.state.notices.head_handler(placed.server_id, self.id),
+            on_head=self.state.notices.head_handler(
+                placed.server_id, self.id, number
+            ),
         )
         outcome = await self.attempt.run()
         self.state.coordinator.record_attempt_end(number, self.attempt.result)
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -9,6 +9,7 @@
 from ..entry.attempts import ResponseHead
 from ..entry.requests import RequestMetadata
 from ..net.sinks import first_value
+from ..traffic.reportedload import ReportedLoad
 from ..traffic.work import Demand
 
 __all__ = ["read_caller", "read_head", "server_headers"]
@@ -29,6 +30,7 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LOAD = b"x-server-load"
 MISDIRECTED = 421
 SERVICE_UNAVAILABLE = 503
 
@@ -41,6 +43,10 @@
 MAX_RATE_LIMIT = 1e6
 """Requests per second above which a rate limit is treated as invalid."""
 
+MAX_REPORTED_REQUESTS = 100_000
+"""Running or waiting requests, or slots, above which a reported load is
+treated as invalid."""
+
 MAX_TOKENS = 10**9
 """Tokens above which a token usage header is treated as invalid."""
 
@@ -222,9 +228,39 @@
         limit=read_limit(headers),
         leaving=read_leaving(headers),
         rejected=status == SERVICE_UNAVAILABLE,
+        load=read_load(headers),
     )
 
 
+def read_load(headers):
+    """Return the load that a server reports.
+
+    Returns:
+        A `ReportedLoad`, `NOTHING` without the header, or `INVALID`.
+    """
+    values = headers.getRawHeaders(SERVER_LOAD, ())
+    if not values:
+        return NOTHING
+    numbers = [part.strip() for part in values[0].split(b",")]
+    if len(values) > 1 or len(numbers) not in (3, 4):
+        return INVALID
+    if not all(DECIMAL.fullmatch(number) for number in numbers):
+        return INVALID
+    if not all(number.isdigit() for number in numbers[:3]):
+        return INVALID
+    running, waiting, slots = map(int, numbers[:3])
+    if max(running, waiting, slots) > MAX_REPORTED_REQUESTS:
+        return INVALID
+    if running > slots or not slots:
+        return INVALID
+    if len(numbers) == 3:
+        return ReportedLoad(running, waiting, slots)
+    slowdown = float(numbers[3]) / 100
+    if not slowdown:
+        return INVALID
+    return ReportedLoad(running, waiting, slots, slowdown)
+
+
 def read_leaving(headers):
     """Return whether a server reports that it is draining, or `INVALID`."""
     raw_values = headers.getRawHeaders(SERVER_LEAVING, ())
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -70,6 +70,9 @@
         copy_from: Address of a server from which to copy parts of the prompt
             that this server has not cached, or an empty string.
         evidence: Source of the limit of the server, for a log line.
+        speed: Steady factor of the times of the server, for a log line.
+        slowdown: Its current slowdown, for a log line.
+        slowdown_age: Seconds since it reported its load.
     """
 
     server_id: str
@@ -79,6 +82,9 @@
     at_once: bool = False
     copy_from: str = ""
     evidence: str = ""
+    speed: float = 1.0
+    slowdown: float = 1.0
+    slowdown_age: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -14,6 +14,7 @@
 from .prefill import PrefillTimes, attention_pairs
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
+from .serverspeeds import ServerSpeeds
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -48,6 +49,9 @@
 """Minimum expected prefill time in seconds of a prompt whose first event is
 used to learn the slowdown."""
 
+MIN_STEADY_PREFILL_SECONDS = 0.02
+"""Minimum for learning the steady factor, which averages over more prompts."""
+
 STEP_SECONDS = 0.04
 """Seconds of an engine step with a chunk of a prompt. The order in which
 prompts that arrive within one step are prefilled cannot be predicted."""
@@ -102,6 +106,9 @@
         rank_utilization: `RankUtilization` of its prefill.
         decode_slowdown: Observed time of an output token over the expected
             one.
+        speeds: `ServerSpeeds`.
+        prefill_factor: Steady factor that `prefill_slowdown` is relative to.
+        decode_factor: Steady factor that `decode_slowdown` is relative to.
     """
 
     spec: EngineSpec
@@ -121,6 +128,9 @@
     duty_cycle: DutyCycle = field(default_factory=DutyCycle)
     rank_utilization: RankUtilization = field(default_factory=RankUtilization)
     decode_slowdown: float = 1.0
+    speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
+    prefill_factor: float = 1.0
+    decode_factor: float = 1.0
 
     @property
     def slots(self):
@@ -168,7 +178,17 @@
         return max(1, demand.tokens_in - cached_prefix)
 
     def current_prefill_slowdown(self, now):
-        """Return the slowdown, which decays to normal without evidence."""
+        """Return the factor of prefill times at *now*."""
+        if self.speeds.uneven:
+            factor = self.speeds.prefill_factor(now)
+            return self.residual_prefill_slowdown(now) * factor
+        return self.residual_prefill_slowdown(now)
+
+    def residual_prefill_slowdown(self, now):
+        """Return the slowdown beyond the steady and the reported one.
+
+        It decays to normal without evidence.
+        """
         age = now - self.prefill_slowdown_at
         if age >= PREFILL_SLOWDOWN_DECAY_SECONDS:
             return 1.0
@@ -211,7 +231,8 @@
         streams stall. So a request waits until as many others have ended as
         its slot and its memory need.
         """
-        slots = len(self.placements) + 1 - self.slots
+        unseen = self.speeds.unseen.count(now)
+        slots = max(0, len(self.placements) + unseen) + 1 - self.slots
         memory = (
             self.held_tokens + tokens - self.memory * USABLE_MEMORY_FRACTION
         )
@@ -223,6 +244,8 @@
             (remaining_seconds(placement, token, now), placement.tokens)
             for placement in self.placements.values()
         ]
+        if not ends:
+            return MIN_REMAINING_SECONDS
         if slots <= 1 and memory <= 0:
             return min(ends)[0]
         for remaining, freed in sorted(ends):
@@ -346,7 +369,10 @@
         """
         self.duty_cycle.advance(now)
         duty = self.duty_cycle.expected(backlog, DUTY_CYCLE_SECONDS)
-        return self.decode_times.seconds(duty) * self.decode_slowdown
+        seconds = self.decode_times.seconds(duty) * self.decode_slowdown
+        if self.speeds.uneven:
+            return seconds * self.speeds.token_factor(now)
+        return seconds
 
     def begin(self, placement, demand):
         """Add the placement of a request, whose parts will be cached."""
@@ -400,14 +426,25 @@
         self.mark_started(placement, now)
         if not was_active:
             return
+        slowdown = self.speeds.slowdown_of(placement, now)
+        if placement.prefill_seconds >= MIN_STEADY_PREFILL_SECONDS:
+            self.speeds.learn(
+                self.speeds.prefill,
+                prefill_seconds / slowdown,
+                placement.prefill_seconds,
+                now,
+            )
+        factor = self.speeds.prefill.value * slowdown
         learns = Mechanism.FIGURES not in self.disabled
         if learns and placement.found_idle and placement.uncached_tokens > 1:
             pairs = attention_pairs(
                 placement.tokens_in, placement.uncached_tokens
             )
-            self.prefill_times.learn(placement.uncached_tokens, pairs, seconds)
+            self.prefill_times.learn(
+                placement.uncached_tokens, pairs, seconds / factor
+            )
         self.learn_prefill_slowdown(
-            placement.prefill_seconds, prefill_seconds, now
+            placement.prefill_seconds, prefill_seconds / factor, now
         )
 
     def mark_started(self, placement, now):
@@ -424,6 +461,9 @@
         placement.started_at = now
         self.duty_cycle.advance(now)
         placement.prefill_seconds_at_start = self.duty_cycle.total
+        if self.speeds.uneven:
+            self.speeds.live.advance(now)
+            placement.slowdown_total_at_start = self.speeds.live.total
         if active_prefill is NOTHING:
             return
         if (
@@ -441,12 +481,20 @@
         self.duty_cycle.set_prefilling(self.active_prefill is not NOTHING, now)
 
     def learn_prefill_slowdown(self, expected, observed, now):
-        """Learn from a prompt that was prefilled in *observed* seconds."""
+        """Learn from a prompt that was prefilled in *observed* seconds.
+
+        The time is that without the steady and the reported slowdown.
+        """
+        if self.prefill_factor != self.speeds.prefill.value:
+            self.prefill_slowdown *= (
+                self.prefill_factor / self.speeds.prefill.value
+            )
+            self.prefill_factor = self.speeds.prefill.value
         if expected < MIN_LEARNED_PREFILL_SECONDS:
             return
         low, high = PREFILL_SLOWDOWN_RANGE
         ratio = min(high, max(low, observed / expected))
-        prefill_slowdown = self.current_prefill_slowdown(now)
+        prefill_slowdown = self.residual_prefill_slowdown(now)
         self.prefill_slowdown = (
             prefill_slowdown + (ratio - prefill_slowdown) * LEARNING_RATE
         )
@@ -467,9 +515,12 @@
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
-        if not complete or not placement.started or not placement.tokens_out:
+        if not placement.started or not placement.tokens_out:
             return
-        self.learn_token(placement, now)
+        if complete:
+            self.learn_token(placement, now)
+        else:
+            self.learn_incomplete(placement, now)
 
     def learn_token(self, placement, now):
         """Learn the time of an output token from a complete answer."""
@@ -483,15 +534,54 @@
             / seconds,
         )
         observed = seconds / placement.tokens_out
+        observed /= self.mean_slowdown(placement, seconds, now)
+        expected = self.decode_times.seconds(duty)
+        speeds = self.speeds
+        speeds.learn(speeds.decode, observed, expected, now)
+        factor = speeds.steady_token_factor
+        observed /= factor
+        if self.decode_factor != factor:
+            self.decode_slowdown *= self.decode_factor / factor
+            self.decode_factor = factor
         low, high = DECODE_SLOWDOWN_RANGE
-        decode_slowdown = min(
-            high, max(low, observed / self.decode_times.seconds(duty))
-        )
+        decode_slowdown = min(high, max(low, observed / expected))
         self.decode_slowdown += (
             decode_slowdown - self.decode_slowdown
         ) * LEARNING_RATE
         self.decode_times.learn(duty, observed)
 
+    def learn_incomplete(self, placement, now):
+        """Learn that an answer took longer than the time until its end.
+
+        Callers leave before a slow server has completed their answers. If
+        only complete answers counted, such a server would never seem slow.
+        """
+        seconds = now - placement.started_at
+        if not self.speeds.enabled or seconds <= 0:
+            return
+        self.duty_cycle.advance(now)
+        prefill = self.duty_cycle.total - placement.prefill_seconds_at_start
+        expected = self.decode_times.seconds(min(1.0, prefill / seconds))
+        at_least = seconds / placement.tokens_out
+        at_least /= self.mean_slowdown(placement, seconds, now)
+        factor = self.speeds.steady_token_factor * self.decode_slowdown
+        if at_least > expected * factor:
+            self.speeds.learn(self.speeds.decode, at_least, expected, now)
+
+    def mean_slowdown(self, placement, seconds, now):
+        """Return the mean reported slowdown during an answer.
+
+        Args:
+            placement: Its `Placement`.
+            seconds: Seconds since its first event.
+            now: The time.
+        """
+        live = self.speeds.live
+        if not self.speeds.uneven or not placement.slowdown_total_at_start:
+            return 1.0
+        live.advance(now)
+        return (live.total - placement.slowdown_total_at_start) / seconds
+
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         slot = self.slot_wait(1000, now)
@@ -500,7 +590,7 @@
             for rank in range(RANKS)
         )
 
-    def occupancy(self):
+    def occupancy(self, now=0.0):
         """Return the used fraction of the slots or of the memory.
 
         The larger one of the two counts.
--- a/src/hyssopspring/traffic/mechanisms.py
+++ b/src/hyssopspring/traffic/mechanisms.py
@@ -20,6 +20,7 @@
     LATE = "what cannot be on time is refused"
     MARGIN = "what is predicted just in time is taken to be in time"
     ERRORS = "how often a server fails does not count"
+    SPEEDS = "all servers of a service are taken to be equally fast"
 
     @property
     def label(self):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -15,6 +15,7 @@
 from .serverhealth import NOT_SENT, AttemptResult, ServerHealth
 from .serverlimits import ServerLimits
 from .servers import Usability
+from .serverspeeds import SpeedBook, bounded_slowdown
 from .work import EstimateRequest, Placement, occupancy_cost
 from .workmodels import make_work
 
@@ -155,6 +156,7 @@
         self.prefill_times = {}
         self.decode_times = {}
         self.margins = {}
+        self.speeds = SpeedBook(disabled)
         self.health = {}
         self.views = {}
         self.placements = {}
@@ -480,8 +482,38 @@
             cold or bool(evidence),
             source,
             evidence,
+            *work.speeds.described(now),
         )
 
+    def record_load(self, server_id, load, at, now):
+        """Record the load that a server reported at the time *at*."""
+        work = self.work.get(server_id)
+        if work is not None:
+            work.speeds.report(load, work.placements, at, now)
+
+    def record_placement_load(self, host, number, load, seconds, now):
+        """Record the load in the response of a placed request.
+
+        The report is dated from the placement, so that a delayed message does
+        not appear to be new.
+
+        Args:
+            host: Host that runs the request.
+            number: Its number.
+            load: The `ReportedLoad`.
+            seconds: Seconds from the placement to the head of the response.
+            now: The time.
+        """
+        placement = self.placements.get((host, number))
+        if placement is None:
+            return
+        if load.slowdown is not NOTHING and Mechanism.SPEEDS not in (
+            self.disabled
+        ):
+            placement.slowdown = bounded_slowdown(load.slowdown)
+        at = min(now, placement.placed_at + seconds)
+        self.record_load(placement.server_id, load, at, now)
+
     def record_response_start(self, host, number, seconds, now):
         """Record a first event or the response head of an attempt."""
         placement = self.placements.get((host, number))
@@ -590,6 +622,7 @@
                 self.drop(*key, now)
         self.work.pop(server_id, None)
         self.health.pop(server_id, None)
+        self.speeds.forget(server_id)
         self.views.clear()
         self.cold_rates.forget(server_id)
         self.limits.forget(server_id)
@@ -597,7 +630,8 @@
     def sweep(self, now):
         """Remove servers that are gone, and placements past any timeout."""
         registered = self.registry.servers
-        for server_id in [one for one in self.work if one not in registered]:
+        known = self.work.keys() | self.speeds.servers.keys()
+        for server_id in [one for one in known if one not in registered]:
             self.forget_server(server_id, now)
         for key, placement in list(self.placements.items()):
             if now - placement.placed_at > MAX_PLACEMENT_AGE_SECONDS:
@@ -619,7 +653,10 @@
             work = self.work_of(server)
             slots[name] = work.slots
             capacity = ServerCapacity(
-                work.waits(now), work.occupancy(), work.token_time(now), spare
+                work.waits(now),
+                work.occupancy(now),
+                work.token_time(now),
+                spare,
             )
             capacities.setdefault(name, []).append(capacity)
         return {
@@ -663,6 +700,7 @@
                 prefill_times,
                 decode_times,
                 disabled=self.disabled,
+                speeds=self.speeds.of(server.entry.id, service.name),
             )
             self.work[server.entry.id] = work
             if previous is not None:
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -162,6 +162,9 @@
             started.
         apart: Fingerprint of a request that is isolated from other suspected
             requests, or an empty string.
+        slowdown: Slowdown that the server reported with its response, or 0.
+        slowdown_total_at_start: Integral of its slowdown when it started.
+        queue_factor: Predicted time of a call over that without a queue.
     """
 
     host: str
@@ -180,6 +183,9 @@
     lost: bool = False
     prefill_seconds_at_start: float = 0.0
     apart: str = ""
+    slowdown: float = 0.0
+    slowdown_total_at_start: float = 0.0
+    queue_factor: float = 1.0
 
     @property
     def waiting(self):
--- a/src/hyssopspring/traffic/workmodels.py
+++ b/src/hyssopspring/traffic/workmodels.py
@@ -3,12 +3,19 @@
 from ..core.sentinels import NOTHING
 from .enginework import EngineWork
 from .plainwork import PlainServerWork
+from .serverspeeds import ServerSpeeds
 
 __all__ = ["make_work"]
 
 
 def make_work(
-    service, slots, prefill_times, decode_times, *, disabled=frozenset()
+    service,
+    slots,
+    prefill_times,
+    decode_times,
+    *,
+    disabled=frozenset(),
+    speeds=NOTHING,
 ):
     """Return the model of a server's work in progress.
 
@@ -18,9 +25,15 @@
         prefill_times: `PrefillTimes` of the service.
         decode_times: `DecodeTimes` of the service.
         disabled: Each `Mechanism` that is disabled.
+        speeds: Its `ServerSpeeds`.
     """
+    speeds = speeds or ServerSpeeds()
     if service.engine is NOTHING:
-        return PlainServerWork(max(1, slots))
+        return PlainServerWork(max(1, slots), speeds=speeds)
     return EngineWork(
-        service.engine, prefill_times, decode_times, disabled=disabled
+        service.engine,
+        prefill_times,
+        decode_times,
+        disabled=disabled,
+        speeds=speeds,
     )
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -34,6 +34,7 @@
 from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
 from hyssopspring.traffic.serverlimits import ServerLimits
 from hyssopspring.traffic.servers import Registry, ServerEntry
+from hyssopspring.traffic.serverspeeds import SpeedBook
 from hyssopspring.traffic.workspaces import TokenLimit, Workspace
 
 REGIONS = ("north", "south", "west")
@@ -74,6 +75,8 @@
     def __init__(self):
         self.forgotten = []
         self.events = Counter()
+        self.speeds = SpeedBook()
+        self.registry = Registry({})
 
     def placement_rows(self):
         """Return no request."""
