--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -14,6 +14,7 @@
     RateLimited,
     Refused,
 )
+from ..traffic.reportedload import ReportedLoad
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.servers import Usability
 from ..traffic.work import Demand
@@ -21,6 +22,7 @@
 from .messages import (
     AttemptEndedMessage,
     AttemptStartedMessage,
+    LoadRow,
     PlacementGrantMessage,
     PlacementQueryMessage,
     PlacementRefusalMessage,
@@ -60,6 +62,9 @@
 that was suspended in the meantime would otherwise send a request that the
 placing host no longer counts."""
 
+MAX_SENT_SLOWDOWN = 100.0
+"""Maximum slowdown in a message; the placing host caps it further."""
+
 
 @dataclass(slots=True, eq=False)
 class PendingQuery:
@@ -90,6 +95,8 @@
         placer: Name of the host that placed the request.
         started: Whether the first event of the response has arrived.
         gap_objective: Its gap objective in seconds, or 0.
+        placed_at: Time of the decision.
+        load: `LoadRow` that the placing host has not received yet, or None.
     """
 
     placed: Placed
@@ -97,6 +104,8 @@
     placer: str
     started: bool = False
     gap_objective: float = 0.0
+    placed_at: float = 0.0
+    load: object = None
 
 
 class PlacementCoordinator:
@@ -290,6 +299,7 @@
                 ask.demand,
                 placer,
                 gap_objective=ask.gap_objective,
+                placed_at=self.clock.seconds(),
             )
             self.retry_after_pauses.record_sent(
                 decision.server_id, self.clock.seconds()
@@ -436,6 +446,25 @@
             answer_message(ask.number, decision), member.control
         )
 
+    def record_load(self, server_id, number, load):
+        """Record the load in the head of a response.
+
+        It is sent to the placing host with the next message on the request.
+        """
+        now = self.clock.seconds()
+        placement = self.placements.get(number)
+        if placement is None or placement.placed.server_id != server_id:
+            self.placer.record_load(server_id, load, now, now)
+            return
+        seconds = now - placement.placed_at
+        if placement.placer == self.host:
+            self.placer.record_placement_load(
+                self.host, number, load, seconds, now
+            )
+            return
+        self.placer.record_load(server_id, load, now, now)
+        placement.load = load_row(load, seconds)
+
     def record_response_start(self, number, seconds):
         """Record and report that a request has received its first event."""
         placement = self.placements.get(number)
@@ -445,9 +474,11 @@
         self.placer.record_response_start(
             self.host, number, seconds, self.clock.seconds()
         )
-        self.send_to_placer(
-            placement.placer, AttemptStartedMessage(self.host, number, seconds)
+        message = AttemptStartedMessage(
+            self.host, number, seconds, placement.load
         )
+        placement.load = None
+        self.send_to_placer(placement.placer, message)
 
     def record_attempt_end(self, number, result, gaps=NOTHING):
         """Record and report the end of an attempt or an unused placement.
@@ -464,7 +495,9 @@
             return
         server_id = placement.placed.server_id
         self.handle_end(self.host, number, server_id, result, gaps)
-        message = end_message(self.host, number, server_id, result, gaps)
+        message = end_message(
+            self.host, number, server_id, result, gaps, placement.load
+        )
         self.send_to_placer(placement.placer, message)
 
     def note_away_end(self, number, *, ran):
@@ -536,6 +569,31 @@
         ]
 
 
+def load_row(load, seconds):
+    """Return the `LoadRow` of a `ReportedLoad`.
+
+    Args:
+        load: The `ReportedLoad`.
+        seconds: Seconds from the placement to the head of the response.
+    """
+    slowdown = -1
+    if load.slowdown is not NOTHING:
+        slowdown = round(min(load.slowdown, MAX_SENT_SLOWDOWN) * 100)
+    return LoadRow(
+        load.running,
+        load.waiting,
+        load.slots,
+        slowdown,
+        round(seconds * 1000),
+    )
+
+
+def load_from_row(row):
+    """Return the `ReportedLoad` of a `LoadRow`."""
+    slowdown = row.slowdown / 100 if row.slowdown > 0 else NOTHING
+    return ReportedLoad(row.running, row.waiting, row.slots, slowdown)
+
+
 def query_message(ask, *, is_fallback=False, recent_fallback=False):
     """Return the message that carries a `PlacementQuery`.
 
@@ -601,7 +659,7 @@
     )
 
 
-def end_message(host, number, server_id, result, gaps):
+def end_message(host, number, server_id, result, gaps, load=None):
     """Return the message that reports the end of an attempt.
 
     Args:
@@ -610,9 +668,12 @@
         server_id: Its server.
         result: The `AttemptResult`.
         gaps: `StreamGaps` of its stream, or `NOTHING`.
+        load: `LoadRow` of the response, or None.
     """
     if gaps is NOTHING:
-        return AttemptEndedMessage(host, number, server_id, int(result))
+        return AttemptEndedMessage(
+            host, number, server_id, int(result), load=load
+        )
     return AttemptEndedMessage(
         host,
         number,
@@ -621,6 +682,7 @@
         gaps.events,
         round(gaps.longest, 4),
         round(gaps.seconds, 4),
+        load,
     )
 
 
@@ -659,6 +721,9 @@
         decision.copy_from,
         decision.evidence,
         round(decision.pause, 3),
+        round(decision.speed, 2),
+        round(decision.slowdown, 2),
+        round(decision.slowdown_age, 2),
     )
 
 
@@ -691,4 +756,7 @@
         message.copy_from,
         message.evidence,
         message.pause,
+        message.speed,
+        message.slowdown,
+        message.slowdown_age,
     )
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -19,6 +19,7 @@
     "HostEntriesRequest",
     "LeavingRow",
     "LimitRow",
+    "LoadRow",
     "PlacementGrantMessage",
     "PlacementQueryMessage",
     "PlacementRefusalMessage",
@@ -120,6 +121,9 @@
             or an empty string.
         evidence: Source of the limit that a server gave, for a log line.
         pause: Predicted longest gap between two events in seconds.
+        speed: Steady factor of the times of the server, for a log line.
+        slowdown: Its current slowdown, for a log line.
+        slowdown_age: Seconds since it reported its load.
     """
 
     number: int
@@ -132,6 +136,9 @@
     copy_from: str
     evidence: str = ""
     pause: float = 0.0
+    speed: float = 1.0
+    slowdown: float = 1.0
+    slowdown_age: float = 0.0
 
 
 class PlacementRefusalMessage(
@@ -209,6 +216,24 @@
     rows: list[tuple[int, int]]
 
 
+class LoadRow(msgspec.Struct, array_like=True, frozen=True):
+    """Load that a server reported in the head of a response.
+
+    Attributes:
+        running: Requests that run.
+        waiting: Requests that wait.
+        slots: Requests that can run concurrently.
+        slowdown: Percentage of the usual duration of work; -1 if unknown.
+        head_ms: Milliseconds from the placement of the request to the head.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: int = -1
+    head_ms: int = 0
+
+
 class AttemptStartedMessage(
     msgspec.Struct, array_like=True, tag="s", frozen=True
 ):
@@ -218,11 +243,13 @@
         host: Host that sent the request to a server.
         number: Number of the request at that host.
         seconds: Seconds since the request was sent.
+        load: `LoadRow` of the response, or None.
     """
 
     host: str
     number: int
     seconds: float
+    load: LoadRow | None = None
 
 
 class AttemptEndedMessage(
@@ -238,6 +265,8 @@
         events: Number of the events of its stream; 0 if no gap was observed.
         longest_gap: Longest time between two of them in seconds.
         stream_seconds: Time from the first to the last of them in seconds.
+        load: `LoadRow` of the response unless a message on the start of the
+            response carried it, or None.
     """
 
     host: str
@@ -247,6 +276,7 @@
     events: int = 0
     longest_gap: float = 0.0
     stream_seconds: float = 0.0
+    load: LoadRow | None = None
 
 
 class PlacementRow(msgspec.Struct, array_like=True, frozen=True):
@@ -297,6 +327,8 @@
         crashes: Digest of its records of requests that crash servers.
         notices: Digest of the notices of servers of the region that it has
             received.
+        speeds: Rows of `SpeedHandover`, from the placing host to the one that
+            would take over.
     """
 
     host: str
@@ -316,6 +348,7 @@
     placements: list[PlacementRow] | None = None
     crashes: int = 0
     notices: int = 0
+    speeds: list[tuple[int, int, int, int, int]] = []
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -81,6 +81,9 @@
         evidence: Source of the limit of the server, for a log line.
         pause: Predicted longest gap between two events in seconds; 0 without
             a gap objective.
+        speed: Steady factor of the times of the server, for a log line.
+        slowdown: Its current slowdown, for a log line.
+        slowdown_age: Seconds since it reported its load.
     """
 
     server_id: str
@@ -91,6 +94,9 @@
     copy_from: str = ""
     evidence: str = ""
     pause: float = 0.0
+    speed: float = 1.0
+    slowdown: float = 1.0
+    slowdown_age: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
