Predict waits for slots from the whole queue of an engine

The wait behind a dozen requests was that for one of the longest that run, as slots that short requests free again did not count: 2.2 s were predicted where a first event came in 0.9 s. Prefills in the queue were added although each happens as its request gets a slot.

--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -1,5 +1,6 @@
 """The model of an inference engine: its prefill queue and its cache."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -16,7 +17,7 @@
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
 from .serverspeeds import ServerSpeeds
-from .slotuse import SlotUse
+from .slotuse import SlotUse, seconds_to_free_slot
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -73,6 +74,10 @@
 loses its slot stalls, prefills its prompt again and is late, so a free slot in
 another region is better, and a refusal is worse."""
 
+SLOT_WAIT_CACHE_SECONDS = 0.02
+"""Seconds for which the wait for a slot is cached while no request of the
+engine begins or ends. Each placement needs it for each full engine."""
+
 MIN_COPIED_TOKENS = 1024
 """Minimum number of tokens that are copied from another server: one chunk,
 which is prefilled in 30 ms."""
@@ -118,6 +123,7 @@
             one.
         gaps: `EngineGaps` of its streams.
         slot_use: `SlotUse` of its requests.
+        slot_waits: Time and seconds of cached waits for a slot, by urgency.
         waits_for_slot: Whether the prompt in `active_prefill` waits until a
             request ends.
         speeds: `ServerSpeeds`.
@@ -144,6 +150,7 @@
     decode_slowdown: float = 1.0
     gaps: EngineGaps = field(default_factory=EngineGaps)
     slot_use: SlotUse = field(init=False)
+    slot_waits: dict = field(default_factory=dict)
     waits_for_slot: bool = False
     speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
     prefill_factor: float = 1.0
@@ -286,6 +293,8 @@
         )
         if slots <= 0 and memory <= 0:
             return 0.0
+        if memory <= 0 and Mechanism.SLOTS not in self.disabled:
+            return self.cached_slot_wait(urgency, now)
         seconds = 0.0
         token = self.token_time(now)
         ends = [
@@ -307,6 +316,26 @@
                 break
         return seconds
 
+    def cached_slot_wait(self, urgency, now):
+        """Return the seconds until a slot is free, computed a moment ago."""
+        cached_at, seconds = self.slot_waits.get(urgency, (-math.inf, 0.0))
+        if now - cached_at >= SLOT_WAIT_CACHE_SECONDS:
+            token = self.token_time(now)
+            running, waiting = self.slot_use.split(
+                self.placements.values(), urgency
+            )
+            seconds = seconds_to_free_slot(
+                self.slots,
+                [remaining_seconds(one, token, now) for one in running],
+                [
+                    one.prefill_seconds + one.tokens_out * token
+                    for one in waiting
+                ],
+            )
+            self.slot_waits[urgency] = now, seconds
+            return seconds
+        return max(0.0, seconds - (now - cached_at))
+
     def idle_seconds(self, demand, uncached):
         """Return the seconds to a first event on an idle engine.
 
@@ -333,10 +362,21 @@
     def wait(self, demand, urgency, now):
         """Return the seconds until the engine starts a request."""
         tokens = demand.tokens_in + demand.tokens_out
-        return self.prefill_wait(urgency, now) + self.slot_wait(
-            tokens, now, urgency
+        return self.joint_wait(
+            self.prefill_wait(urgency, now),
+            self.slot_wait(tokens, now, urgency),
         )
 
+    def joint_wait(self, prefill_wait, slot_wait):
+        """Return the seconds of a wait for prefills and for a slot.
+
+        While requests wait for slots, each prompt is prefilled as it gets one,
+        so the wait for a slot contains the prefills.
+        """
+        if Mechanism.SLOTS in self.disabled:
+            return prefill_wait + slot_wait
+        return max(prefill_wait, slot_wait)
+
     def own_prefill(self, demand, now, copied):
         """Return the seconds of prefill that a request would add."""
         uncached = self.uncached_tokens(demand, copied)
@@ -407,7 +447,9 @@
         if least + prefill_wait > limit:
             return NOTHING
         tokens = demand.tokens_in + demand.tokens_out
-        wait = prefill_wait + self.slot_wait(tokens, now, request.urgency)
+        wait = self.joint_wait(
+            prefill_wait, self.slot_wait(tokens, now, request.urgency)
+        )
         predicted = wait + self.copy_time(copied) + own
         cost = self.cost_of(demand, now, own, predicted)
         if self.preempts(request.urgency):
@@ -471,6 +513,7 @@
             # A more urgent prompt gets the next slot first.
             self.start_next_prefill(placement.placed_at)
         self.slot_use.add(placement)
+        self.slot_waits.clear()
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
@@ -541,6 +584,7 @@
         self.queue.remove(placement)
         self.gaps.mark_started(placement)
         self.slot_use.mark_started(placement)
+        self.slot_waits.clear()
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
@@ -621,6 +665,7 @@
             self.queue.remove(removed)
             self.gaps.remove(removed)
             self.slot_use.remove(removed)
+            self.slot_waits.clear()
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
@@ -709,8 +754,10 @@
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         return tuple(
-            self.prefill_wait(urgency, now)
-            + self.slot_wait(1000, now, urgency)
+            self.joint_wait(
+                self.prefill_wait(urgency, now),
+                self.slot_wait(1000, now, urgency),
+            )
             for urgency in range(2, 2 + 2 * RANKS, 2)
         )
 
--- a/src/hyssopspring/traffic/slotuse.py
+++ b/src/hyssopspring/traffic/slotuse.py
@@ -1,10 +1,11 @@
 """Slots of an engine, counted by the urgency of the requests that use them."""
 
+import heapq
 from dataclasses import dataclass, field
 
 from .prefillqueue import URGENCY_LEVELS
 
-__all__ = ["SlotUse"]
+__all__ = ["SlotUse", "seconds_to_free_slot"]
 
 
 @dataclass(slots=True, eq=False)
@@ -50,3 +51,44 @@
     def is_full(self, urgency):
         """Return whether no slot is free for a prompt of *urgency*."""
         return sum(self.running[: urgency + 1]) >= self.slots
+
+    def split(self, placements, urgency):
+        """Return the running and the waiting requests before a new one.
+
+        Args:
+            placements: Each `Placement`.
+            urgency: Urgency of the new request; less urgent ones yield to it.
+
+        Returns:
+            The running ones, and the waiting ones in the order in which they
+            get slots.
+        """
+        running, waiting = [], []
+        for placement in placements:
+            if placement.urgency <= urgency:
+                queue = waiting if placement.waiting else running
+                queue.append(placement)
+        waiting.sort(key=lambda one: (one.urgency, one.placed_at))
+        return running, waiting
+
+
+def seconds_to_free_slot(slots, running, waiting):
+    """Return the seconds until a slot is free for a new request.
+
+    Requests that get a slot meanwhile free it again, short ones soon. If only
+    the ends of those that run now counted, the wait behind a dozen others
+    would be that for the longest of them, twice the true one.
+
+    Args:
+        slots: Number of slots.
+        running: Seconds until the end of each running request.
+        waiting: Seconds that each request needs that waits before the new one,
+            in the order in which they get slots.
+    """
+    ends = running + [0.0] * (slots - len(running))
+    heapq.heapify(ends)
+    for _ in range(len(ends) - slots):
+        heapq.heappop(ends)
+    for seconds in waiting:
+        heapq.heapreplace(ends, ends[0] + seconds)
+    return ends[0]
--- a/tests/test_enginework.py
+++ b/tests/test_enginework.py
@@ -14,6 +14,7 @@
 from hyssopspring.traffic.mechanisms import Mechanism
 from hyssopspring.traffic.prefill import PrefillTimes, attention_pairs
 from hyssopspring.traffic.routes import EngineSpec
+from hyssopspring.traffic.slotuse import seconds_to_free_slot
 from hyssopspring.traffic.work import Demand, Placement, answer_cost
 
 LONG = Demand(tokens_in=40_000, tokens_out=100)
@@ -254,3 +255,18 @@
     engine.end(running[0], 1.1, complete=True)
     engine.start(waiting, 0.9 + prefill, 1.1 + prefill)
     assert_that(engine.prefill_slowdown < 1.1, Is(holds))
+
+
+@pytest.mark.parametrize(
+    ("running", "waiting", "expected"),
+    [
+        ([1.0, 2.0], [], 1.0),
+        ([1.0], [], 0.0),
+        ([1.0, 4.0], [0.5, 0.5], 2.0),
+        ([1.0, 4.0], [5.0, 0.5], 4.5),
+        ([1.0, 2.0, 3.0], [], 2.0),
+    ],
+)
+def test_slots_are_free_again_after_short_requests(running, waiting, expected):
+    """Guard against refusals behind a queue that moves fast."""
+    assert_that(seconds_to_free_slot(2, running, waiting), Equals(expected))
