Let routes of a workspace keep their order within its rank

The priority of a workspace goes before that of the route, and so all routes of a workspace had one urgency. The priority of the route now decides within a rank.

--- a/src/hyssopspring/entry/admission.py
+++ b/src/hyssopspring/entry/admission.py
@@ -24,6 +24,8 @@
     Attributes:
         workspace: Name of the caller's workspace; empty on a public route.
         priority: Rank of the request; 0 is the highest.
+        outranked: Whether another route of its service goes first among
+            workspaces of this rank.
         homes: Regions that may serve it; empty for all regions.
         cost: Tokens that it takes from the limit of its workspace; 0 if the
             workspace has no limit.
@@ -31,6 +33,7 @@
 
     workspace: str = ""
     priority: int = 0
+    outranked: bool = False
     homes: frozenset = frozenset()
     cost: int = 0
 
@@ -79,10 +82,19 @@
     if cost is INVALID:
         return Denied(BAD_REQUEST, Reason.BAD_REQUEST)
     priority = workspace.priority
+    outranked = False
     if priority is NOTHING:
         priority = route.priority
+    else:
+        # Without this, routes of one workspace would share one rank, and
+        # requests that may wait would take the servers of those that may not.
+        outranked = configuration.is_outranked(route)
     return Permissions(
-        workspace=workspace.name, priority=priority, homes=homes, cost=cost
+        workspace=workspace.name,
+        priority=priority,
+        outranked=outranked,
+        homes=homes,
+        cost=cost,
     )
 
 
--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -625,6 +625,7 @@
         is_fallback,
         recent_fallback,
         ask.gap_objective,
+        ask.outranked,
         ask.request,
         round(ask.caller_time_left, 3),
     )
@@ -654,6 +655,7 @@
         workspace=message.workspace,
         cost=message.cost,
         gap_objective=message.gap_objective,
+        outranked=message.outranked,
         request=message.request,
         caller_time_left=message.caller_time_left,
     )
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -278,6 +278,7 @@
             time_left=self.objective_left(waited),
             patience=self.patience(waited),
             priority=self.permissions.priority,
+            outranked=self.permissions.outranked,
             excluded=tuple(self.excluded),
             regions=self.permissions.homes,
             avoided=tuple(self.avoided),
@@ -467,6 +468,7 @@
             self.permissions.workspace,
             self.metadata.key_digest,
             self.route.gap_objective,
+            self.permissions.outranked,
         )
 
     def outgoing(self, headers, *, reuse=False):
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -74,6 +74,8 @@
         recent_fallback: Whether the sender has used a fallback recently.
         gap_objective: Longest time between two events in seconds; 0 if none
             is stated.
+        outranked: Whether another route of the service goes first among
+            requests of the same priority.
         request: Identifier by which a return of its caller is recognised, or
             0.
         caller_time_left: Seconds until the caller's deadline, or 0.
@@ -100,6 +102,7 @@
     is_fallback: bool = False
     recent_fallback: bool = False
     gap_objective: float = 0.0
+    outranked: bool = False
     request: int = 0
     caller_time_left: float = 0.0
 
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -55,6 +55,8 @@
         key_digest: Digest of that key, by which repeats are recognised.
         gap_objective: Longest time between two events in seconds; 0 if none
             is stated.
+        outranked: Whether another route of the service goes first among
+            requests of the same priority.
     """
 
     route: str
@@ -72,6 +74,7 @@
     workspace: str = ""
     key_digest: str = ""
     gap_objective: float = 0.0
+    outranked: bool = False
 
 
 _DECODER = msgspec.json.Decoder(RelayParameters)
@@ -305,6 +308,7 @@
             time_left=self.parameters.objective_left,
             patience=self.parameters.patience,
             priority=self.parameters.priority,
+            outranked=self.parameters.outranked,
             excluded=tuple(self.parameters.excluded),
             may_leave=False,
             begun=self.parameters.begun,
--- a/src/hyssopspring/traffic/decisions.py
+++ b/src/hyssopspring/traffic/decisions.py
@@ -39,6 +39,8 @@
             has counted them.
         gap_objective: Longest gap between two events in seconds with which a
             stream is on time; 0 if none is stated.
+        outranked: Whether another route of the service goes first among
+            requests of the same priority.
         request: Identifier by which a return of its caller is recognised; 0
             for a request that a host of another region has forwarded.
         caller_time_left: Seconds until the caller's deadline; 0 if it states
@@ -61,6 +63,7 @@
     workspace: str = ""
     cost: int = 0
     gap_objective: float = 0.0
+    outranked: bool = False
     request: int = 0
     caller_time_left: float = 0.0
 
@@ -154,7 +157,7 @@
 def urgency_of(query):
     """Return the urgency of a request that can be on time.
 
-    The urgencies 2 to 6 leave larger values for late requests and no smaller
-    ones.
+    The urgencies 2 to 7 leave larger values for late requests and no smaller
+    ones. Within a priority, the odd ones yield to the even ones.
     """
-    return min(6, 2 + max(0, query.priority) * 2)
+    return min(6, 2 + max(0, query.priority) * 2) + query.outranked
--- a/src/hyssopspring/traffic/routes.py
+++ b/src/hyssopspring/traffic/routes.py
@@ -176,6 +176,7 @@
     workspaces: dict = field(default_factory=dict)
     by_host: dict = field(init=False, repr=False, compare=False)
     by_digest: dict = field(init=False, repr=False, compare=False)
+    highest_priorities: dict = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
         by_host = {}
@@ -190,6 +191,19 @@
             for digest in workspace.key_digests
         }
         object.__setattr__(self, "by_digest", by_digest)
+        highest = {}
+        for route in self.routes:
+            for share in route.services:
+                known = highest.get(share.service, route.priority)
+                highest[share.service] = min(known, route.priority)
+        object.__setattr__(self, "highest_priorities", highest)
+
+    def is_outranked(self, route):
+        """Whether another route of its services has a higher priority."""
+        return any(
+            self.highest_priorities.get(share.service, 0) < route.priority
+            for share in route.services
+        )
 
     def find_route(self, host, path):
         """Return the route with the longest matching prefix.
