--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -16,6 +16,8 @@
 from hyssopspring.entry.requests import RequestMetadata
 from hyssopspring.platform import headers
 from hyssopspring.platform.operator import decode_configuration, hash_api_keys
+from hyssopspring.traffic.decisions import PlacementQuery, urgency_of
+from hyssopspring.traffic.work import rank_of
 
 
 def decoded(document):
@@ -44,6 +46,47 @@
     )
 
 
+def test_routes_keep_their_order_within_the_rank_of_a_workspace():
+    """Guards against requests that may wait in the slots of urgent ones.
+
+    All requests of a workspace had the same urgency, whatever their routes.
+    """
+    document = keyed_configuration()
+    for route in document["routes"]:
+        route["priority"] = 0 if route["prefix"] == "/lookup/" else 2
+    current = decoded(document)
+    first = permissions(current, "/lookup/", "desk-key")
+    assert_that((first.priority, first.outranked), Equals((1, False)))
+    others = [
+        route.prefix
+        for route in current.routes
+        if current.is_outranked(route) and not route.public
+    ]
+    assert others
+    for prefix in others:
+        found = permissions(current, prefix, "desk-key")
+        assert_that((found.priority, found.outranked), Equals((1, True)))
+
+
+@pytest.mark.parametrize(
+    ("priority", "outranked", "urgency"),
+    [(0, False, 2), (0, True, 3), (1, True, 5), (2, True, 7), (9, True, 7)],
+)
+def test_an_outranked_request_yields_within_its_rank_only(
+    priority, outranked, urgency
+):
+    """Guards against a low route that goes behind a lower workspace."""
+    query = PlacementQuery(
+        host="h",
+        number=1,
+        service="s",
+        priority=priority,
+        outranked=outranked,
+    )
+    assert_that(urgency_of(query), Equals(urgency))
+    assert_that(rank_of(urgency), Equals(min(priority, 2)))
+
+
 @pytest.mark.parametrize("key", ["", "desk", "desk-keyx", "x" * 150])
 def test_a_key_that_nobody_holds_is_refused(key):
     """A request without a valid key does not run at a server."""
