--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -278,6 +278,7 @@
             time_left=self.objective_left(waited),
             patience=self.patience(waited),
             priority=self.permissions.priority,
+            outranked=self.permissions.outranked,
             excluded=tuple(self.excluded),
             regions=self.permissions.homes,
             avoided=tuple(self.avoided),
@@ -355,7 +356,9 @@
             self.state.clock,
             on_stream=self.open_stream,
             on_first_data=lambda: self.record_start(number, began),
-            on_head=self.state.notices.head_handler(placed.server_id, self.id),
+            on_head=self.state.notices.head_handler(
+                placed.server_id, self.id, number
+            ),
         )
         outcome = await self.run_attempt(placed.predicted)
         self.state.coordinator.record_attempt_end(
@@ -465,6 +468,7 @@
             self.permissions.workspace,
             self.metadata.key_digest,
             self.route.gap_objective,
+            self.permissions.outranked,
         )
 
     def outgoing(self, headers, *, reuse=False):
--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -1,5 +1,6 @@
 """The model of an inference engine: its prefill queue and its cache."""
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -15,7 +16,8 @@
 from .prefill import PrefillTimes, attention_pairs
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
-from .slotuse import SlotUse
+from .serverspeeds import ServerSpeeds
+from .slotuse import SlotUse, seconds_to_free_slot
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -50,6 +52,9 @@
 """Minimum expected prefill time in seconds of a prompt whose first event is
 used to learn the slowdown."""
 
+MIN_STEADY_PREFILL_SECONDS = 0.02
+"""Minimum for learning the steady factor, which averages over more prompts."""
+
 STEP_SECONDS = 0.04
 """Seconds of an engine step with a chunk of a prompt. The order in which
 prompts that arrive within one step are prefilled cannot be predicted."""
@@ -69,6 +74,10 @@
 loses its slot stalls, prefills its prompt again and is late, so a free slot in
 another region is better, and a refusal is worse."""
 
+SLOT_WAIT_CACHE_SECONDS = 0.02
+"""Seconds for which the wait for a slot is cached while no request of the
+engine begins or ends. Each placement needs it for each full engine."""
+
 MIN_COPIED_TOKENS = 1024
 """Minimum number of tokens that are copied from another server: one chunk,
 which is prefilled in 30 ms."""
@@ -114,8 +123,12 @@
             one.
         gaps: `EngineGaps` of its streams.
         slot_use: `SlotUse` of its requests.
+        slot_waits: Time and seconds of cached waits for a slot, by urgency.
         waits_for_slot: Whether the prompt in `active_prefill` waits until a
             request ends.
+        speeds: `ServerSpeeds`.
+        prefill_factor: Steady factor that `prefill_slowdown` is relative to.
+        decode_factor: Steady factor that `decode_slowdown` is relative to.
     """
 
     spec: EngineSpec
@@ -137,7 +150,11 @@
     decode_slowdown: float = 1.0
     gaps: EngineGaps = field(default_factory=EngineGaps)
     slot_use: SlotUse = field(init=False)
+    slot_waits: dict = field(default_factory=dict)
     waits_for_slot: bool = False
+    speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
+    prefill_factor: float = 1.0
+    decode_factor: float = 1.0
 
     def __post_init__(self):
         self.slot_use = SlotUse(self.slots)
@@ -188,7 +205,17 @@
         return max(1, demand.tokens_in - cached_prefix)
 
     def current_prefill_slowdown(self, now):
-        """Return the slowdown, which decays to normal without evidence."""
+        """Return the factor of prefill times at *now*."""
+        if self.speeds.uneven:
+            factor = self.speeds.prefill_factor(now)
+            return self.residual_prefill_slowdown(now) * factor
+        return self.residual_prefill_slowdown(now)
+
+    def residual_prefill_slowdown(self, now):
+        """Return the slowdown beyond the steady and the reported one.
+
+        It decays to normal without evidence.
+        """
         age = now - self.prefill_slowdown_at
         if age >= PREFILL_SLOWDOWN_DECAY_SECONDS:
             return 1.0
@@ -256,14 +283,18 @@
             now: The time.
             urgency: Its rank among waiting requests.
         """
-        slots = len(self.placements) + 1 - self.slots
+        unseen = self.speeds.unseen.count(now)
+        slots = max(0, len(self.placements) + unseen) + 1 - self.slots
         if slots > 0:
-            slots = self.slots_held(urgency) + 1 - self.slots
+            held = self.slots_held(urgency) + unseen
+            slots = max(0, held) + 1 - self.slots
         memory = (
             self.held_tokens + tokens - self.memory * USABLE_MEMORY_FRACTION
         )
         if slots <= 0 and memory <= 0:
             return 0.0
+        if memory <= 0 and Mechanism.SLOTS not in self.disabled:
+            return self.cached_slot_wait(urgency, now)
         seconds = 0.0
         token = self.token_time(now)
         ends = [
@@ -273,6 +304,8 @@
             or memory > 0
             or Mechanism.HEADROOM in self.disabled
         ]
+        if not ends:
+            return MIN_REMAINING_SECONDS
         if slots <= 1 and memory <= 0:
             return min(ends)[0]
         for remaining, freed in sorted(ends):
@@ -283,6 +316,26 @@
                 break
         return seconds
 
+    def cached_slot_wait(self, urgency, now):
+        """Return the seconds until a slot is free, computed a moment ago."""
+        cached_at, seconds = self.slot_waits.get(urgency, (-math.inf, 0.0))
+        if now - cached_at >= SLOT_WAIT_CACHE_SECONDS:
+            token = self.token_time(now)
+            running, waiting = self.slot_use.split(
+                self.placements.values(), urgency
+            )
+            seconds = seconds_to_free_slot(
+                self.slots,
+                [remaining_seconds(one, token, now) for one in running],
+                [
+                    one.prefill_seconds + one.tokens_out * token
+                    for one in waiting
+                ],
+            )
+            self.slot_waits[urgency] = now, seconds
+            return seconds
+        return max(0.0, seconds - (now - cached_at))
+
     def idle_seconds(self, demand, uncached):
         """Return the seconds to a first event on an idle engine.
 
@@ -309,10 +362,21 @@
     def wait(self, demand, urgency, now):
         """Return the seconds until the engine starts a request."""
         tokens = demand.tokens_in + demand.tokens_out
-        return self.prefill_wait(urgency, now) + self.slot_wait(
-            tokens, now, urgency
+        return self.joint_wait(
+            self.prefill_wait(urgency, now),
+            self.slot_wait(tokens, now, urgency),
         )
 
+    def joint_wait(self, prefill_wait, slot_wait):
+        """Return the seconds of a wait for prefills and for a slot.
+
+        While requests wait for slots, each prompt is prefilled as it gets one,
+        so the wait for a slot contains the prefills.
+        """
+        if Mechanism.SLOTS in self.disabled:
+            return prefill_wait + slot_wait
+        return max(prefill_wait, slot_wait)
+
     def own_prefill(self, demand, now, copied):
         """Return the seconds of prefill that a request would add."""
         uncached = self.uncached_tokens(demand, copied)
@@ -383,7 +447,9 @@
         if least + prefill_wait > limit:
             return NOTHING
         tokens = demand.tokens_in + demand.tokens_out
-        wait = prefill_wait + self.slot_wait(tokens, now, request.urgency)
+        wait = self.joint_wait(
+            prefill_wait, self.slot_wait(tokens, now, request.urgency)
+        )
         predicted = wait + self.copy_time(copied) + own
         cost = self.cost_of(demand, now, own, predicted)
         if self.preempts(request.urgency):
@@ -391,7 +457,11 @@
         if not request.weighs_gaps or cost >= limit:
             return Estimate(predicted, cost, copied)
         gap_cost, pause = self.gaps.cost(
-            request, own, self.queue.seconds, self.idle_token_seconds
+            request,
+            own,
+            self.queue.seconds,
+            self.idle_token_seconds,
+            self.speeds.current_slowdown(now),
         )
         if predicted > request.in_time_within:
             gap_cost = MAX_GAP_COST_SECONDS
@@ -400,7 +470,11 @@
     @property
     def idle_token_seconds(self):
         """Seconds for an output token while no prompt is prefilled."""
-        return self.decode_times.idle * self.decode_slowdown
+        return (
+            self.decode_times.idle
+            * self.decode_slowdown
+            * self.speeds.steady_token_factor
+        )
 
     def token_time(self, now, backlog=0.0):
         """Return the predicted seconds for an output token.
@@ -413,7 +487,10 @@
         """
         self.duty_cycle.advance(now)
         duty = self.duty_cycle.expected(backlog, DUTY_CYCLE_SECONDS)
-        return self.decode_times.seconds(duty) * self.decode_slowdown
+        seconds = self.decode_times.seconds(duty) * self.decode_slowdown
+        if self.speeds.uneven:
+            return seconds * self.speeds.token_factor(now)
+        return seconds
 
     def begin(self, placement, demand):
         """Add the placement of a request, whose parts will be cached."""
@@ -436,6 +513,7 @@
             # A more urgent prompt gets the next slot first.
             self.start_next_prefill(placement.placed_at)
         self.slot_use.add(placement)
+        self.slot_waits.clear()
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
@@ -473,14 +551,25 @@
         self.mark_started(placement, now)
         if not was_active:
             return
+        slowdown = self.speeds.slowdown_of(placement, now)
+        if placement.prefill_seconds >= MIN_STEADY_PREFILL_SECONDS:
+            self.speeds.learn(
+                self.speeds.prefill,
+                prefill_seconds / slowdown,
+                placement.prefill_seconds,
+                now,
+            )
+        factor = self.speeds.prefill.value * slowdown
         learns = Mechanism.FIGURES not in self.disabled
         if learns and placement.found_idle and placement.uncached_tokens > 1:
             pairs = attention_pairs(
                 placement.tokens_in, placement.uncached_tokens
             )
-            self.prefill_times.learn(placement.uncached_tokens, pairs, seconds)
+            self.prefill_times.learn(
+                placement.uncached_tokens, pairs, seconds / factor
+            )
         self.learn_prefill_slowdown(
-            placement.prefill_seconds, prefill_seconds, now
+            placement.prefill_seconds, prefill_seconds / factor, now
         )
 
     def mark_started(self, placement, now):
@@ -495,10 +584,14 @@
         self.queue.remove(placement)
         self.gaps.mark_started(placement)
         self.slot_use.mark_started(placement)
+        self.slot_waits.clear()
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
         placement.prefill_seconds_at_start = self.duty_cycle.total
+        if self.speeds.uneven:
+            self.speeds.live.advance(now)
+            placement.slowdown_total_at_start = self.speeds.live.total
         if active_prefill is NOTHING:
             return
         if (
@@ -538,12 +631,20 @@
         self.gaps.set_prefilling(prefilling, now)
 
     def learn_prefill_slowdown(self, expected, observed, now):
-        """Learn from a prompt that was prefilled in *observed* seconds."""
+        """Learn from a prompt that was prefilled in *observed* seconds.
+
+        The time is that without the steady and the reported slowdown.
+        """
+        if self.prefill_factor != self.speeds.prefill.value:
+            self.prefill_slowdown *= (
+                self.prefill_factor / self.speeds.prefill.value
+            )
+            self.prefill_factor = self.speeds.prefill.value
         if expected < MIN_LEARNED_PREFILL_SECONDS:
             return
         low, high = PREFILL_SLOWDOWN_RANGE
         ratio = min(high, max(low, observed / expected))
-        prefill_slowdown = self.current_prefill_slowdown(now)
+        prefill_slowdown = self.residual_prefill_slowdown(now)
         self.prefill_slowdown = (
             prefill_slowdown + (ratio - prefill_slowdown) * LEARNING_RATE
         )
@@ -564,16 +665,26 @@
             self.queue.remove(removed)
             self.gaps.remove(removed)
             self.slot_use.remove(removed)
+            self.slot_waits.clear()
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
         elif self.waits_for_slot:
             self.update_prefilling(now)
-        if not complete or not placement.started or not placement.tokens_out:
+        if not placement.started or not placement.tokens_out:
+            return
+        if not complete:
+            self.learn_incomplete(placement, now)
             return
         self.learn_token(placement, now)
         if gaps is not NOTHING:
-            self.gaps.learn(placement, gaps, self.idle_token_seconds, now)
+            self.gaps.learn(
+                placement,
+                gaps,
+                self.idle_token_seconds,
+                now,
+                median=self.speeds.enabled,
+            )
 
     def learn_token(self, placement, now):
         """Learn the time of an output token from a complete answer."""
@@ -587,10 +698,17 @@
             / seconds,
         )
         observed = seconds / placement.tokens_out
+        observed /= self.mean_slowdown(placement, seconds, now)
+        expected = self.decode_times.seconds(duty)
+        speeds = self.speeds
+        speeds.learn(speeds.decode, observed, expected, now)
+        factor = speeds.steady_token_factor
+        observed /= factor
+        if self.decode_factor != factor:
+            self.decode_slowdown *= self.decode_factor / factor
+            self.decode_factor = factor
         low, high = DECODE_SLOWDOWN_RANGE
-        decode_slowdown = min(
-            high, max(low, observed / self.decode_times.seconds(duty))
-        )
+        decode_slowdown = min(high, max(low, observed / expected))
         self.decode_slowdown += (
             decode_slowdown - self.decode_slowdown
         ) * LEARNING_RATE
@@ -601,15 +719,49 @@
         for placement in self.placements.values():
             self.gaps.remove(placement)
 
+    def learn_incomplete(self, placement, now):
+        """Learn that an answer took longer than the time until its end.
+
+        Callers leave before a slow server has completed their answers. If
+        only complete answers counted, such a server would never seem slow.
+        """
+        seconds = now - placement.started_at
+        if not self.speeds.enabled or seconds <= 0:
+            return
+        self.duty_cycle.advance(now)
+        prefill = self.duty_cycle.total - placement.prefill_seconds_at_start
+        expected = self.decode_times.seconds(min(1.0, prefill / seconds))
+        at_least = seconds / placement.tokens_out
+        at_least /= self.mean_slowdown(placement, seconds, now)
+        factor = self.speeds.steady_token_factor * self.decode_slowdown
+        if at_least > expected * factor:
+            self.speeds.learn(self.speeds.decode, at_least, expected, now)
+
+    def mean_slowdown(self, placement, seconds, now):
+        """Return the mean reported slowdown during an answer.
+
+        Args:
+            placement: Its `Placement`.
+            seconds: Seconds since its first event.
+            now: The time.
+        """
+        live = self.speeds.live
+        if not self.speeds.uneven or not placement.slowdown_total_at_start:
+            return 1.0
+        live.advance(now)
+        return (live.total - placement.slowdown_total_at_start) / seconds
+
     def waits(self, now):
         """Return the seconds that a new request waits, by its rank."""
         return tuple(
-            self.prefill_wait(urgency, now)
-            + self.slot_wait(1000, now, urgency)
+            self.joint_wait(
+                self.prefill_wait(urgency, now),
+                self.slot_wait(1000, now, urgency),
+            )
             for urgency in range(2, 2 + 2 * RANKS, 2)
         )
 
-    def occupancy(self):
+    def occupancy(self, now=0.0):
         """Return the used fraction of the slots or of the memory.
 
         The larger one of the two counts.
--- a/src/hyssopspring/traffic/mechanisms.py
+++ b/src/hyssopspring/traffic/mechanisms.py
@@ -24,6 +24,7 @@
     SLOTS = "a prompt that waits for a slot is taken to be in prefill"
     HEADROOM = "all wait alike for slots, and none leaves room for bound ones"
     SCHEDULE = "who is refused is told a time that nothing is kept free for"
+    SPEEDS = "all servers of a service are taken to be equally fast"
 
     @property
     def label(self):
--- a/src/hyssopspring/traffic/pauses.py
+++ b/src/hyssopspring/traffic/pauses.py
@@ -44,6 +44,11 @@
 """Bounds of the ceiling in seconds. The initial value is that of an engine
 whose steps all prefill a chunk of a prompt."""
 
+MEDIAN_STEP = 0.03
+"""Relative step of the ceiling, and of the factor of an engine, where servers
+report their slowdown. The steps up and down balance at the median, which the
+gaps of short slow phases do not move; these are predicted from the reports."""
+
 STREAK_GAP_FRACTION = 0.85
 """Fraction of a streak of prefill by which it extends a gap. The steps with a
 chunk produce a token each as well, and take about seven times as long."""
@@ -143,7 +148,7 @@
     ceiling: float = INITIAL_EVENT_TOKENS * INITIAL_BUSY_TOKEN_SECONDS
     streams: int = 0
 
-    def longest_gap(self, idle, streak):
+    def longest_gap(self, idle, streak, slowdown=1.0):
         """Return the longest gap between two events in seconds.
 
         A streak of prefill that is shorter than the time of an event slows
@@ -152,22 +157,44 @@
         Args:
             idle: Seconds for a token while the engine prefills nothing.
             streak: Longest time in seconds in which it prefills throughout.
+            slowdown: Reported slowdown of the engine.
         """
-        gap = self.event_tokens * idle + streak * STREAK_GAP_FRACTION
-        return min(self.ceiling, gap)
+        gap = (
+            self.event_tokens * idle * slowdown + streak * STREAK_GAP_FRACTION
+        )
+        return min(self.ceiling * slowdown, gap)
 
-    def learn(self, tokens, longest):
-        """Learn from a stream.
+    def learn_median(self, tokens, longest, streak):
+        """Learn from a stream on an engine that reports its slowdown.
 
         Args:
             tokens: Tokens of one of its events.
             longest: Its longest gap in seconds.
+            streak: Seconds of prefill in which it fell.
         """
+        self.learn_tokens(tokens)
+        if streak * STREAK_GAP_FRACTION < self.ceiling / 2:
+            return
+        low, high = CEILING_RANGE
+        step = MEDIAN_STEP if longest > self.ceiling else -MEDIAN_STEP
+        self.ceiling = min(high, max(low, self.ceiling * (1.0 + step)))
+
+    def learn_tokens(self, tokens):
+        """Learn the tokens of an event."""
         low, high = EVENT_TOKENS_RANGE
         tokens = min(high, max(low, tokens))
         self.event_tokens += (
             tokens - self.event_tokens
         ) * EVENT_TOKENS_LEARNING_RATE
+
+    def learn(self, tokens, longest):
+        """Learn from a stream.
+
+        Args:
+            tokens: Tokens of one of its events.
+            longest: Its longest gap in seconds.
+        """
+        self.learn_tokens(tokens)
         error = longest - self.ceiling
         rate = CEILING_RISE_RATE if error > 0 else CEILING_FALL_RATE
         low, high = CEILING_RANGE
@@ -264,7 +291,7 @@
         """Return the longest recent streak of prefill in seconds."""
         return max(self.decayed_streak(now), self.streak_now(now))
 
-    def cost(self, request, own, queued_by_urgency, idle):
+    def cost(self, request, own, queued_by_urgency, idle, slowdown=1.0):
         """Return the cost of the gaps that a placement causes.
 
         Args:
@@ -273,6 +300,7 @@
             queued_by_urgency: Seconds of prefill that wait at the engine, by
                 urgency.
             idle: Seconds for an output token without prefill.
+            slowdown: Reported slowdown of the engine.
 
         Returns:
             The cost in seconds, and the predicted longest gap of the request's
@@ -288,21 +316,22 @@
             # too long already hits each stream that starts meanwhile.
             objective = self.objectives / self.streams
             running = self.streams - self.waiting
-            queued = sum(queued_by_urgency)
+            queued = sum(queued_by_urgency) * slowdown
             for count, streak in (
                 (running, self.streak_now(now) + queued),
                 (self.waiting, queued / 2),
             ):
                 if not count:
                     continue
-                gap = model.longest_gap(idle, streak + own) * factor
+                gap = model.longest_gap(idle, streak + own, slowdown)
+                gap *= factor
                 late_streams += count * risk(gap, objective)
         cost = late_streams * LATE_STREAM_COST_SECONDS
         pause = 0.0
         if request.gap_objective:
-            behind = sum(queued_by_urgency[request.urgency + 1 :])
+            behind = sum(queued_by_urgency[request.urgency + 1 :]) * slowdown
             streak = max(self.recent_streak(now), behind)
-            pause = model.longest_gap(idle, streak) * factor
+            pause = model.longest_gap(idle, streak, slowdown) * factor
             exposure = request.demand.tokens_out * idle / EXPOSURE_SECONDS
             cost += (
                 min(1.0, exposure)
@@ -311,7 +340,7 @@
             )
         return min(MAX_GAP_COST_SECONDS, cost), pause
 
-    def learn(self, placement, gaps, idle, now):
+    def learn(self, placement, gaps, idle, now, *, median=False):
         """Learn from the gaps of a stream that has ended.
 
         Args:
@@ -319,12 +348,14 @@
             gaps: Its `StreamGaps`.
             idle: Seconds for an output token without prefill.
             now: The time.
+            median: Whether short slow phases are predicted from reports of
+                the engine, so that the medians are learned.
         """
         if gaps.events < MIN_EVENTS or not placement.tokens_out:
             return
-        self.model.learn(
-            placement.tokens_out / gaps.events, gaps.longest / self.factor
-        )
+        tokens = placement.tokens_out / gaps.events
+        if not median:
+            self.model.learn(tokens, gaps.longest / self.factor)
         began = placement.started_at
         streak = max(
             (
@@ -335,8 +366,14 @@
             default=0.0,
         )
         streak = max(streak, min(self.streak_now(now), now - began))
-        expected = self.model.longest_gap(idle, streak)
         low, high = FACTOR_RANGE
+        if median:
+            self.model.learn_median(tokens, gaps.longest / self.factor, streak)
+            expected = self.model.longest_gap(idle, streak) * self.factor
+            step = MEDIAN_STEP if gaps.longest > expected else -MEDIAN_STEP
+            self.factor = min(high, max(low, self.factor * (1.0 + step)))
+            return
+        expected = self.model.longest_gap(idle, streak)
         ratio = min(high, max(low, gaps.longest / max(1e-3, expected)))
         self.factor += (ratio - self.factor) * FACTOR_LEARNING_RATE
 
--- a/src/hyssopspring/traffic/work.py
+++ b/src/hyssopspring/traffic/work.py
@@ -177,6 +177,9 @@
             none is stated.
         service: Service of its server.
         bound: Whether it may not be served in every region.
+        slowdown: Slowdown that the server reported with its response, or 0.
+        slowdown_total_at_start: Integral of its slowdown when it started.
+        queue_factor: Predicted time of a call over that without a queue.
     """
 
     host: str
@@ -198,6 +201,9 @@
     gap_objective: float = 0.0
     service: str = ""
     bound: bool = False
+    slowdown: float = 0.0
+    slowdown_total_at_start: float = 0.0
+    queue_factor: float = 1.0
 
     @property
     def waiting(self):
--- a/src/hyssopspring/traffic/workmodels.py
+++ b/src/hyssopspring/traffic/workmodels.py
@@ -4,6 +4,7 @@
 from .enginework import EngineWork
 from .pauses import EngineGaps
 from .plainwork import PlainServerWork
+from .serverspeeds import ServerSpeeds
 
 __all__ = ["make_work"]
 
@@ -16,6 +17,7 @@
     gap_model,
     *,
     disabled=frozenset(),
+    speeds=NOTHING,
 ):
     """Return the model of a server's work in progress.
 
@@ -26,13 +28,16 @@
         decode_times: `DecodeTimes` of the service.
         gap_model: `GapModel` of the service.
         disabled: Each `Mechanism` that is disabled.
+        speeds: Its `ServerSpeeds`.
     """
+    speeds = speeds or ServerSpeeds()
     if service.engine is NOTHING:
-        return PlainServerWork(max(1, slots))
+        return PlainServerWork(max(1, slots), speeds=speeds)
     return EngineWork(
         service.engine,
         prefill_times,
         decode_times,
         disabled=disabled,
         gaps=EngineGaps(gap_model),
+        speeds=speeds,
     )
