Extend waits for slots by the more urgent requests to come

Requests that yield within a rank were predicted to start in 2.2 s at full engines and started after 5 s, as the slots that became free went to more urgent ones that arrived meanwhile. Their recent demand for slots extends the wait.

--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -321,8 +321,9 @@
         cached_at, seconds = self.slot_waits.get(urgency, (-math.inf, 0.0))
         if now - cached_at >= SLOT_WAIT_CACHE_SECONDS:
             token = self.token_time(now)
+            by_urgency = Mechanism.HEADROOM not in self.disabled
             running, waiting = self.slot_use.split(
-                self.placements.values(), urgency
+                self.placements.values(), urgency if by_urgency else BEHIND_ALL
             )
             seconds = seconds_to_free_slot(
                 self.slots,
@@ -332,6 +333,8 @@
                     for one in waiting
                 ],
             )
+            if by_urgency:
+                seconds *= self.slot_use.slowdown(urgency, now)
             self.slot_waits[urgency] = now, seconds
             return seconds
         return max(0.0, seconds - (now - cached_at))
@@ -513,6 +516,12 @@
             # A more urgent prompt gets the next slot first.
             self.start_next_prefill(placement.placed_at)
         self.slot_use.add(placement)
+        self.slot_use.add_demand(
+            placement.urgency,
+            placement.prefill_seconds
+            + placement.tokens_out * self.token_time(placement.placed_at),
+            placement.placed_at,
+        )
         self.slot_waits.clear()
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
--- a/src/hyssopspring/traffic/slotuse.py
+++ b/src/hyssopspring/traffic/slotuse.py
@@ -1,12 +1,21 @@
 """Slots of an engine, counted by the urgency of the requests that use them."""
 
 import heapq
+import math
 from dataclasses import dataclass, field
 
 from .prefillqueue import URGENCY_LEVELS
 
 __all__ = ["SlotUse", "seconds_to_free_slot"]
 
+DEMAND_SECONDS = 3.0
+"""Seconds over which the demand for slots is averaged, about the length of a
+stream."""
+
+MAX_OVERTAKING_FRACTION = 0.8
+"""Maximum fraction of the slots that more urgent requests are assumed to take
+in the future. Beyond it, a less urgent request is refused in any case."""
+
 
 @dataclass(slots=True, eq=False)
 class SlotUse:
@@ -19,11 +28,15 @@
         slots: Requests that run concurrently.
         placed: Number of placed requests by urgency.
         running: Number of those with a first event by urgency.
+        demand: Seconds of slots that recent requests need, by urgency.
+        demand_at: Time up to which the demand has decayed.
     """
 
     slots: int
     placed: list = field(default_factory=lambda: [0] * URGENCY_LEVELS)
     running: list = field(default_factory=lambda: [0] * URGENCY_LEVELS)
+    demand: list = field(default_factory=lambda: [0.0] * URGENCY_LEVELS)
+    demand_at: float = 0.0
 
     def add(self, placement):
         """Count a placement."""
@@ -52,6 +65,25 @@
         """Return whether no slot is free for a prompt of *urgency*."""
         return sum(self.running[: urgency + 1]) >= self.slots
 
+    def add_demand(self, urgency, seconds, now):
+        """Count a request that will hold a slot for *seconds*."""
+        decay = math.exp(-max(0.0, now - self.demand_at) / DEMAND_SECONDS)
+        self.demand = [one * decay for one in self.demand]
+        self.demand[urgency] += seconds
+        self.demand_at = max(now, self.demand_at)
+
+    def slowdown(self, urgency, now):
+        """Return the factor by which more urgent requests extend a wait.
+
+        A waiting request is overtaken by more urgent ones that arrive later.
+        Without this factor, requests that yield were predicted to start in
+        2.2 s at full engines and started after 5 s.
+        """
+        decay = math.exp(-max(0.0, now - self.demand_at) / DEMAND_SECONDS)
+        urgent = sum(self.demand[:urgency]) * decay
+        fraction = urgent / (self.slots * DEMAND_SECONDS)
+        return 1.0 / (1.0 - min(MAX_OVERTAKING_FRACTION, fraction))
+
     def split(self, placements, urgency):
         """Return the running and the waiting requests before a new one.
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -64,7 +64,7 @@
     assert work.slot_wait(1000, 0.1, 2) == 0.0
     assert work.slot_wait(1000, 0.1, 6) > 0.0
     off = full_engine(6, frozenset({Mechanism.HEADROOM}))
-    assert off.slot_wait(1000, 0.1, 2) == off.slot_wait(1000, 0.1, 6)
+    assert off.slot_wait(1000, 0.1, 2) == off.slot_wait(1000, 0.1, 6) > 0.0
 
 
 def test_a_preemption_costs_more_than_a_free_slot():
--- a/tests/test_enginework.py
+++ b/tests/test_enginework.py
@@ -14,7 +14,7 @@
 from hyssopspring.traffic.mechanisms import Mechanism
 from hyssopspring.traffic.prefill import PrefillTimes, attention_pairs
 from hyssopspring.traffic.routes import EngineSpec
-from hyssopspring.traffic.slotuse import seconds_to_free_slot
+from hyssopspring.traffic.slotuse import SlotUse, seconds_to_free_slot
 from hyssopspring.traffic.work import Demand, Placement, answer_cost
 
 LONG = Demand(tokens_in=40_000, tokens_out=100)
@@ -270,3 +270,13 @@
 def test_slots_are_free_again_after_short_requests(running, waiting, expected):
     """Guard against refusals behind a queue that moves fast."""
     assert_that(seconds_to_free_slot(2, running, waiting), Equals(expected))
+
+
+def test_more_urgent_requests_to_come_extend_a_wait_for_a_slot():
+    """Guard against late starts of requests that yield at a full engine."""
+    use = SlotUse(slots=4)
+    for step in range(60):
+        use.add_demand(4, 0.1, step * 0.1)
+    assert_that(use.slowdown(4, 6.0), Equals(1.0))
+    assert 1.2 < use.slowdown(5, 6.0) < 1.4
+    assert use.slowdown(5, 30.0) < 1.01
