--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -1,6 +1,5 @@
 """The model of an inference engine: its prefill queue and its cache."""
 
-import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -17,7 +16,12 @@
 from .prefillqueue import PrefillQueue
 from .routes import EngineSpec
 from .serverspeeds import ServerSpeeds
-from .slotuse import SlotUse, seconds_to_free_slot
+from .slotuse import (
+    BEHIND_ALL,
+    MIN_REMAINING_SECONDS,
+    SlotUse,
+    remaining_seconds,
+)
 from .work import (
     PREFILL_COST_FACTOR,
     RANKS,
@@ -29,10 +33,6 @@
 
 __all__ = ["EngineWork"]
 
-MIN_REMAINING_SECONDS = 0.08
-"""Seconds that a request is assumed to need after its expected end has
-passed."""
-
 USABLE_MEMORY_FRACTION = 0.93
 """Fraction of an engine's memory that is filled. Requests grow while they run,
 and an engine that runs out of memory preempts requests midway."""
@@ -66,18 +66,11 @@
 DECODE_SLOWDOWN_RANGE = (0.5, 8.0)
 """Bounds of `decode_slowdown`, the same as for `prefill_slowdown`."""
 
-BEHIND_ALL = 99
-"""Urgency of a request that waits behind all others."""
-
 PREEMPTION_COST_SECONDS = 0.5
 """Seconds that a preemption adds to the cost of a server. The stream that
 loses its slot stalls, prefills its prompt again and is late, so a free slot in
 another region is better, and a refusal is worse."""
 
-SLOT_WAIT_CACHE_SECONDS = 0.02
-"""Seconds for which the wait for a slot is cached while no request of the
-engine begins or ends. Each placement needs it for each full engine."""
-
 MIN_COPIED_TOKENS = 1024
 """Minimum number of tokens that are copied from another server: one chunk,
 which is prefilled in 30 ms."""
@@ -123,7 +116,6 @@
             one.
         gaps: `EngineGaps` of its streams.
         slot_use: `SlotUse` of its requests.
-        slot_waits: Time and seconds of cached waits for a slot, by urgency.
         waits_for_slot: Whether the prompt in `active_prefill` waits until a
             request ends.
         speeds: `ServerSpeeds`.
@@ -150,7 +142,6 @@
     decode_slowdown: float = 1.0
     gaps: EngineGaps = field(default_factory=EngineGaps)
     slot_use: SlotUse = field(init=False)
-    slot_waits: dict = field(default_factory=dict)
     waits_for_slot: bool = False
     speeds: ServerSpeeds = field(default_factory=ServerSpeeds)
     prefill_factor: float = 1.0
@@ -294,7 +285,13 @@
         if slots <= 0 and memory <= 0:
             return 0.0
         if memory <= 0 and Mechanism.SLOTS not in self.disabled:
-            return self.cached_slot_wait(urgency, now)
+            by_urgency = Mechanism.HEADROOM not in self.disabled
+            return self.slot_use.wait(
+                self.placements.values(),
+                urgency if by_urgency else BEHIND_ALL,
+                self.token_time(now),
+                now,
+            )
         seconds = 0.0
         token = self.token_time(now)
         ends = [
@@ -316,29 +313,6 @@
                 break
         return seconds
 
-    def cached_slot_wait(self, urgency, now):
-        """Return the seconds until a slot is free, computed a moment ago."""
-        cached_at, seconds = self.slot_waits.get(urgency, (-math.inf, 0.0))
-        if now - cached_at >= SLOT_WAIT_CACHE_SECONDS:
-            token = self.token_time(now)
-            by_urgency = Mechanism.HEADROOM not in self.disabled
-            running, waiting = self.slot_use.split(
-                self.placements.values(), urgency if by_urgency else BEHIND_ALL
-            )
-            seconds = seconds_to_free_slot(
-                self.slots,
-                [remaining_seconds(one, token, now) for one in running],
-                [
-                    one.prefill_seconds + one.tokens_out * token
-                    for one in waiting
-                ],
-            )
-            if by_urgency:
-                seconds *= self.slot_use.slowdown(urgency, now)
-            self.slot_waits[urgency] = now, seconds
-            return seconds
-        return max(0.0, seconds - (now - cached_at))
-
     def idle_seconds(self, demand, uncached):
         """Return the seconds to a first event on an idle engine.
 
@@ -522,7 +496,6 @@
             + placement.tokens_out * self.token_time(placement.placed_at),
             placement.placed_at,
         )
-        self.slot_waits.clear()
         self.gaps.add(placement)
         self.held_tokens += placement.tokens
         self.crowding_cost = occupancy_cost(self.occupancy())
@@ -593,7 +566,6 @@
         self.queue.remove(placement)
         self.gaps.mark_started(placement)
         self.slot_use.mark_started(placement)
-        self.slot_waits.clear()
         placement.started = True
         placement.started_at = now
         self.duty_cycle.advance(now)
@@ -674,7 +646,6 @@
             self.queue.remove(removed)
             self.gaps.remove(removed)
             self.slot_use.remove(removed)
-            self.slot_waits.clear()
             self.crowding_cost = occupancy_cost(self.occupancy())
         if removed is not None and removed is self.active_prefill:
             self.start_next_prefill(now)
@@ -777,17 +748,3 @@
         """
         memory = self.held_tokens / (self.memory * USABLE_MEMORY_FRACTION)
         return max(len(self.placements) / self.slots, memory)
-
-
-def remaining_seconds(placement, token_seconds, now):
-    """Return the seconds until a request should end.
-
-    Args:
-        placement: Its `Placement`.
-        token_seconds: Seconds that its server needs for an output token.
-        now: The time.
-    """
-    complete = placement.tokens_out * token_seconds
-    if not placement.started:
-        return complete + placement.predicted
-    return max(MIN_REMAINING_SECONDS, complete - (now - placement.started_at))
--- a/src/hyssopspring/traffic/slotuse.py
+++ b/src/hyssopspring/traffic/slotuse.py
@@ -6,7 +6,24 @@
 
 from .prefillqueue import URGENCY_LEVELS
 
-__all__ = ["SlotUse", "seconds_to_free_slot"]
+__all__ = [
+    "BEHIND_ALL",
+    "MIN_REMAINING_SECONDS",
+    "SlotUse",
+    "remaining_seconds",
+    "seconds_to_free_slot",
+]
+
+BEHIND_ALL = 99
+"""Urgency of a request that waits behind all others."""
+
+MIN_REMAINING_SECONDS = 0.08
+"""Seconds that a request is assumed to need after its expected end has
+passed."""
+
+CACHE_SECONDS = 0.02
+"""Seconds for which the wait for a slot is cached while no request of the
+engine begins or ends. Each placement needs it for each full engine."""
 
 DEMAND_SECONDS = 3.0
 """Seconds over which the demand for slots is averaged, about the length of a
@@ -30,6 +47,7 @@
         running: Number of those with a first event by urgency.
         demand: Seconds of slots that recent requests need, by urgency.
         demand_at: Time up to which the demand has decayed.
+        waits: Time and seconds of cached waits for a slot, by urgency.
     """
 
     slots: int
@@ -37,19 +55,23 @@
     running: list = field(default_factory=lambda: [0] * URGENCY_LEVELS)
     demand: list = field(default_factory=lambda: [0.0] * URGENCY_LEVELS)
     demand_at: float = 0.0
+    waits: dict = field(default_factory=dict)
 
     def add(self, placement):
         """Count a placement."""
+        self.waits.clear()
         self.placed[placement.urgency] += 1
         self.running[placement.urgency] += placement.started
 
     def mark_started(self, placement):
         """Count a placement as running from its first event on."""
+        self.waits.clear()
         if not placement.started:
             self.running[placement.urgency] += 1
 
     def remove(self, placement):
         """Stop counting a placement."""
+        self.waits.clear()
         self.placed[placement.urgency] -= 1
         self.running[placement.urgency] -= placement.started
 
@@ -84,6 +106,32 @@
         fraction = urgent / (self.slots * DEMAND_SECONDS)
         return 1.0 / (1.0 - min(MAX_OVERTAKING_FRACTION, fraction))
 
+    def wait(self, placements, urgency, token_seconds, now):
+        """Return the seconds until a slot is free for a new request.
+
+        Args:
+            placements: Each `Placement` of the engine.
+            urgency: Urgency of the new request, or `BEHIND_ALL`.
+            token_seconds: Seconds that the engine needs for an output token.
+            now: The time.
+        """
+        cached_at, seconds = self.waits.get(urgency, (-math.inf, 0.0))
+        if now - cached_at < CACHE_SECONDS:
+            return max(0.0, seconds - (now - cached_at))
+        running, waiting = self.split(placements, urgency)
+        seconds = seconds_to_free_slot(
+            self.slots,
+            [remaining_seconds(one, token_seconds, now) for one in running],
+            [
+                one.prefill_seconds + one.tokens_out * token_seconds
+                for one in waiting
+            ],
+        )
+        if urgency < BEHIND_ALL:
+            seconds *= self.slowdown(urgency, now)
+        self.waits[urgency] = now, seconds
+        return seconds
+
     def split(self, placements, urgency):
         """Return the running and the waiting requests before a new one.
 
@@ -124,3 +172,17 @@
     for seconds in waiting:
         heapq.heapreplace(ends, ends[0] + seconds)
     return ends[0]
+
+
+def remaining_seconds(placement, token_seconds, now):
+    """Return the seconds until a request should end.
+
+    Args:
+        placement: Its `Placement`.
+        token_seconds: Seconds that its server needs for an output token.
+        now: The time.
+    """
+    complete = placement.tokens_out * token_seconds
+    if not placement.started:
+        return complete + placement.predicted
+    return max(MIN_REMAINING_SECONDS, complete - (now - placement.started_at))
