Give restarted engines of the crash emulation a machine of their own

The emulation takes a seed instead of a generator since it has machines with speeds, and the emulated crashes still passed a generator. Its random numbers are the same as before.

--- a/src/hyssopspring_fakes/crashload.py
+++ b/src/hyssopspring_fakes/crashload.py
@@ -24,7 +24,7 @@
 from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring.traffic.servers import ServerEntry
 
-from .emulation import ONE_WAY, Emulation, Engine
+from .emulation import ONE_WAY, Emulation
 
 __all__ = ["CrashEmulation", "Repeats"]
 
@@ -140,12 +140,12 @@
 
     Args:
         shape: The `Shape`.
-        rng: Random number generator.
+        seed: Seed of its random numbers.
         repeats: The `Repeats`.
     """
 
-    def __init__(self, shape, rng, repeats):
-        super().__init__(shape, rng)
+    def __init__(self, shape, seed, repeats):
+        super().__init__(shape, seed)
         self.repeats = repeats
         self.tally = Tally()
         self.crashes = {region: CrashTracker() for region in shape.engines}
@@ -329,7 +329,7 @@
         for _, region in due:
             self.started += 1
             name = f"{region}-again-{self.started}"
-            self.engines[name] = Engine(name, self.outcome, self.shape)
+            self.engines[name] = self.make_engine(name)
             self.engines[name].due = now
             self.by_region[region].append(name)
             self.registry.put(
--- a/src/hyssopspring_fakes/emulation.py
+++ b/src/hyssopspring_fakes/emulation.py
@@ -577,12 +577,7 @@
             names = [f"{region}-{n}" for n in range(count)]
             self.by_region[region] = names
             for place, name in enumerate(names):
-                machine = Machine(
-                    shape.speeds[place % len(shape.speeds)],
-                    shape.slow_phases,
-                    random.Random(f"{name} {self.seed}"),
-                )
-                self.engines[name] = Engine(name, self.outcome, shape, machine)
+                self.engines[name] = self.make_engine(name, place)
                 self.registry.put(
                     ServerEntry(
                         id=name,
@@ -613,6 +608,16 @@
         self.at_engine = {}
         self.returning = []
 
+    def make_engine(self, name, place=0):
+        """Return the engine of *name*, the one at *place* in its region."""
+        shape = self.shape
+        machine = Machine(
+            shape.speeds[place % len(shape.speeds)],
+            shape.slow_phases,
+            random.Random(f"{name} {self.seed}"),
+        )
+        return Engine(name, self.outcome, shape, machine)
+
     def name_limits(self):
         """Let the placer of its region hear each limit."""
         for name, limit in self.shape.limits.items():
--- a/tests/test_crashload.py
+++ b/tests/test_crashload.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import random
 
 import pytest
 from testtools.assertions import assert_that
@@ -33,7 +32,7 @@
         kinds=kinds,
     )
     repeats = Repeats(every=4.0, at_once=2, kind=QUOTE, **changes)
-    emulation = CrashEmulation(shape, random.Random(seed), repeats)
+    emulation = CrashEmulation(shape, seed, repeats)
     outcome = emulation.run()
     return emulation.tally, outcome
 
