--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -531,6 +531,7 @@
         if (
             servers
             and query.request
+            and query.workspace
             and Mechanism.SCHEDULE not in self.disabled
             and schedule.knows_rate(rank, work, now)
         ):
