Log placements of other hosts that are not used

A host that declines a placement, since it knows that the server is leaving or paused, wrote nothing about it. The event grant_unused names the server, the placing host and the reason. The line placed says with listed=False that the sending host has no entry of the server, which tells a placing host that is behind from one that is ahead. Logic is unchanged.

--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -257,6 +257,7 @@
                 self.track_placement(number, ask, decision, member.name)
                 return decision
             if isinstance(decision, Placed):
+                self.log_unused_grant(ask, decision, member)
                 self.release_grant(number, decision.server_id, member)
         ask = self.exclude_paused(ask)
         return self.decide_locally(ask, cold_allowed=False)
@@ -318,11 +319,27 @@
             return False
         if not isinstance(decision, Placed):
             return True
+        return not self.exclusion_reason(decision.server_id)
+
+    def exclusion_reason(self, server_id):
+        """Return why this host sends nothing to a server, or ``""``."""
         now = self.clock.seconds()
-        usability = self.registry.usability(decision.server_id, now)
+        usability = self.registry.usability(server_id, now)
         if usability is Usability.LEAVING:
-            return False
-        return not self.retry_after_pauses.is_blocked(decision.server_id, now)
+            return "leaving"
+        if self.retry_after_pauses.is_blocked(server_id, now):
+            return "paused"
+        return ""
+
+    def log_unused_grant(self, ask, placed, member):
+        """Log a grant that this host does not use, and why."""
+        self.timeline.note(
+            EventKind.GRANT_UNUSED,
+            server=placed.server_id,
+            service=ask.service,
+            placed_by=member.name,
+            why=self.exclusion_reason(placed.server_id),
+        )
 
     def send_query(self, member, ask, *, is_fallback=False):
         """Query another host; return a deferred of the decision.
@@ -547,10 +564,19 @@
         if member is not None:
             self.datagrams.send(message, member.control)
 
-    def placer_of(self, number):
-        """Return the name of the host that placed a request, or ``""``."""
+    def placement_details(self, number):
+        """Return the log fields on who placed a request.
+
+        They say so if this host has no entry of the server, since its state
+        is then older or newer than that of the placing host.
+        """
         placement = self.placements.get(number)
-        return placement.placer if placement is not None else ""
+        if placement is None:
+            return {"placed_by": ""}
+        details = {"placed_by": placement.placer}
+        if placement.placed.server_id not in self.registry.servers:
+            details["listed"] = False
+        return details
 
     def placement_rows(self):
         """Return a `PlacementRow` for each placed request in progress."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -334,7 +334,7 @@
             predicted=round(placed.predicted, 3),
             urgency=placed.urgency,
             copy_from=placed.copy_from,
-            placed_by=self.state.coordinator.placer_of(number),
+            **self.state.coordinator.placement_details(number),
             **pause_details(placed),
             **notice_details(placed),
         )
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -271,7 +271,7 @@
             urgency=decision.urgency,
             copy_from=decision.copy_from,
             peer=self.request.peer_ip,
-            placed_by=self.state.coordinator.placer_of(number),
+            **self.state.coordinator.placement_details(number),
             **pause_details(decision),
             **notice_details(decision),
         )
