Test placements at removed servers by a host that is behind

The placing host of a region has no contact to the store and to the datagrams about changes, as after a freeze. The entry of a server is removed, and the other hosts of the region see it.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,10 +6,11 @@
 from networks import LimitedServers, Network
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan
-from twisted.internet import defer
+from twisted.internet import defer, reactor
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.entry.attempts import ResponseHead
+from hyssopspring.entry.messages import StoreChange
 from hyssopspring.traffic.servers import (
     LeavingNotice,
     Registry,
@@ -85,6 +86,40 @@
     assert_that(len(hosts.backends["plain-north"].arrived), Equals(1))
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_removed_server_gets_nothing_by_a_placing_host_that_is_behind(
+    hosts,
+):
+    """A host uses a placement at a server whose entry it has seen removed."""
+    hosts.add_backend("plain-2", "plain", "north")
+    north, _ = await hosts.with_resting_host()
+    await hosts.until(
+        lambda: all("plain-2" in one.registry.servers for one in north)
+    )
+    placing = north[0].members.placers(reactor.seconds())[0].name
+    behind = hosts.processes[placing]
+    behind.store_sync.stop()
+    behind.store_sync.choose_watching = lambda now: None
+    behind.membership.handlers[StoreChange] = lambda message: None
+    behind.membership.on_peer_ahead = lambda member: None
+    others = [one for one in north if one is not behind]
+    hosts.store.remove("servers/plain-north")
+    await hosts.until(
+        lambda: all(
+            "plain-north" not in one.registry.servers for one in others
+        )
+    )
+    assert_that("plain-north" in behind.registry.servers, Equals(True))
+    for number in range(20):
+        status, _, _ = await hosts.send(
+            others[number % 2].settings.host,
+            f"/lookup/{number}",
+            identifier=f"r{number}",
+        )
+        assert_that(status, Equals(200))
+    assert_that(hosts.backends["plain-north"].arrived, Equals([]))
+
+
 def usable(registry, server_id):
     """Whether a server may get new requests."""
     return registry.usability(server_id, 0.0) is not Usability.LEAVING
