Send nothing to a server whose entry this host has seen removed

A host sends each request where the placing host of its region says, unless it knows that the server is leaving or paused. Once an entry was removed, the server was unknown to it again, and a placement at an unknown server is used, as a new server may be known to the placing host first. A placing host that wakes from a freeze, or whose watches and datagrams are lost, places at removed servers until it has caught up; these serve on for seconds, so the requests reach them.

The class: absence of an entry means both not yet known and no longer there. The registry remembers removals for 60 s and tells the two apart; an entry that comes back ends that. Looked for elsewhere: relays and retries take the same path; a host that decides itself uses listed servers only; notices of unknown servers are kept, which closes servers and never opens one.

--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -312,8 +312,9 @@
         """Return whether a decision of another host may be used.
 
         The state of the other host may be older than that of this one. A
-        server that is leaving or paused according to this host gets no
-        request, whichever host placed it.
+        server that is leaving, removed or paused according to this host gets
+        no request, whichever host placed it. A server that this host has
+        never listed may be new, so a placement there is used.
         """
         if decision is NOTHING:
             return False
@@ -325,8 +326,8 @@
         """Return why this host sends nothing to a server, or ``""``."""
         now = self.clock.seconds()
         usability = self.registry.usability(server_id, now)
-        if usability is Usability.LEAVING:
-            return "leaving"
+        if usability in (Usability.LEAVING, Usability.REMOVED):
+            return usability.name.lower()
         if self.retry_after_pauses.is_blocked(server_id, now):
             return "paused"
         return ""
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -24,12 +24,18 @@
 flag."""
 
 
+REMOVAL_RETENTION_SECONDS = 60.0
+"""Seconds for which a removed server is remembered. It may serve for many
+seconds after its removal, and another host may list it for longer."""
+
+
 class Usability(enum.Enum):
     """Whether requests may be sent to a server."""
 
     READY = enum.auto()
     COLD = enum.auto()
     LEAVING = enum.auto()
+    REMOVED = enum.auto()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,13 +119,18 @@
 
     Args:
         regions: Region by data centre.
+
+    Attributes:
+        servers: `Server` by identifier.
+        removed_at: Time of the removal of each server that was removed
+            recently and not listed since.
     """
 
     def __init__(self, regions):
         self.regions = regions
         self.servers = {}
         self.evacuated = set()
-        self.removed = set()
+        self.removed_at = {}
         self.candidate_cache = {}
         self.leaving_notices = {}
         self.leaving_digest = 0
@@ -144,6 +155,7 @@
             region = self.regions.get(entry.data_centre, entry.data_centre)
             server = Server(entry, region)
             self.servers[entry.id] = server
+            self.removed_at.pop(entry.id, None)
             self.candidate_cache.clear()
         self.drop_notice_if_moved(entry)
         announced = instance_id_of(entry) in self.leaving_notices
@@ -183,14 +195,22 @@
                 server.absent_since = now
             return
         del self.servers[server_id]
+        self.removed_at[server_id] = now
         self.candidate_cache.clear()
 
     def expire(self, now):
         """Drop servers that did not register again or are terminated.
 
+        Removals that are older than `REMOVAL_RETENTION_SECONDS` are forgotten.
+
         Returns:
             Identifiers of the dropped servers.
         """
+        self.removed_at = {
+            server_id: removed_at
+            for server_id, removed_at in self.removed_at.items()
+            if now - removed_at <= REMOVAL_RETENTION_SECONDS
+        }
         gone = [
             server_id
             for server_id, server in self.servers.items()
@@ -198,6 +218,7 @@
         ]
         for server_id in gone:
             del self.servers[server_id]
+            self.removed_at[server_id] = now
         if gone:
             self.candidate_cache.clear()
         return gone
@@ -237,11 +258,13 @@
         """Return whether requests may be sent to a server.
 
         Returns:
-            Its `Usability`, or `NOTHING` if this host has no entry of it.
+            Its `Usability`, or `NOTHING` if this host has no entry of it and
+            has not seen it removed recently.
         """
         server = self.servers.get(server_id)
         if server is None:
-            return NOTHING
+            removed = server_id in self.removed_at
+            return Usability.REMOVED if removed else NOTHING
         if server.entry.data_centre in self.evacuated:
             return Usability.LEAVING
         return server.usability(now)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,6 +12,7 @@
 from hyssopspring.entry.attempts import ResponseHead
 from hyssopspring.entry.messages import StoreChange
 from hyssopspring.traffic.servers import (
+    REMOVAL_RETENTION_SECONDS,
     LeavingNotice,
     Registry,
     ServerEntry,
@@ -181,6 +182,23 @@
     assert_that(usable(late, "s1"), Equals(False))
 
 
+def test_a_removed_server_is_usable_once_it_is_listed_again(registry):
+    """A server whose entry lapsed and came back is never used again."""
+    registry.remove("s1", 2.0, outage=False)
+    assert_that(registry.usability("s1", 2.0), Equals(Usability.REMOVED))
+    registry.put(entry(), 3.0)
+    assert_that(registry.usability("s1", 3.0), Equals(Usability.READY))
+
+
+def test_removed_servers_are_forgotten(registry):
+    """What a host remembers of removed servers grows for ever."""
+    registry.remove("s1", 2.0, outage=False)
+    registry.expire(2.0 + REMOVAL_RETENTION_SECONDS)
+    assert_that(registry.usability("s1", 63.0), Equals(Usability.REMOVED))
+    registry.expire(2.5 + REMOVAL_RETENTION_SECONDS)
+    assert_that(registry.usability("s1", 63.0), Equals(NOTHING))
+
+
 def test_who_left_is_forgotten_once_it_is_gone(registry):
     """What hosts remember of servers that are gone grows for ever."""
     registry.record_leaving(notice(registry), 1.0)
