Log the era of the store and a restore from a copy

The store names an era in each answer, which rises when it comes back from a copy. Nothing read it, so that no line could tell lower revisions after a restore from a dead watch. The event store_restored, the gauge store_era and the revisions on watch_renewed tell them apart. The stand-in of the store can be restored from a copy and names its era. Logic is unchanged.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -70,6 +70,7 @@
     WATCH_RENEWED = (506, "watch that may be dead was restarted")
     VIEW_LOST = (504, "configuration not confirmed, keys are not accepted")
     VIEW_BACK = (505, "configuration is confirmed again")
+    STORE_RESTORED = (507, "store was restored from a copy")
     CLAIM_COMMITTED = (600, "claims of keys committed")
     CLAIM_CONFLICT = (601, "claim lost to another claimant")
     CLAIM_UNAVAILABLE = (602, "claims cannot be committed now")
--- a/src/hyssopspring/entry/fetching.py
+++ b/src/hyssopspring/entry/fetching.py
@@ -16,7 +16,7 @@
 async def fetch(
     connections, endpoint, method, uri, host, body, *, timeout, clock
 ):
-    """Send one call; return the status and the body of the response.
+    """Send one call; return status, body and `Headers` of the response.
 
     Args:
         connections: The `Connections`.
@@ -77,7 +77,7 @@
         await reader.done
         if not reader.reason.check(ResponseDone):
             raise NoAnswerError("response body was truncated")
-        return response.code, reader.body
+        return response.code, reader.body, response.headers
 
     def abort(self):
         """Abort the connection of a failed call."""
--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -476,6 +476,8 @@
             EventKind.WATCH_RENEWED,
             prefix=self.prefix,
             why=why,
+            after=self.after_revision,
+            newest=self.mirror.newest_change_revision,
             waited=round(self.clock.seconds() - self.watch_started_at, 1),
         )
         self.behind_since = NOTHING
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -246,6 +246,7 @@
             self.state.connections,
             self.reactor,
             lambda sent_at: self.store_sync.restart_older_watches(sent_at),
+            lambda previous, era: self.store_sync.on_restored(previous, era),
         )
         self.store_sync = StoreSync(
             self.state,
@@ -421,6 +422,7 @@
             "hosts_live": len(self.members.live(now)),
             "servers_known": len(self.registry.servers),
             "configuration_version": self.keeper.version,
+            "store_era": self.store_sync.store.era or 0,
             "store_contact_age_seconds": round(self.state.contact.age, 1),
             "view_age_seconds": round(min(self.state.view.age, 1e6), 1),
             "watch_age_seconds": self.store_sync.watch_age,
--- a/src/hyssopspring/entry/replication.py
+++ b/src/hyssopspring/entry/replication.py
@@ -288,7 +288,7 @@
             f"state {address}", address, True, PEER_IDLE_SECONDS
         )
         try:
-            status, data = await fetch(
+            status, data, _ = await fetch(
                 self.state.connections,
                 endpoint,
                 b"GET",
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -286,6 +286,18 @@
             if watcher.pending_watch and watcher.watch_started_at <= sent_at:
                 watcher.restart("no answer to a later call")
 
+    def on_restored(self, previous, era):
+        """Log that the store was restored from a copy."""
+        operator, servers = self.replication.revisions
+        self.state.timeline.note(
+            EventKind.STORE_RESTORED,
+            era=era,
+            previous=previous,
+            operator_revision=operator,
+            servers_revision=servers,
+            **self.state.provenance.details(),
+        )
+
     def spawn(self, coroutine):
         """Run a coroutine, and log its failure if it is unexpected."""
         defer.ensureDeferred(coroutine).addErrback(self.log_failure)
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -34,6 +34,8 @@
 IDLE_CONNECTION_SECONDS = 8.0
 """Time for which an idle connection to the store is kept open."""
 
+ERA_HEADER = b"store-era"
+
 GONE = 410
 CONFLICT = 412
 MAX_PAGES = 200
@@ -81,10 +83,20 @@
         on_no_response: Called when a call got no response, with the time
             at which the call was sent. Connections that were opened before
             may be dead as well.
+        on_restored: Called when the era rises, which is when the store was
+            restored from a copy, with the previous era and the new one.
+
+    Attributes:
+        era: Highest era in a response so far, or `NOTHING` before the first.
     """
 
     def __init__(
-        self, address, connections, clock, on_no_response=lambda at: None
+        self,
+        address,
+        connections,
+        clock,
+        on_no_response=lambda at: None,
+        on_restored=lambda previous, era: None,
     ):
         self.endpoint = Endpoint(
             "store", address, True, IDLE_CONNECTION_SECONDS
@@ -93,6 +105,8 @@
         self.connections = connections
         self.clock = clock
         self.on_no_response = on_no_response
+        self.on_restored = on_restored
+        self.era = NOTHING
         self.calls = 0
 
     async def list(self, prefix):
@@ -271,7 +285,7 @@
         sent_at = self.clock.seconds()
         data = b"" if body is NOTHING else msgspec.json.encode(body)
         try:
-            return await fetch(
+            status, response_body, headers = await fetch(
                 self.connections,
                 self.endpoint,
                 method.encode(),
@@ -285,6 +299,30 @@
             self.connections.close_idle(self.endpoint.key)
             self.on_no_response(sent_at)
             raise KeyValueError(f"{path}: {problem}") from None
+        self.record_era(read_era(headers))
+        return status, response_body
+
+    def record_era(self, era):
+        """Record the era of a response; report a restore of the store."""
+        previous = self.era
+        if previous is not NOTHING and era <= previous:
+            return
+        self.era = era
+        if previous is not NOTHING:
+            self.on_restored(previous, era)
+
+
+def read_era(headers):
+    """Return the era that a response of the store names.
+
+    Args:
+        headers: `Headers` of the response.
+
+    Returns:
+        The era; 0 if the response names none or an invalid one.
+    """
+    values = headers.getRawHeaders(ERA_HEADER, [b""])
+    return int(values[0]) if values[0].isdigit() else 0
 
 
 def decode(data, schema):
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -1,6 +1,8 @@
 """Stand-in of the platform's metadata store, for tests on loopback."""
 
 from base64 import b64decode, b64encode
+from copy import deepcopy
+from dataclasses import dataclass
 
 import msgspec
 from twisted.internet import defer
@@ -10,6 +12,23 @@
 __all__ = ["FakeMetadata"]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a copy of the store holds.
+
+    Attributes:
+        items: Item by key.
+        history: Events that watches may ask for.
+        revision: Newest revision.
+        leases: Keys by lease.
+    """
+
+    items: dict
+    history: list
+    revision: int
+    leases: dict
+
+
 class FakeMetadata:
     """Keys with revisions, watches and leases, over HTTP.
 
@@ -21,6 +40,7 @@
         down: Whether calls get no answer.
         deaf: Whether watches hear nothing of changes.
         refused: IP addresses whose calls are answered 503.
+        era: Number of times that the store came back from a copy.
     """
 
     def __init__(self, reactor, address):
@@ -35,6 +55,7 @@
         self.deaf = False
         self.forgotten = 0
         self.refused = set()
+        self.era = 0
         self.port = None
 
     def start(self):
@@ -74,11 +95,8 @@
     def note(self, event):
         """Keep an event and tell those who wait."""
         self.history.append(event)
-        if self.deaf:
-            return
-        waiting, self.waiting = self.waiting, []
-        for done in waiting:
-            done.callback(None)
+        if not self.deaf:
+            self.wake_all()
 
     async def serve(self, request):
         """Answer one call."""
@@ -119,7 +137,7 @@
         seconds = int(request.args[b"wait_ms"][0]) / 1000
         until = self.reactor.seconds() + seconds
         while True:
-            if after < self.forgotten:
+            if after < self.forgotten or after > self.revision:
                 self.respond(request, 410, {})
                 return
             events = [
@@ -148,6 +166,26 @@
         """Drop the history, and cut the watches that wait."""
         self.history.clear()
         self.forgotten = self.revision
+        self.wake_all()
+
+    def copy(self):
+        """Return a `StoreCopy` of the present state."""
+        return deepcopy(
+            StoreCopy(self.items, self.history, self.revision, self.leases)
+        )
+
+    def restore(self, copy):
+        """Come back from a copy: what was written since is gone."""
+        self.items = deepcopy(copy.items)
+        self.history = deepcopy(copy.history)
+        self.revision = copy.revision
+        self.leases = deepcopy(copy.leases)
+        self.forgotten = min(self.forgotten, copy.revision)
+        self.era += 1
+        self.wake_all()
+
+    def wake_all(self):
+        """End the waiting of all watches."""
         waiting, self.waiting = self.waiting, []
         for done in waiting:
             done.callback(None)
@@ -173,9 +211,7 @@
     def refuse(self, address):
         """Turn the calls of one host away, also those that wait."""
         self.refused.add(address)
-        waiting, self.waiting = self.waiting, []
-        for done in waiting:
-            done.callback(None)
+        self.wake_all()
 
     def grant(self, request):
         """Grant a lease."""
@@ -196,13 +232,12 @@
         body = msgspec.json.encode({"store_revision": self.revision, **value})
         request.setResponseCode(status)
         request.setHeader(b"content-length", b"%d" % len(body))
+        request.setHeader(b"store-era", b"%d" % self.era)
         request.write(body)
         request.finish()
 
     async def stop(self):
         """Stop listening."""
         self.down = True
-        waiting, self.waiting = self.waiting, []
-        for done in waiting:
-            done.callback(None)
+        self.wake_all()
         await self.port.stopListening()
