Order store changes across restores from a copy

A mirror took an entry only if its revision was higher than the one it had, so that changes with numbers up to the newest one before the restore were ignored by all hosts, while each listing confirmed the old configuration as the newest. In the record the watches of op/ are restarted as overtaken each 1.5 s from the restore until the numbers have caught up, which fits no other hypothesis.

The class: an order that holds within one history was used across two.

A revision now holds the era in its upper bits, so that all these comparisons order by era first. Configurations are ordered by their version in all eras. Servers that are leaving are recorded as notices first. Leases belong to an era; entries of hosts and crash records are written again. Messages carry the era in a field at the end, and hosts of earlier releases are not relied on for changes.

test_a_change_after_a_restore_is_in_force_in_time failed before: 0 of 4 hosts after 4 s. Of the ten tests of test_restores.py eight fail on the code before; the one of a host that starts and the one of entries written once pass there as well.

--- a/src/hyssopspring/entry/crashstore.py
+++ b/src/hyssopspring/entry/crashstore.py
@@ -59,8 +59,15 @@
         self.timeline = timeline
         self.spawn = spawn
         self.pending = {}
+        self.saved = {}
         self.saving = False
 
+    def on_restored(self):
+        """Write all records of this host again, as the store may lack them."""
+        for fingerprint, suspect in self.saved.items():
+            self.pending.setdefault(fingerprint, suspect)
+        self.saved.clear()
+
     def save(self, suspect):
         """Write a request at once, and retry until the store accepts it."""
         self.pending[suspect.fingerprint] = suspect
@@ -68,6 +75,10 @@
 
     def tick(self):
         """Write the requests that are not in the store yet."""
+        oldest = self.clock.seconds() - RETENTION_SECONDS
+        for suspect in list(self.saved.values()):
+            if suspect.last_event_at < oldest:
+                del self.saved[suspect.fingerprint]
         if self.pending and not self.saving:
             self.saving = True
             self.spawn(self.save_all())
@@ -94,6 +105,7 @@
         now = self.clock.seconds()
         remaining = RETENTION_SECONDS - (now - suspect.last_event_at)
         if remaining < 1.0 or not suspect.crashes:
+            self.saved.pop(suspect.fingerprint, None)
             return True
         key = CRASHES_PREFIX + suspect.fingerprint
         stored = StoredSuspect(
@@ -110,6 +122,7 @@
         if not isinstance(result, Applied):
             self.note_unsaved(suspect, result)
             return False
+        self.saved[suspect.fingerprint] = suspect
         return True
 
     def note_unsaved(self, suspect, why):
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -3,6 +3,7 @@
 import math
 
 from ..core.events import EventKind
+from ..core.revisions import era_of, join_revision, number_of
 from ..core.sentinels import NOTHING
 from ..traffic.members import Subscription
 from ..traffic.pauses import StreamGaps
@@ -316,12 +317,13 @@
             own.leaving,
             round(min(own.contact_age, 1e6), 1),
             own.version,
-            own.revisions,
+            tuple(map(number_of, own.revisions)),
             report,
             placements,
             self.sharing.crashes.digest,
             self.notices.digest,
             list(speeds),
+            list(map(era_of, own.revisions)),
         )
 
     def update_live_hosts(self, now):
@@ -386,7 +388,8 @@
         member.up_seconds = message.up_seconds
         member.contact_age = message.contact_age
         member.version = message.version
-        member.revisions = message.revisions
+        member.revisions = revisions_from_heartbeat(message)
+        member.knows_eras = bool(message.eras)
         if leaves:
             self.announce_leaving(member, now)
         own = self.members.own
@@ -499,6 +502,17 @@
         )
 
 
+def revisions_from_heartbeat(message):
+    """Return the newest revisions of a host, with their eras.
+
+    A host of an earlier release counts as one that has seen era 0 only.
+    """
+    eras = message.eras
+    if len(eras) != len(message.revisions):
+        return message.revisions
+    return tuple(map(join_revision, eras, message.revisions))
+
+
 def encode_load(load):
     """Return a `RegionLoad` as a `ServiceLoad` message."""
     capacities = [
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -332,6 +332,7 @@
             received.
         speeds: Rows of `SpeedHandover`, from the placing host to the one that
             would take over.
+        eras: Eras of the two revisions; empty from earlier releases.
     """
 
     host: str
@@ -352,6 +353,7 @@
     crashes: int = 0
     notices: int = 0
     speeds: list[tuple[int, int, int, int, int]] = []
+    eras: list[int] = []
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
@@ -456,7 +458,7 @@
     Attributes:
         key: Key of the item.
         value: Value of the item.
-        revision: Revision of its last change.
+        revision: Number of its last change, without the era.
     """
 
     key: str
@@ -469,7 +471,7 @@
 
     Attributes:
         key: The removed key.
-        revision: Revision of the store at the removal.
+        revision: Number of the removal, without the era.
     """
 
     key: str
@@ -487,6 +489,7 @@
         written: Items that were written.
         removed: Keys that were removed.
         outage: Whether the store had been unavailable.
+        era: Era of all revisions in the message.
     """
 
     host: str
@@ -495,6 +498,7 @@
     written: list[StoredItem]
     removed: list[RemovedItem]
     outage: bool
+    era: int = 0
 
 
 class ServerCrashRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -246,7 +246,7 @@
             self.state.connections,
             self.reactor,
             lambda sent_at: self.store_sync.restart_older_watches(sent_at),
-            lambda previous, era: self.store_sync.on_restored(previous, era),
+            self.on_store_restored,
         )
         self.store_sync = StoreSync(
             self.state,
@@ -305,6 +305,11 @@
         factor = service.cold_rate * self.settings.cold_factor
         return factor + self.settings.cold_extra
 
+    def on_store_restored(self, previous, era):
+        """Write again what this host has written, and read what is left."""
+        self.store_sync.on_restored(previous, era)
+        self.crash_store.on_restored()
+
     def on_configuration_applied(self):
         """Announce the new version, and release requests held at the start."""
         self.membership.send_heartbeats()
@@ -552,6 +557,7 @@
         relay=f"{settings.address}:{last}",
         capacity=settings.capacity,
         incarnation=incarnation,
+        knows_eras=True,
     )
 
 
--- a/src/hyssopspring/entry/provenance.py
+++ b/src/hyssopspring/entry/provenance.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass
 
+from ..core.revisions import era_of, number_of
 from ..core.sentinels import NOTHING
 
 __all__ = ["Channel", "Origin", "Provenance"]
@@ -57,7 +58,8 @@
 
         Args:
             origin: Its `Origin`, or `NOTHING` if unknown.
-            revision: Revision of the store at which it was written.
+            revision: Revision of the store at which it was written, with its
+                era.
         """
         self.origin = origin
         self.revision = revision
@@ -70,7 +72,8 @@
         origin = self.origin or Origin(Channel.LISTING, "")
         return {
             "version": self.keeper.version,
-            "revision": self.revision,
+            "revision": number_of(self.revision),
+            "era": era_of(self.revision),
             "version_by": origin.channel.value,
             "version_from": origin.host,
             "version_for": round(self.clock.seconds() - self.applied_at, 1),
--- a/src/hyssopspring/entry/replication.py
+++ b/src/hyssopspring/entry/replication.py
@@ -1,6 +1,7 @@
 """Replication of store changes and snapshots between hosts of a region."""
 
 import zlib
+from dataclasses import replace
 
 import msgspec
 from twisted.internet import defer
@@ -8,6 +9,12 @@
 from ..core.addresses import split_address
 from ..core.events import EventKind
 from ..core.exceptions import NoAnswerError
+from ..core.revisions import (
+    era_of,
+    first_of_era,
+    join_revision,
+    number_of,
+)
 from ..core.sentinels import NOTHING
 from ..stores.keyvalues import Entry
 from .connections import Endpoint
@@ -44,17 +51,23 @@
     """A host's copy of the store.
 
     Attributes:
-        revisions: Newest revisions that it reflects, of the operators' keys
-            and of the servers' keys.
+        revisions: Numbers of the newest revisions that it reflects, of the
+            operators' keys and of the servers' keys.
         operator: Items written by operators.
         servers: Entries of backend servers.
         hosts: Entries of hosts.
+        eras: Eras of these revisions, and of the items.
     """
 
     revisions: tuple[int, int]
     operator: list[StoredItem]
     servers: list[StoredItem]
     hosts: list[StoredItem]
+    eras: tuple[int, int] = (0, 0)
+
+    def full_revisions(self):
+        """Return the revisions with their eras."""
+        return tuple(map(join_revision, self.eras, self.revisions))
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -97,15 +110,9 @@
 
     def broadcast_changes(self, prefix, changes, outage):
         """Broadcast changes from a watch to the hosts of the region."""
-        rows = [
-            StoredItem(entry.key, entry.value, entry.revision)
-            for entry in changes.entries
-        ]
-        rows += [
-            RemovedItem(removal.key, removal.revision)
-            for removal in changes.removals
-        ]
-        rows.sort(key=lambda row: row.revision)
+        rows = sorted(
+            (*changes.entries, *changes.removals), key=lambda row: row.revision
+        )
         previous = self.mirrors[prefix].newest_revision
         for batch in split_rows(rows):
             newest = max(previous, batch[-1].revision)
@@ -117,17 +124,27 @@
 
         An item that is too large for a datagram is left out. The message then
         names the item's revision as the previous one, so that a receiver
-        detects the gap and reads a snapshot.
+        detects the gap and reads a snapshot. The same goes for the first
+        changes of an era, as a receiver needs the state at its start.
         """
+        newest = batch[-1].revision
+        era = era_of(newest)
         if sum(map(row_size, batch)) > BATCH_BYTES:
-            previous, batch = batch[-1].revision, []
+            previous, batch = newest, []
+        elif era_of(previous) < era:
+            previous = newest
         return StoreChange(
             self.state.members.own.name,
             prefix,
-            previous,
-            [row for row in batch if isinstance(row, StoredItem)],
-            [row for row in batch if isinstance(row, RemovedItem)],
+            number_of(previous),
+            [encode_item(row) for row in batch if isinstance(row, Entry)],
+            [
+                RemovedItem(row.key, number_of(row.revision))
+                for row in batch
+                if isinstance(row, Removal)
+            ],
             outage,
+            era,
         )
 
     @property
@@ -155,16 +172,18 @@
             return
         seen = mirror.newest_revision
         changes = Changes(
-            tuple(decode_entries(message.written)),
-            tuple(Removal(row.key, row.revision) for row in message.removed),
-            0,
+            tuple(decode_entries(message.written, message.era)),
+            tuple(
+                Removal(row.key, join_revision(message.era, row.revision))
+                for row in message.removed
+            ),
         )
         mirror.apply(
             changes,
             outage=message.outage,
             origin=Origin(Channel.CHANGE, message.host),
         )
-        if message.previous <= seen:
+        if join_revision(message.era, message.previous) <= seen:
             return
         mirror.newest_revision = seen
         member = self.state.members.others.get(message.host)
@@ -184,7 +203,10 @@
             for member in (*self.state.members.others.values(), own)
         ]
         snapshot = Snapshot(
-            self.revisions, *map(encode_items, self.mirrors.values()), hosts
+            tuple(map(number_of, self.revisions)),
+            *map(encode_items, self.mirrors.values()),
+            hosts,
+            tuple(map(era_of, self.revisions)),
         )
         return zlib.compress(_ENCODER.encode(snapshot), COMPRESSION_LEVEL)
 
@@ -253,7 +275,7 @@
         snapshots += await self.fetch_snapshots(
             neighbours[:MAX_NEIGHBOURS_READ]
         )
-        snapshots.sort(key=lambda pair: pair[1].revisions, reverse=True)
+        snapshots.sort(key=lambda pair: pair[1].full_revisions(), reverse=True)
         for address, snapshot in snapshots:
             self.apply_snapshot(snapshot, address)
 
@@ -312,14 +334,22 @@
         return snapshot
 
     def apply_snapshot(self, snapshot, address):
-        """Apply the parts of another host's snapshot that are newer."""
+        """Apply the parts of another host's snapshot that are newer.
+
+        The other host may have a configuration that the store lost in a
+        restore, whichever of the two has seen the newer revision.
+        """
         origin = Origin(Channel.COPY, address)
         rows = (snapshot.operator, snapshot.servers)
         for mirror, revision, items_ in zip(
-            self.mirrors.values(), snapshot.revisions, rows, strict=True
+            self.mirrors.values(), snapshot.full_revisions(), rows, strict=True
         ):
+            entries = decode_entries(items_, era_of(revision))
             if revision > mirror.newest_revision:
-                mirror.replace(decode_entries(items_), revision, origin=origin)
+                mirror.replace(entries, revision, origin=origin)
+            else:
+                mirror.origin = origin
+                mirror.put_versions(entries)
 
 
 def row_size(row):
@@ -344,14 +374,27 @@
         yield batch
 
 
+def encode_item(entry):
+    """Return the `StoredItem` of an `Entry`."""
+    return StoredItem(entry.key, entry.value, number_of(entry.revision))
+
+
 def encode_items(mirror):
-    """Return a `StoredItem` for each entry of a `Mirror`."""
+    """Return a `StoredItem` for each entry of a `Mirror`.
+
+    An entry of an earlier era than the newest revision counts as carried over
+    to that of the newest revision.
+    """
+    first = first_of_era(mirror.newest_revision)
     return [
-        StoredItem(entry.key, entry.value, entry.revision)
+        encode_item(replace(entry, revision=max(first, entry.revision)))
         for entry in mirror.entries.values()
     ]
 
 
-def decode_entries(rows):
-    """Return an `Entry` for each `StoredItem`."""
-    return [Entry(row.key, row.value, row.revision) for row in rows]
+def decode_entries(rows, era):
+    """Return an `Entry` for each `StoredItem` of an era."""
+    return [
+        Entry(row.key, row.value, join_revision(era, row.revision))
+        for row in rows
+    ]
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -4,9 +4,11 @@
 
 from ..core.events import EventKind
 from ..core.exceptions import KeyValueError, ProtocolError
+from ..core.revisions import era_of, number_of
 from ..core.sentinels import NOTHING
 from ..stores.keyvalues import Applied
 from ..traffic.members import PLACER_WARMUP_SECONDS, STARTUP_DISCOVERY_SECONDS
+from ..traffic.servers import LeavingNotice
 from .crashstore import CRASHES_PREFIX
 from .hostentries import MEMBERS_PREFIX, OWN_PREFIX, decode_host, encode_host
 from .mirrors import HistoryLostError, Mirror, PrefixWatcher
@@ -52,7 +54,8 @@
         layout: Prefixes and decoders of the keys that other programs write;
             offers ``OPERATOR_PREFIX``, ``SERVERS_PREFIX``,
             ``CONFIGURATION_KEY``, ``decode_configuration``,
-            ``evacuated_data_centre``, ``decode_server`` and ``server_id``.
+            ``configuration_version``, ``evacuated_data_centre``,
+            ``decode_server`` and ``server_id``.
         on_applied: Called when the configuration has changed.
         on_hosts_read: Called when the hosts in the store were read.
         broadcast: Called with a `StoreChange` for the hosts of the region.
@@ -84,9 +87,15 @@
         self.probing = False
         self.last_probe_at = 0.0
         self.operator = Mirror(
-            self.on_operator_written, self.on_operator_removed
+            self.on_operator_written,
+            self.on_operator_removed,
+            version_of=self.version_of,
+        )
+        self.servers = Mirror(
+            self.on_server_written,
+            self.on_server_removed,
+            on_restored=self.keep_leaving_servers,
         )
-        self.servers = Mirror(self.on_server_written, self.on_server_removed)
         self.hosts = Mirror(self.on_host_written, self.on_host_removed)
         self.mirrors = {
             layout.OPERATOR_PREFIX: self.operator,
@@ -132,13 +141,20 @@
         """Return the callable to call once a listing has been applied.
 
         A listing of the operators' keys confirms the view as of the time at
-        which it is requested, which is now.
+        which it is requested, which is now. Right after a restore of the store
+        it does not, as the newest configuration may be lost until it is
+        written again.
         """
         view = self.state.view
         if prefix != self.layout.OPERATOR_PREFIX:
             return lambda: None
         asked_at = view.clock()
-        return lambda: view.confirm(asked_at)
+
+        def listed():
+            if self.operator.reflects_writers:
+                view.confirm(asked_at)
+
+        return listed
 
     def read_configuration(self):
         """Read the operators' keys, in addition to the watch."""
@@ -190,7 +206,7 @@
         """
         now = self.state.clock.seconds()
         own = self.state.members.own
-        ranked = self.state.members.placers(now)[:WATCHING_HOSTS]
+        ranked = self.watching_hosts(now)
         if own in ranked and own.up_seconds >= PLACER_WARMUP_SECONDS:
             self.replication.broadcast_changes(prefix, changes, outage)
 
@@ -216,9 +232,19 @@
             watcher.stop()
         self.watchers = []
 
+    def watching_hosts(self, now):
+        """Return the hosts of the region that watch the store, best first.
+
+        After a restore, hosts of earlier releases ignore the changes that
+        they receive from the store.
+        """
+        ranked = self.state.members.placers(now)
+        able = [one for one in ranked if one.knows_eras]
+        return able[:WATCHING_HOSTS]
+
     def choose_watching(self, now):
         """Start or stop watching, depending on the rank of this host."""
-        ranked = self.state.members.placers(now)[:WATCHING_HOSTS]
+        ranked = self.watching_hosts(now)
         if self.state.members.own in ranked:
             self.last_required_at = now
             if not self.watchers:
@@ -244,7 +270,7 @@
             self.restart_lagging_watch(watcher)
         if self.probing or now - self.last_probe_at < PROBE_INTERVAL_SECONDS:
             return
-        if self.state.members.placers(now)[0] is not self.state.members.own:
+        if self.watching_hosts(now)[0] is not self.state.members.own:
             return
         waiting = [one for one in self.watchers if one.pending_watch]
         if not waiting:
@@ -287,16 +313,41 @@
                 watcher.restart("no answer to a later call")
 
     def on_restored(self, previous, era):
-        """Log that the store was restored from a copy."""
+        """Log that the store was restored, and list it again.
+
+        The lease of this host's entry counts as ended, so the entry is written
+        again when its renewal is due. Renewals are spread over all hosts.
+        """
         operator, servers = self.replication.revisions
         self.state.timeline.note(
             EventKind.STORE_RESTORED,
-            era=era,
-            previous=previous,
-            operator_revision=operator,
-            servers_revision=servers,
+            store_era=era,
+            previous_era=previous,
+            operator_revision=number_of(operator),
+            servers_revision=number_of(servers),
             **self.state.provenance.details(),
         )
+        for watcher in self.watchers:
+            if watcher.pending_watch and era_of(watcher.after_revision) < era:
+                watcher.restart("store was restored")
+
+    def keep_leaving_servers(self):
+        """Keep on record which servers are leaving.
+
+        The copy from which the store was restored may list them as ready.
+        """
+        registry = self.state.registry
+        now = self.state.clock.seconds()
+        for server in list(registry.servers.values()):
+            if server.entry.leaving:
+                notice = LeavingNotice(
+                    server_id=server.entry.id,
+                    instance_id=registry.current_instance(server.entry.id),
+                    address=server.entry.address,
+                    at=now,
+                    host=self.state.members.own.name,
+                )
+                registry.record_leaving(notice, now)
 
     def spawn(self, coroutine):
         """Run a coroutine, and log its failure if it is unexpected."""
@@ -310,6 +361,12 @@
             EventKind.UNEXPECTED, error=failure.getTraceback()
         )
 
+    def version_of(self, entry):
+        """Return the version of a configuration, or `NOTHING`."""
+        if entry.key != self.layout.CONFIGURATION_KEY:
+            return NOTHING
+        return self.layout.configuration_version(entry.value)
+
     def on_operator_written(self, entry):
         """Apply a key that an operator has written."""
         if entry.key == self.layout.CONFIGURATION_KEY:
@@ -351,9 +408,10 @@
             self.state.timeline.note(EventKind.CONFIG_INVALID, why=problem)
             return
         if not self.state.keeper.offer(configuration):
-            self.state.timeline.note(
-                EventKind.CONFIG_STALE, version=configuration.version
-            )
+            if configuration.version < self.state.keeper.version:
+                self.state.timeline.note(
+                    EventKind.CONFIG_STALE, version=configuration.version
+                )
             return
         self.state.members.own.version = configuration.version
         provenance = self.state.provenance
@@ -470,6 +528,8 @@
         if self.state.contact.failing_since is not NOTHING:
             own.contact_age = max(own.contact_age, FAILING_CONTACT_AGE_SECONDS)
         own.revisions = self.replication.revisions
+        for mirror in (self.operator, self.servers, self.hosts):
+            mirror.settle(now)
         self.choose_watching(now)
         self.check_watches(now)
         for server_id in self.state.registry.expire(now):
--- a/src/hyssopspring/platform/layout.py
+++ b/src/hyssopspring/platform/layout.py
@@ -3,6 +3,7 @@
 from .operator import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
+    configuration_version,
     decode_configuration,
     evacuated_data_centre,
 )
@@ -12,6 +13,7 @@
     "CONFIGURATION_KEY",
     "OPERATOR_PREFIX",
     "SERVERS_PREFIX",
+    "configuration_version",
     "decode_configuration",
     "decode_server",
     "evacuated_data_centre",
--- a/src/hyssopspring/platform/operator.py
+++ b/src/hyssopspring/platform/operator.py
@@ -21,6 +21,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "OPERATOR_PREFIX",
+    "configuration_version",
     "hash_api_keys",
     "decode_configuration",
     "evacuated_data_centre",
@@ -104,7 +105,12 @@
     tenants: list[_Workspace] = []
 
 
+class _Version(msgspec.Struct):
+    version: int
+
+
 _DECODER = msgspec.json.Decoder(_Configuration)
+_VERSION_DECODER = msgspec.json.Decoder(_Version)
 
 
 def hash_api_keys(value):
@@ -154,6 +160,18 @@
     )
 
 
+def configuration_version(value):
+    """Return the version of the operator's document.
+
+    Returns:
+        `NOTHING` if the document cannot be decoded.
+    """
+    try:
+        return _VERSION_DECODER.decode(value).version
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return NOTHING
+
+
 def decode_workspaces(rows):
     """Return the `Workspace` of each row, by name.
 
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..core.exceptions import KeyValueError, NoAnswerError, ProtocolError
+from ..core.revisions import era_of, join_revision, number_of
 from ..core.sentinels import NOTHING
 from ..entry.connections import Endpoint
 from ..entry.fetching import fetch
@@ -13,6 +14,7 @@
 from ..stores.keyvalues import (
     Applied,
     Entry,
+    Lease,
     Listing,
     NotApplied,
     WriteUnknown,
@@ -42,6 +44,10 @@
 """Maximum number of pages in one listing."""
 
 
+class OutdatedResponseError(KeyValueError):
+    """The response comes from before the last restore of the store."""
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str = ""
@@ -60,7 +66,7 @@
     store_revision: int = 0
 
 
-class _Lease(msgspec.Struct):
+class _Granted(msgspec.Struct):
     ttl_ms: float
     lease: int = 0
 
@@ -69,13 +75,12 @@
     revision: int = 0
 
 
-class _Conflict(msgspec.Struct):
-    items: list[_Item | None] = []
-
-
 class PlatformStore:
     """Client of the platform's store.
 
+    Revisions that it takes and returns hold the era of the store, see
+    `core.revisions`.
+
     Args:
         address: Its ``ip:port``.
         connections: The `Connections` to use.
@@ -116,17 +121,22 @@
         a watch that starts at the revision of the first page.
 
         Raises:
-            KeyValueError: The store did not return all pages.
+            KeyValueError: The store did not return all pages, or was
+                restored from a copy meanwhile.
         """
         entries, after, revision = [], "", NOTHING
         for _ in range(MAX_PAGES):
             query = {"prefix": prefix}
             if after:
                 query["after"] = after
-            page = await self.read("/v1/kv-range", query, _Page)
+            page, era = await self.read("/v1/kv-range", query, _Page)
             if revision is NOTHING:
-                revision = page.store_revision
-            entries += [decode_item(item) for item in page.items]
+                revision = join_revision(era, page.store_revision)
+            elif era != era_of(revision):
+                raise KeyValueError(
+                    f"store was restored during a listing of {prefix}"
+                )
+            entries += [decode_item(item, era) for item in page.items]
             if not page.has_more or not page.items:
                 return Listing(tuple(entries), revision)
             after = page.items[-1].key
@@ -149,12 +159,9 @@
             HistoryLostError: The store has dropped that history.
             KeyValueError: The store did not respond with success.
         """
-        query = {
-            "prefix": prefix,
-            "after": after,
-            "wait_ms": int(wait * 1000),
-        }
-        return await self.read_changes(query, wait + WATCH_GRACE_SECONDS)
+        query = {"prefix": prefix, "wait_ms": int(wait * 1000)}
+        timeout = wait + WATCH_GRACE_SECONDS
+        return await self.read_changes(query, after, timeout)
 
     async def probe(self, prefix, after):
         """Return the changes after a revision that a replica has by now.
@@ -173,55 +180,75 @@
             HistoryLostError: The store has dropped that history.
             KeyValueError: The store did not respond with success.
         """
-        query = {
-            "prefix": prefix,
-            "after": after,
-            "wait_ms": 0,
-            "allow_stale": 1,
-        }
-        return await self.read_changes(query, PROBE_TIMEOUT_SECONDS)
+        query = {"prefix": prefix, "wait_ms": 0, "allow_stale": 1}
+        try:
+            return await self.read_changes(query, after, PROBE_TIMEOUT_SECONDS)
+        except OutdatedResponseError:
+            return Changes(revision=after)
+
+    async def read_changes(self, query, after, timeout):
+        """Return the changes in the response to a watch request.
 
-    async def read_changes(self, query, timeout):
-        """Return the changes in the response to a watch request."""
-        response = await self.read("/v1/kv-watch", query, _Events, timeout)
+        Raises:
+            HistoryLostError: The store has dropped that history, or was
+                restored from a copy since.
+            OutdatedResponseError: The response is of an earlier era.
+            KeyValueError: The store did not respond with success.
+        """
+        path = "/v1/kv-watch"
+        query = {**query, "after": number_of(after)}
+        response, era = await self.read(path, query, _Events, timeout)
+        if era > era_of(after):
+            raise HistoryLostError(path)
+        if era < era_of(after):
+            raise OutdatedResponseError(f"{path}: response of era {era}")
         return Changes(
             tuple(
-                decode_item(item)
+                decode_item(item, era)
                 for item in response.events
                 if not item.tombstone
             ),
             tuple(
-                Removal(item.key, item.revision)
+                Removal(item.key, join_revision(era, item.revision))
                 for item in response.events
                 if item.tombstone
             ),
-            response.store_revision,
+            join_revision(era, response.store_revision),
         )
 
     async def grant_lease(self, seconds):
-        """Create a lease and return its identifier.
+        """Create a `Lease` and return it.
 
         Raises:
             KeyValueError: The store did not respond with success.
         """
         body = {"ttl_ms": int(seconds * 1000)}
-        response = await self.call("POST", "/v1/kv-lease", body, _Lease)
-        return response.lease
+        response, era = await self.call("POST", "/v1/kv-lease", body, _Granted)
+        return Lease(response.lease, era)
 
     async def renew_lease(self, lease):
         """Renew a lease; return whether it still existed.
 
+        A lease of an earlier era counts as ended: its keys may be gone, and
+        its identifier may have been given to another host.
+
         Raises:
             KeyValueError: The store did not respond, or with a status other
                 than 200 and 404.
         """
-        path = f"/v1/kv-keep/{lease}"
-        status, _ = await self.send(
+        if self.is_outdated(lease):
+            return False
+        path = f"/v1/kv-keep/{lease.id}"
+        status, _, era = await self.send(
             "POST", path, NOTHING, CALL_TIMEOUT_SECONDS
         )
         if status not in (200, 404):
             raise KeyValueError(f"{path} returned status {status}")
-        return status == 200
+        return status == 200 and era == lease.era
+
+    def is_outdated(self, lease):
+        """Return whether the store was restored since it gave out a lease."""
+        return bool(self.era) and lease.era < self.era
 
     async def end_lease(self, lease):
         """End a lease, which removes its keys.
@@ -229,20 +256,28 @@
         Raises:
             KeyValueError: The store did not respond.
         """
-        path = f"/v1/kv-lease-end/{lease}"
+        if self.is_outdated(lease):
+            return
+        path = f"/v1/kv-lease-end/{lease.id}"
         await self.send("DELETE", path, NOTHING, CALL_TIMEOUT_SECONDS)
 
     async def put(self, key, value, lease):
         """Write *key* under a lease, regardless of its current value.
 
         Returns:
-            `Applied`, `NotApplied` if the lease has ended, or
-            `WriteUnknown` if no valid response arrived.
+            `Applied`, `NotApplied` if the lease has ended or is of an
+            earlier era, or `WriteUnknown` if no valid response arrived.
         """
-        row = {"key": key, "value": b64encode(value).decode(), "lease": lease}
+        if self.is_outdated(lease):
+            return NotApplied()
+        row = {
+            "key": key,
+            "value": b64encode(value).decode(),
+            "lease": lease.id,
+        }
         body = {"expected_revision": [], "set_keys": [row], "remove": []}
         try:
-            status, data = await self.send(
+            status, data, era = await self.send(
                 "POST", "/v1/kv-txn", body, CALL_TIMEOUT_SECONDS
             )
         except KeyValueError as problem:
@@ -251,10 +286,12 @@
             return NotApplied()
         if status != 200:
             return WriteUnknown(f"store returned status {status}")
-        return Applied(decode(data, _Written).revision)
+        if era != lease.era:
+            return NotApplied()
+        return Applied(join_revision(era, decode(data, _Written).revision))
 
     async def read(self, path, query, schema, timeout=CALL_TIMEOUT_SECONDS):
-        """Return the decoded response to a read."""
+        """Return the decoded response to a read, and its era."""
         return await self.call(
             "GET", f"{path}?{urlencode(query)}", NOTHING, schema, timeout
         )
@@ -262,21 +299,21 @@
     async def call(
         self, method, path, body, schema, timeout=CALL_TIMEOUT_SECONDS
     ):
-        """Return the decoded response to a call that must succeed.
+        """Return response and era of a call that must succeed, decoded.
 
         Raises:
             HistoryLostError: The store has dropped that history.
             KeyValueError: There was no response, or its status is not 200.
         """
-        status, data = await self.send(method, path, body, timeout)
+        status, data, era = await self.send(method, path, body, timeout)
         if status == GONE:
             raise HistoryLostError(path)
         if status != 200:
             raise KeyValueError(f"{path} returned status {status}")
-        return decode(data, schema)
+        return decode(data, schema), era
 
     async def send(self, method, path, body, timeout):
-        """Send one call; return the status and the body of the response.
+        """Send one call; return status, body and era of the response.
 
         Raises:
             KeyValueError: No complete response arrived in time.
@@ -299,8 +336,9 @@
             self.connections.close_idle(self.endpoint.key)
             self.on_no_response(sent_at)
             raise KeyValueError(f"{path}: {problem}") from None
-        self.record_era(read_era(headers))
-        return status, response_body
+        era = read_era(headers)
+        self.record_era(era)
+        return status, response_body, era
 
     def record_era(self, era):
         """Record the era of a response; report a restore of the store."""
@@ -339,11 +377,15 @@
         ) from None
 
 
-def decode_item(item):
+def decode_item(item, era):
     """Return the `Entry` of one item, without API keys of callers.
 
     A value that is not valid base64 is replaced by an empty one, which all
     decoders reject.
+
+    Args:
+        item: The item.
+        era: Era of the response that contained it.
     """
     try:
         value = b64decode(item.value, validate=True)
@@ -351,4 +393,4 @@
         value = b""
     if item.key == CONFIGURATION_KEY:
         value = hash_api_keys(value)
-    return Entry(item.key, value, item.revision)
+    return Entry(item.key, value, join_revision(era, item.revision))
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -156,13 +156,21 @@
         if "version_by" in record.details
     }
     return [
-        f"{host} held version {details['version']} by "
+        f"{host} held version {details['version']}"
+        f"{describe_era(details)} by "
         f"{details['version_by']} of {details['version_from']} for "
         f"{details['version_for']} s, confirmed {details['view_age']} s before"
         for host, details in version_details.items()
     ]
 
 
+def describe_era(details):
+    """Return a text on the era of a version, if the store was restored."""
+    if details.get("era", "0") == "0":
+        return ""
+    return f" of era {details['era']}"
+
+
 def describe_lateness(details):
     """Return a text for each latency target that a response missed.
 
--- a/src/hyssopspring/stores/keyvalues.py
+++ b/src/hyssopspring/stores/keyvalues.py
@@ -37,6 +37,19 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease, whose keys are removed when it ends.
+
+    Attributes:
+        id: Identifier, unique within the era.
+        era: Era of the service in which it was granted.
+    """
+
+    id: int
+    era: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Applied:
     """The write was applied.
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -102,6 +102,8 @@
         version: Version of the configuration that it has.
         revisions: Newest revisions that it has seen, of operators' data and of
             the servers.
+        knows_eras: Whether it tells the eras of the store apart, unlike
+            earlier releases.
         rank_key: Sort key among hosts of equal state; the lowest goes first.
             The strongest host places, as many weak hosts together would often
             win a random choice by weight.
@@ -126,6 +128,7 @@
     contact_age: float = 0.0
     version: int = 0
     revisions: tuple = (0, 0)
+    knows_eras: bool = False
     rank_key: tuple = field(init=False)
     id: int = field(init=False)
 
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -84,6 +84,10 @@
         """Write a key as JSON."""
         self.put(key, msgspec.json.encode(value))
 
+    def get_json(self, key):
+        """Return a value that was written as JSON."""
+        return msgspec.json.decode(b64decode(self.items[key]["value"]))
+
     def remove(self, key):
         """Remove a key."""
         if key not in self.items:
@@ -184,6 +188,32 @@
         self.era += 1
         self.wake_all()
 
+    def write_again(self, lost, restored_at, prefixes):
+        """Make changes again that a restore has lost, as their writers do.
+
+        Keys that were written since the restore are left as they are.
+
+        Args:
+            lost: Item by key before the restore.
+            restored_at: Revision right after it.
+            prefixes: Prefixes of the keys.
+        """
+        changed = {
+            event["key"]
+            for event in self.history
+            if event["revision"] > restored_at
+        }
+        for key in {*lost, *self.items} - changed:
+            if not key.startswith(prefixes):
+                continue
+            if key not in lost:
+                self.remove(key)
+            elif (
+                key not in self.items
+                or self.items[key]["value"] != lost[key]["value"]
+            ):
+                self.put(key, b64decode(lost[key]["value"]))
+
     def wake_all(self):
         """End the waiting of all watches."""
         waiting, self.waiting = self.waiting, []
--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import tempfile
+from collections import deque
 
 import click
 from twisted.internet import defer, task
@@ -45,6 +46,14 @@
 QUIET_CHANGES = 6.0
 """Seconds at the end in which nothing is changed or disturbed."""
 
+COPY_EVERY = 1.0
+KEPT_COPIES = 4
+"""Seconds between two copies of the store, and copies that are kept. A restore
+uses one of these."""
+
+REWRITE_WITHIN = 1.8
+"""Most seconds after a restore in which what was lost is written again."""
+
 START_WITHIN = 15.0
 LATE = 0.2
 """Seconds by which the driver's own loop may be late without a note."""
@@ -157,6 +166,20 @@
     soak.fleet.store.forget()
 
 
+@fault(Fault.RESTORE)
+async def restore(soak, host, seconds):
+    """Let the store come back from an older copy; write again what is lost."""
+    store = soak.fleet.store
+    store.down = True
+    await soak.sleep(seconds)
+    lost = dict(store.items)
+    store.restore(soak.rng.choice(soak.copies))
+    restored_at = store.revision
+    store.down = False
+    await soak.sleep(soak.rng.uniform(0.0, REWRITE_WITHIN))
+    store.write_again(lost, restored_at, ("op/", "servers/"))
+
+
 class Soak:
     """One run.
 
@@ -180,6 +203,7 @@
         self.numbers = itertools.count(1)
         self.agents = {}
         self.notifiers = []
+        self.copies = deque(maxlen=KEPT_COPIES)
         self.began = 0.0
         self.changing = True
         self.probing = True
@@ -204,7 +228,9 @@
         self.began = self.reactor.seconds()
         names = list(self.fleet.hosts)
         self.steps = draw_plan(self.seed, self.seconds, names, self.faults)
+        self.copies.append(self.fleet.store.copy())
         work = [defer.ensureDeferred(self.change())]
+        work.append(defer.ensureDeferred(self.keep_copies()))
         work += [
             defer.ensureDeferred(self.probe(host))
             for host in self.fleet.hosts.values()
@@ -270,6 +296,13 @@
             pause = self.rng.uniform(FEWEST_CHANGES, MOST_CHANGES)
             await self.sleep(pause)
 
+    async def keep_copies(self):
+        """Copy the store now and then."""
+        while self.changing:
+            if not self.fleet.store.down:
+                self.copies.append(self.fleet.store.copy())
+            await self.sleep(COPY_EVERY)
+
     async def play(self, step):
         """Do one fault, and note whom it disturbed for how long."""
         await self.sleep(step.at)
--- a/src/hyssopspring_fakes/soakplan.py
+++ b/src/hyssopspring_fakes/soakplan.py
@@ -34,6 +34,7 @@
     SLOW = ("slow", 1.0, 4.0)
     STORE_DOWN = ("store down", 1.0, 5.0)
     FORGET = ("forget history", 1.0, 1.0)
+    RESTORE = ("restore", 0.2, 3.0)
 
     @property
     def shortest(self):
@@ -53,7 +54,7 @@
     @property
     def at_store(self):
         """Whether it strikes the store, and so all hosts."""
-        return self in (Fault.STORE_DOWN, Fault.FORGET)
+        return self in (Fault.STORE_DOWN, Fault.FORGET, Fault.RESTORE)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -119,6 +119,11 @@
         }
         self.store.put_json(f"servers/{name}", entry)
 
+    def register_again(self, name, **changes):
+        """Write the entry of a server with some fields changed."""
+        entry = self.store.get_json(f"servers/{name}")
+        self.store.put_json(f"servers/{name}", {**entry, **changes})
+
     def add_host(self, name, region, number, **changes):
         """Start an entry host; *changes* replace settings."""
         ip = f"127.0.0.{20 + number}"
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -302,5 +302,5 @@
 
 def test_a_value_that_is_no_base64_hides_no_other_entry():
     """Guards against a listing that fails on one entry of another writer."""
-    entry = decode_item(_Item("servers/x", "YWJ", 4))
+    entry = decode_item(_Item("servers/x", "YWJ", 4), 0)
     assert_that(entry, Equals(Entry("servers/x", b"", 4)))
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -6,6 +6,10 @@
 from testtools.matchers import Equals
 from twisted.internet import reactor, task
 
+from hyssopspring.core.revisions import era_of
+from hyssopspring.entry.mirrors import CARRIED_SECONDS
+from hyssopspring.traffic.servers import Usability
+
 APPLY_SECONDS = 4.0
 """Time limit for a change to be in force at every host."""
 
@@ -42,3 +46,157 @@
     await task.deferLater(reactor, 1.0)
     hosts.store.put_json("op/config", configuration(6))
     await hosts.until(lambda: versions(hosts) == {6}, within=APPLY_SECONDS)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_change_before_the_lost_one_is_written_again_is_in_force(
+    hosts,
+):
+    """The next version is taken for older than the lost one."""
+    await lose(hosts, 5, version=5)
+    hosts.store.put_json("op/config", configuration(6))
+    await hosts.until(lambda: versions(hosts) == {6}, within=APPLY_SECONDS)
+    hosts.store.put_json("op/config", configuration(5))
+    await task.deferLater(reactor, 0.5)
+    assert_that(versions(hosts), Equals({6}))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_change_after_two_restores_is_in_force_in_time(hosts):
+    """A second restore strikes while the first is being made good."""
+    await hosts.with_resting_host()
+    await lose(hosts, 30, version=5)
+    await lose(hosts, 3, version=6)
+    await task.deferLater(reactor, 0.3)
+    hosts.store.put_json("op/config", configuration(7))
+    await hosts.until(lambda: versions(hosts) == {7}, within=APPLY_SECONDS)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_silent_watch_hides_no_restore(proxied_hosts):
+    """A watch that passes nothing any more began before the restore."""
+    hosts = proxied_hosts
+    await task.deferLater(reactor, 1.0)
+    copy = hosts.store.copy()
+    hosts.store.put_json("op/config", configuration(5))
+    await hosts.until(lambda: versions(hosts) == {5})
+    for proxy in hosts.proxies.values():
+        proxy.silence()
+    hosts.store.restore(copy)
+    hosts.store.put_json("op/config", configuration(6))
+    await hosts.until(lambda: versions(hosts) == {6}, within=APPLY_SECONDS)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_host_that_starts_after_a_restore_has_the_lost_version(hosts):
+    """A host that starts takes the older version of the copy for the newest.
+
+    The lost version is not written again meanwhile.
+    """
+    await lose(hosts, 10, version=5)
+    await task.deferLater(reactor, 0.5)
+    hosts.add_host("h-north-5", "north", 5)
+    await hosts.until(lambda: versions(hosts) == {5}, within=APPLY_SECONDS)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_server_that_leaves_after_a_restore_gets_nothing_more(hosts):
+    """Hosts ignore that a server leaves, as they have seen that revision."""
+    north, _ = await hosts.with_resting_host()
+    copy = hosts.store.copy()
+    for number in range(20):
+        hosts.register_again("plain-north", seq=number + 2)
+    await hosts.until(
+        lambda: all(
+            p.store_sync.servers.revision_of("servers/plain-north")
+            == hosts.store.revision
+            for p in north
+        )
+    )
+    hosts.store.restore(copy)
+    await task.deferLater(reactor, 0.5)
+    hosts.register_again("plain-north", state="draining")
+    await hosts.until(
+        lambda: all(is_leaving(p, "plain-north") for p in north),
+        within=APPLY_SECONDS,
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_lost_word_that_a_server_leaves_is_kept(hosts):
+    """The copy lists a server as ready that has said that it leaves."""
+    north, _ = await hosts.with_resting_host()
+    copy = hosts.store.copy()
+    hosts.register_again("plain-north", state="draining")
+    await hosts.until(lambda: all(is_leaving(p, "plain-north") for p in north))
+    hosts.store.restore(copy)
+    await hosts.until(
+        lambda: all(
+            era_of(p.store_sync.servers.newest_revision) for p in north
+        )
+    )
+    hosts.add_host("h-north-2", "north", 2)
+    fresh = hosts.processes["h-north-2"]
+    await hosts.until(lambda: is_leaving(fresh, "plain-north"))
+    await task.deferLater(reactor, CARRIED_SECONDS + 1.0)
+    assert all(is_leaving(p, "plain-north") for p in (*north, fresh))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_server_whose_entry_is_lost_is_used_meanwhile(hosts):
+    """Callers are refused until a server has written its entry again."""
+    copy = hosts.store.copy()
+    hosts.add_backend("plain-2", "plain", "north")
+    hosts.store.remove("servers/plain-north")
+    north = hosts.processes["h-north"]
+    await hosts.until(
+        lambda: plain_servers(north) == {"plain-2"}, within=APPLY_SECONDS
+    )
+    hosts.store.restore(copy)
+    await hosts.until(lambda: north.store_sync.servers.era)
+    assert_that(plain_servers(north), Equals({"plain-2"}))
+    await hosts.until(
+        lambda: not plain_servers(north), within=CARRIED_SECONDS + 1.0
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_hosts_write_their_entries_again_once(hosts):
+    """Entries of hosts are missing after a restore, or written for ever."""
+    empty = hosts.store.copy()
+    for name in hosts.processes:
+        empty.items.pop(f"hyssop/hosts/{name}", None)
+    empty.leases.clear()
+    hosts.store.restore(empty)
+    keys = {f"hyssop/hosts/{name}" for name in hosts.processes}
+    await hosts.until(lambda: keys <= set(hosts.store.items))
+    written = {key: hosts.store.items[key]["revision"] for key in keys}
+    await task.deferLater(reactor, 3.0)
+    again = {key: hosts.store.items[key]["revision"] for key in keys}
+    assert_that(again, Equals(written))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_restore_is_one_event_at_each_host(hosts):
+    """A restore is not told from an outage, or is logged over and over."""
+    await lose(hosts, 5, version=5)
+    await task.deferLater(reactor, 3.5)
+    for process in hosts.processes.values():
+        process.log_writer.flush()
+    lines = hosts.decoded("store_restored")
+    assert_that(
+        sorted((line["host"], line["store_era"]) for line in lines),
+        Equals([("h-north", "1"), ("h-south", "1")]),
+    )
+
+
+def is_leaving(process, server_id):
+    """Whether a host knows that a server leaves."""
+    return process.registry.usability(server_id, 0.0) is Usability.LEAVING
+
+
+def plain_servers(process):
+    """Return the servers of the north that a host may send requests to."""
+    now = reactor.seconds()
+    found = process.registry.candidates("plain", "north", now)
+    return {one.entry.id for one in found}
