--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -45,7 +45,6 @@
     LOAD_REPORT_INTERVAL_SECONDS,
     Membership,
 )
-from .mirrors import StoreContact
 from .notices import ServerNotices
 from .prometheus import PrometheusMetrics
 from .provenance import Provenance
@@ -54,6 +53,7 @@
 from .state import EntryState
 from .storesync import StoreSync
 from .views import ConfirmedView, ViewVerifier
+from .watches import StoreContact
 from .web import WebFactory
 
 __all__ = ["EntryProcess", "run_command"]
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -11,8 +11,9 @@
 from ..traffic.servers import LeavingNotice
 from .crashstore import CRASHES_PREFIX
 from .hostentries import MEMBERS_PREFIX, OWN_PREFIX, decode_host, encode_host
-from .mirrors import HistoryLostError, Mirror, PrefixWatcher
+from .mirrors import HistoryLostError, Mirror
 from .replication import Replication
+from .watches import PrefixWatcher
 
 __all__ = ["StoreSync"]
 
@@ -157,8 +158,13 @@
         return listed
 
     def read_configuration(self):
-        """Read the operators' keys, in addition to the watch."""
-        self.read_prefixes([self.layout.OPERATOR_PREFIX])
+        """Read the operators' keys, in addition to the watch.
+
+        Right after a restore of the store a reading could not confirm the
+        view.
+        """
+        if self.operator.reflects_writers:
+            self.read_prefixes([self.layout.OPERATOR_PREFIX])
 
     def read_store(self):
         """Read all prefixes in addition to the watches.
