Count the silence of a server from the arrival of the request

test_a_server_that_hangs_is_found_by_the_callers_that_leave failed once in a whole run beside other load. The caller left 1.2 s after its request began, and a server counts as silent after 0.9 s. A pause of the process of 0.3 s between the two leaves less than that; with a pause of 0.4 s the test fails each time. The 1.2 s now begin as the server has the request, which is as strict: with the same pause the test passes.

--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -547,9 +547,11 @@
     caller disconnects after seconds. Unless that counts against the engine
     that hangs, it gets the next request as well.
     """
-    hosts.backends["engine-north"].mood = "silent"
+    backend = hosts.backends["engine-north"]
+    backend.mood = "silent"
     begun = hosts.begin("h-north", "/review/a", "r1", b"POST", b"", USAGE)
     begun.addErrback(lambda _: None)
+    await hosts.until(lambda: backend.arrived)
     await task.deferLater(reactor, 1.2, begun.cancel)
     health = hosts.processes["h-north"].placer.health_of("engine-north")
     await hosts.until(lambda: not health.is_available(reactor.seconds()))
