Expect a removed server to be told from an unknown one

The test expected no state for a server whose entry was removed. It has one of its own since removals are remembered; the test also checks now that the server is no candidate.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -3,7 +3,6 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 
-from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.traffic.servers import (
     ABSENCE_GRACE_SECONDS,
     Registry,
@@ -85,7 +84,8 @@
     registry = Registry(REGIONS)
     registry.put(make_entry(), 0.0)
     registry.remove("s1", 1.0, outage=False)
-    assert_that(registry.usability("s1", 1.0), Is(NOTHING))
+    assert_that(registry.usability("s1", 1.0), Is(Usability.REMOVED))
+    assert_that(registry.candidates("engine", "north", 1.0), Equals([]))
 
 
 def test_a_server_counts_as_cold_a_little_longer_than_it_says():
