Take a version that the store lost from another region

A region whose hosts missed the last version before a restore kept the older one until the operator wrote it again, and confirmed it by listings of the copy, although heartbeats of other regions reported the newer one.

A host whose configuration is older than one that it has heard of confirms no view by a listing.

--- a/src/hyssopspring/entry/replication.py
+++ b/src/hyssopspring/entry/replication.py
@@ -41,6 +41,11 @@
 """Pause between two reads of other hosts' snapshots. It is also the time in
 which this host's own watch may deliver what a neighbour already has."""
 
+REMOTE_READ_DELAY_SECONDS = 1.5
+"""Time for which a host of another region must have a newer configuration
+before its snapshot is read. The store brings a change much sooner, unless it
+has lost the change in a restore."""
+
 MAX_NEIGHBOURS_READ = 2
 """Hosts of its region, besides seeds, that a starting host reads from."""
 
@@ -109,11 +114,20 @@
         self.newest_reported_at = 0.0
 
     def broadcast_changes(self, prefix, changes, outage):
-        """Broadcast changes from a watch to the hosts of the region."""
+        """Broadcast changes from a watch to the hosts of the region.
+
+        Changes of an earlier era than that of the mirror are not passed on.
+        """
+        mirror = self.mirrors[prefix]
         rows = sorted(
-            (*changes.entries, *changes.removals), key=lambda row: row.revision
+            (
+                row
+                for row in (*changes.entries, *changes.removals)
+                if era_of(row.revision) >= mirror.era
+            ),
+            key=lambda row: row.revision,
         )
-        previous = self.mirrors[prefix].newest_revision
+        previous = mirror.newest_revision
         for batch in split_rows(rows):
             newest = max(previous, batch[-1].revision)
             self.broadcast(self.make_change(prefix, previous, batch, outage))
@@ -232,29 +246,54 @@
             since: Time at which the watch call started.
             seconds: Time within which the watch must deliver it.
         """
-        if self.newest_reported_version <= self.state.keeper.version:
+        if not self.lacks_reported_version:
             return False
         due_at = self.newest_reported_at + seconds
         return since <= due_at <= self.state.clock.seconds()
 
+    @property
+    def lacks_reported_version(self):
+        """Whether another host has reported a newer configuration."""
+        return self.newest_reported_version > self.state.keeper.version
+
     def on_peer_ahead(self, member):
-        """Read a neighbour's snapshot if this host stays behind it.
+        """Read a host's snapshot if this host stays behind it.
 
         Otherwise a host whose watch has died, or whose calls the store
         rejects, would keep an old configuration.
         """
         self.record_behind(member)
-        now = self.state.clock.seconds()
-        if self.fetching or member.region != self.state.members.own.region:
+        if self.fetching:
             return
+        now = self.state.clock.seconds()
+        if member.region == self.state.members.own.region:
+            due = self.is_neighbour_due(now)
+        else:
+            due = self.is_remote_due(member, now)
+        if due:
+            self.fetching = True
+            self.spawn(self.read_host(member.relay))
+
+    def is_neighbour_due(self, now):
+        """Return whether to read a neighbour that has been ahead for long."""
         if self.fetch_due == 0.0 or now - self.fetch_due > 1.0:
             self.fetch_due = now + PEER_READ_PAUSE_SECONDS
-            return
+            return False
         if now < self.fetch_due:
-            return
+            return False
         self.fetch_due = 0.0
-        self.fetching = True
-        self.spawn(self.read_host(member.relay))
+        return True
+
+    def is_remote_due(self, member, now):
+        """Return whether to read a host of another region.
+
+        Of its snapshot only the configuration matters here, which the store
+        may have lost.
+        """
+        return (
+            member.version > self.state.keeper.version
+            and now - self.newest_reported_at > REMOTE_READ_DELAY_SECONDS
+        )
 
     async def start(self):
         """Read other hosts' snapshots, to start without the store.
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -144,7 +144,7 @@
         A listing of the operators' keys confirms the view as of the time at
         which it is requested, which is now. Right after a restore of the store
         it does not, as the newest configuration may be lost until it is
-        written again.
+        written again, nor while another host has a newer one.
         """
         view = self.state.view
         if prefix != self.layout.OPERATOR_PREFIX:
@@ -152,7 +152,10 @@
         asked_at = view.clock()
 
         def listed():
-            if self.operator.reflects_writers:
+            if (
+                self.operator.reflects_writers
+                and not self.replication.lacks_reported_version
+            ):
                 view.confirm(asked_at)
 
         return listed
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -41,6 +41,7 @@
         deaf: Whether watches hear nothing of changes.
         refused: IP addresses whose calls are answered 503.
         era: Number of times that the store came back from a copy.
+        wanted: Value by key as last written, whatever a restore has lost.
     """
 
     def __init__(self, reactor, address):
@@ -56,6 +57,7 @@
         self.forgotten = 0
         self.refused = set()
         self.era = 0
+        self.wanted = {}
         self.port = None
 
     def start(self):
@@ -69,6 +71,7 @@
 
     def put(self, key, value, lease=0):
         """Write a key, as the operator or a server would."""
+        self.wanted[key] = value
         self.revision += 1
         item = {
             "key": key,
@@ -90,6 +93,7 @@
 
     def remove(self, key):
         """Remove a key."""
+        self.wanted.pop(key, None)
         if key not in self.items:
             return
         del self.items[key]
@@ -188,31 +192,22 @@
         self.era += 1
         self.wake_all()
 
-    def write_again(self, lost, restored_at, prefixes):
-        """Make changes again that a restore has lost, as their writers do.
-
-        Keys that were written since the restore are left as they are.
+    def write_again(self, prefixes):
+        """Make the changes again that restores have lost, as writers do.
 
         Args:
-            lost: Item by key before the restore.
-            restored_at: Revision right after it.
             prefixes: Prefixes of the keys.
         """
-        changed = {
-            event["key"]
-            for event in self.history
-            if event["revision"] > restored_at
-        }
-        for key in {*lost, *self.items} - changed:
+        for key in {*self.wanted, *self.items}:
             if not key.startswith(prefixes):
                 continue
-            if key not in lost:
+            if key not in self.wanted:
                 self.remove(key)
             elif (
                 key not in self.items
-                or self.items[key]["value"] != lost[key]["value"]
+                or b64decode(self.items[key]["value"]) != self.wanted[key]
             ):
-                self.put(key, b64decode(lost[key]["value"]))
+                self.put(key, self.wanted[key])
 
     def wake_all(self):
         """End the waiting of all watches."""
--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -172,12 +172,10 @@
     store = soak.fleet.store
     store.down = True
     await soak.sleep(seconds)
-    lost = dict(store.items)
     store.restore(soak.rng.choice(soak.copies))
-    restored_at = store.revision
     store.down = False
     await soak.sleep(soak.rng.uniform(0.0, REWRITE_WITHIN))
-    store.write_again(lost, restored_at, ("op/", "servers/"))
+    store.write_again(("op/", "servers/"))
 
 
 class Soak:
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -392,6 +392,18 @@
     assert_that((status, crashes.sent), Equals((503, sent)))
 
 
+@pytest_twisted.ensureDeferred
+async def test_blocked_requests_are_written_again_after_a_restore(hosts, send):
+    """A restore of the store loses blocked requests for hosts that start."""
+    copy = hosts.store.copy()
+    crashes = CrashingServers(hosts, "plain")
+    await block(crashes, send, "/post/a")
+    await hosts.until(lambda: stored_as_blocked(hosts.store))
+    hosts.store.restore(copy)
+    assert_that(stored_as_blocked(hosts.store), Equals(False))
+    await hosts.until(lambda: stored_as_blocked(hosts.store))
+
+
 def stored_as_blocked(store):
     """Return whether the store contains a request that is blocked."""
     return any(
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -1,13 +1,18 @@
 """A store that comes back from a copy: lost writes, revisions given again."""
 
+import json
+
 import pytest_twisted
 from entry_hosts import configuration
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import reactor, task
 
-from hyssopspring.core.revisions import era_of
-from hyssopspring.entry.mirrors import CARRIED_SECONDS
+from hyssopspring.core.revisions import era_of, join_revision
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.mirrors import CARRIED_SECONDS, Changes
+from hyssopspring.stores.keyvalues import Entry
+from hyssopspring.traffic.routes import Configuration
 from hyssopspring.traffic.servers import Usability
 
 APPLY_SECONDS = 4.0
@@ -190,6 +195,51 @@
     )
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_late_watch_of_an_earlier_era_is_not_passed_on(hosts):
+    """A neighbour gets a lost write, with a gap of another era."""
+    north = hosts.processes["h-north"]
+    await lose(hosts, 5, version=5)
+    mirror = north.store_sync.operator
+    await hosts.until(lambda: mirror.era)
+    sent = []
+    north.store_sync.replication.broadcast = sent.append
+    for era, number in ((0, 99), (1, 99)):
+        late = Entry("op/evacuate/north-a", b"{}", join_revision(era, number))
+        north.store_sync.replication.broadcast_changes(
+            "op/", Changes((late,), (), late.revision), False
+        )
+    assert_that([message.era for message in sent], Equals([1]))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_region_takes_a_lost_version_from_another_one(hosts):
+    """A region that missed the lost version keeps and confirms an older one.
+
+    The operator has not written the lost version again.
+    """
+    north, south = (
+        hosts.processes[f"h-{name}"] for name in ("north", "south")
+    )
+    await lose(hosts, 5, version=5)
+    mirror = south.store_sync.operator
+    mirror.entries["op/config"] = Entry(
+        "op/config", json.dumps(configuration(1)).encode(), 1
+    )
+    south.keeper.current = NOTHING
+    south.keeper.offer(Configuration(version=1))
+    south.members.own.version = 1
+    await hosts.until(lambda: south.keeper.version == 5, within=APPLY_SECONDS)
+    south.log_writer.flush()
+    applied = [
+        line
+        for line in hosts.decoded("config_applied")
+        if line["host"] == "h-south" and line["version"] == "5"
+    ]
+    assert_that(applied[-1]["version_by"], Equals("copy"))
+    assert_that(north.keeper.version, Equals(5))
+
+
 def is_leaving(process, server_id):
     """Whether a host knows that a server leaves."""
     return process.registry.usability(server_id, 0.0) is Usability.LEAVING
