Log numbers of revisions, and bound the era of an answer

The line watch_renewed showed revisions with the era in their upper bits. An era of more digits than a message can carry is not believed.

--- a/src/hyssopspring/entry/watches.py
+++ b/src/hyssopspring/entry/watches.py
@@ -5,6 +5,7 @@
 
 from ..core.events import EventKind
 from ..core.exceptions import KeyValueError
+from ..core.revisions import era_of, number_of
 from ..core.sentinels import NOTHING
 from .mirrors import HistoryLostError
 from .provenance import Channel, Origin
@@ -290,8 +291,9 @@
             EventKind.WATCH_RENEWED,
             prefix=self.prefix,
             why=why,
-            after=self.after_revision,
-            newest=self.mirror.newest_change_revision,
+            after=number_of(self.after_revision),
+            newest=number_of(self.mirror.newest_change_revision),
+            era=era_of(self.after_revision),
             waited=round(self.clock.seconds() - self.watch_started_at, 1),
         )
         self.behind_since = NOTHING
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -37,6 +37,8 @@
 """Time for which an idle connection to the store is kept open."""
 
 ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 18
+"""Digits of the highest era that fits into messages between hosts."""
 
 GONE = 410
 CONFLICT = 412
@@ -359,8 +361,10 @@
     Returns:
         The era; 0 if the response names none or an invalid one.
     """
-    values = headers.getRawHeaders(ERA_HEADER, [b""])
-    return int(values[0]) if values[0].isdigit() else 0
+    value = headers.getRawHeaders(ERA_HEADER, [b""])[0]
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return 0
+    return int(value)
 
 
 def decode(data, schema):
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -6,6 +6,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, Is
 from twisted.internet import reactor
+from twisted.web.http_headers import Headers
 
 from hyssopspring.core.revisions import (
     era_of,
@@ -28,6 +29,7 @@
     Mirror,
     Removal,
 )
+from hyssopspring.platform.store import read_era
 from hyssopspring.stores.keyvalues import Applied, Entry, Listing, NotApplied
 from hyssopspring.traffic.members import Subscription
 
@@ -235,6 +237,16 @@
     assert_that(recorder.mirror.entries["a/config"].value, Equals(b"64"))
 
 
+@pytest.mark.parametrize(
+    ("values", "era"),
+    [([b"3"], 3), ([], 0), ([b"-1"], 0), ([b"x"], 0), ([b"9" * 30], 0)],
+)
+def test_an_invalid_era_is_not_believed(values, era):
+    """Guards against one bad answer that outranks all later eras."""
+    headers = Headers({b"store-era": values} if values else {})
+    assert_that(read_era(headers), Equals(era))
+
+
 def heartbeat(revisions, eras):
     """Return a `Heartbeat` of a host."""
     address = "127.0.0.29:9"
