--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -1,5 +1,7 @@
 """Order of changes, leases and messages across restores of the store."""
 
+import random
+
 import msgspec
 import pytest
 import pytest_twisted
@@ -29,6 +31,7 @@
     Mirror,
     Removal,
 )
+from hyssopspring.entry.replication import decode_entries, encode_items
 from hyssopspring.platform.store import read_era
 from hyssopspring.stores.keyvalues import Applied, Entry, Listing, NotApplied
 from hyssopspring.traffic.members import Subscription
@@ -314,3 +317,176 @@
     written = await store.put("hyssop/x", b"x", other)
     assert_that(type(written), Is(Applied))
     assert_that(era_of(written.revision), Equals(1))
+
+
+class RandomHistory:
+    """A store with restores, mirrors, and readings that arrive late.
+
+    Args:
+        seed: Seed of the run.
+    """
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.items = {"a/config": Entry("a/config", b"1", 1)}
+        self.wanted = {"a/config": b"1"}
+        self.revision = 1
+        self.era = 0
+        self.copies = []
+        self.readings = []
+        self.now = 0.0
+        self.recorders = [Recorder() for _ in range(3)]
+        self.versions = [0] * 3
+        self.read_all()
+
+    def step(self):
+        """Do one thing at random."""
+        actions = (
+            self.change_config,
+            self.change_server,
+            self.change_server,
+            self.remove_server,
+            self.copy,
+            self.restore,
+            self.write_again,
+            self.capture,
+            self.deliver,
+            self.deliver,
+            self.share,
+            self.wait,
+        )
+        self.rng.choice(actions)()
+        self.check_versions()
+
+    def put(self, key, value):
+        """Write a key."""
+        self.revision += 1
+        written = Entry(key, value, join_revision(self.era, self.revision))
+        self.items[key] = written
+        self.wanted[key] = value
+        self.readings.append(changes(written))
+
+    def change_config(self):
+        """Write the next version."""
+        self.put("a/config", b"%d" % (int(self.wanted["a/config"]) + 1))
+
+    def change_server(self):
+        """Write the entry of a server."""
+        key = f"a/s{self.rng.randint(1, 4)}"
+        self.put(key, b"%d" % self.revision)
+
+    def remove_server(self):
+        """Remove the entry of a server."""
+        key = f"a/s{self.rng.randint(1, 4)}"
+        self.wanted.pop(key, None)
+        if self.items.pop(key, None):
+            self.revision += 1
+            at = join_revision(self.era, self.revision)
+            self.readings.append(Changes((), (Removal(key, at),), at))
+
+    def copy(self):
+        """Take a copy of the store."""
+        self.copies = [*self.copies[-2:], (dict(self.items), self.revision)]
+
+    def restore(self):
+        """Come back from a copy."""
+        if self.copies:
+            items, self.revision = self.rng.choice(self.copies)
+            self.era += 1
+            self.items = {
+                key: Entry(
+                    key,
+                    one.value,
+                    join_revision(self.era, number_of(one.revision)),
+                )
+                for key, one in items.items()
+            }
+
+    def write_again(self):
+        """Make all lost changes again."""
+        for key, value in list(self.wanted.items()):
+            if key not in self.items or self.items[key].value != value:
+                self.put(key, value)
+        for key in set(self.items) - set(self.wanted):
+            self.wanted[key] = b""
+            self.remove_key(key)
+
+    def remove_key(self, key):
+        """Remove one key for good."""
+        del self.wanted[key], self.items[key]
+        self.revision += 1
+        at = join_revision(self.era, self.revision)
+        self.readings.append(Changes((), (Removal(key, at),), at))
+
+    def listing(self):
+        """Return a `Listing` of the store."""
+        at = join_revision(self.era, self.revision)
+        return Listing(tuple(self.items.values()), at)
+
+    def capture(self):
+        """Read a listing that arrives later."""
+        self.readings.append(self.listing())
+
+    def deliver(self):
+        """Hand a reading to one mirror, maybe late and not in order."""
+        if self.readings:
+            reading = self.rng.choice(self.readings[-12:])
+            mirror = self.rng.choice(self.recorders).mirror
+            if isinstance(reading, Listing):
+                mirror.replace(reading.entries, reading.revision)
+            else:
+                mirror.apply(reading)
+
+    def share(self):
+        """Let a mirror take the snapshot of another one."""
+        source, target = self.rng.sample(self.recorders, 2)
+        if source.mirror.newest_revision > target.mirror.newest_revision:
+            newest = source.mirror.newest_revision
+            rows = decode_entries(encode_items(source.mirror), era_of(newest))
+            target.mirror.replace(rows, newest)
+
+    def wait(self):
+        """Let time pass."""
+        self.now += self.rng.choice((0.1, 1.0, 3.0))
+        for one in self.recorders:
+            one.mirror.settle(self.now)
+
+    def read_all(self):
+        """Hand a present listing to each mirror."""
+        listing = self.listing()
+        for one in self.recorders:
+            one.mirror.replace(listing.entries, listing.revision)
+
+    def check_versions(self):
+        """Check that no mirror goes back to a lower version."""
+        for number, one in enumerate(self.recorders):
+            version = int(one.mirror.entries["a/config"].value)
+            assert version >= self.versions[number]
+            self.versions[number] = version
+
+    def end(self):
+        """Write all again, let the periods end, and read once more."""
+        self.write_again()
+        self.read_all()
+        for _ in range(3):
+            self.now += POSTPONED_SECONDS
+            for one in self.recorders:
+                one.mirror.settle(self.now)
+        self.revision += 1
+        self.read_all()
+
+    def values(self, recorder):
+        """Return the value of each key in a mirror."""
+        entries = recorder.mirror.entries
+        return {key: one.value for key, one in entries.items()}
+
+
+@pytest.mark.parametrize("seed", range(100))
+def test_mirrors_follow_a_store_through_random_restores(seed):
+    """Guards against a mirror that goes back, or differs for good."""
+    history = RandomHistory(seed)
+    for _ in range(150):
+        history.step()
+    history.end()
+    for recorder in history.recorders:
+        assert_that(history.values(recorder), Equals(history.wanted))
