Confirm no view by the first listing of a host after a restore

No host had that version any more, and those that had started again confirmed their views by the copy: 5 requests got 404 on routes that the lost version had added.

A host that starts cannot tell how long ago a restore was. In a later era than 0 its first listing confirms no view for 2.2 s, so that it says 503, unless a host that runs confirms its view. Both new tests fail on the code before. Nothing changes in era 0.

--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -155,16 +155,18 @@
     def begin_era(self, entries, newest):
         """Prepare for the first listing since a restore of the store.
 
+        A host that has just started cannot tell how long ago that was.
+
         A key that was removed is postponed unless its number is higher than
         that of the removal. The higher number was given out later in either
         era, so the key was written again after its removal.
         """
         self.era = era_of(newest)
+        self.restored_at = NOTHING
+        self.reflects_writers = False
         if not self.loaded:
             return
         self.on_restored()
-        self.restored_at = NOTHING
-        self.reflects_writers = False
         first = first_of_era(newest)
         for key, entry in self.entries.items():
             if entry.revision < first:
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -228,6 +228,22 @@
     assert_that(recorder.mirror.reflects_writers, Equals(True))
 
 
+def test_a_start_after_a_restore_confirms_no_view_at_once():
+    """Guards against a 404 for a route whose version the store has lost.
+
+    All hosts have started since, so that none has that version.
+    """
+    fresh = Recorder()
+    restore(fresh, entry("config", b"60", 50, 1))
+    assert_that(fresh.mirror.reflects_writers, Equals(False))
+    fresh.mirror.settle(0.0)
+    fresh.mirror.settle(CARRIED_SECONDS)
+    assert_that(fresh.mirror.reflects_writers, Equals(True))
+    never = Recorder()
+    never.mirror.replace([entry("config", b"60", 50)], 90)
+    assert_that(never.mirror.reflects_writers, Equals(True))
+
+
 def test_two_restores_in_a_row_are_followed(recorder):
     """Guards against a second restore within the periods of the first."""
     restore(recorder, entry("config", b"63", 50, 1))
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -195,6 +195,24 @@
     )
 
 
+@pytest_twisted.ensureDeferred
+async def test_hosts_that_all_start_after_a_restore_deny_no_lost_route(hosts):
+    """Callers get 404 on a route of the version that the store has lost.
+
+    No host has that version any more.
+    """
+    await lose(hosts, 5, version=5)
+    for name in list(hosts.processes):
+        await hosts.processes.pop(name).close()
+    hosts.add_host("h-alone", "north", 5)
+    await hosts.until(hosts.processes["h-alone"].is_ready)
+    status, _, _ = await hosts.send("h-alone", "/lost/a", identifier="r1")
+    assert_that(status, Equals(503))
+    await task.deferLater(reactor, CARRIED_SECONDS + 0.6)
+    status, _, _ = await hosts.send("h-alone", "/lost/a", identifier="r2")
+    assert_that(status, Equals(404))
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_late_watch_of_an_earlier_era_is_not_passed_on(hosts):
     """A neighbour gets a lost write, with a gap of another era."""
