--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -92,6 +92,28 @@
     await hosts.until(lambda: versions(hosts) == {6}, within=APPLY_SECONDS)
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_host_without_the_store_follows_its_region_into_an_era(
+    proxied_hosts,
+):
+    """A host that is cut off from the store takes changes for older ones."""
+    hosts = proxied_hosts
+    _, cut = await hosts.with_resting_host()
+    await task.deferLater(reactor, 1.0)
+    proxy = hosts.proxies[cut.settings.host]
+    proxy.silence()
+    proxy.cut = True
+    await lose(hosts, 30, version=5)
+    hosts.store.put_json("op/config", configuration(6))
+    await hosts.until(lambda: versions(hosts) == {6}, within=APPLY_SECONDS)
+    await hosts.until(lambda: cut.store_sync.operator.era == 1)
+    assert_that(cut.store_sync.store.era, Equals(0))
+    proxy.cut = False
+    await hosts.until(lambda: cut.store_sync.store.era == 1)
+    hosts.store.put_json("op/config", configuration(7))
+    await hosts.until(lambda: versions(hosts) == {7}, within=APPLY_SECONDS)
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_host_that_starts_after_a_restore_has_the_lost_version(hosts):
     """A host that starts takes the older version of the copy for the newest.
