Give the processes of the examples ports that do not collide

Cause: free_address() of the examples bound port 0 and closed the socket, for each of 20 addresses anew.

free_address(), free_ports() and is_free() are one module now, which the fleet, the soak and the tests of entry hosts use as well; each had a copy, and those kept to ports below the ephemeral range, each returned once, already. A process that exits at its start is reported at once, with its output.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -19,7 +19,9 @@
 ROOT = pathlib.Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "examples"))
 
-from processes import Processes, free_address  # noqa: E402
+from processes import Processes  # noqa: E402
+
+from hyssopspring_fakes.ports import free_address  # noqa: E402
 
 CALLERS = 16
 MEASURE_SECONDS = 4.0
--- a/examples/processes.py
+++ b/examples/processes.py
@@ -9,7 +9,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -18,23 +17,20 @@
 
 import yaml
 
-LOOPBACK = "127.0.0.1"
+from hyssopspring_fakes.ports import free_address
+
 PEER_SECRET = "secret of the example fleet"
 OPERATOR_TOKEN = "operator-token"
 START_TIMEOUT_SECONDS = 30.0
 """Time in which a process has to respond after its start."""
 
+OUTPUT_CHARACTERS = 2000
+"""Characters of the output of a process that an error message shows."""
+
 STOP_TIMEOUT_SECONDS = 20.0
 """Time in which all processes have to exit before they are killed."""
 
 
-def free_address():
-    """Return a loopback address with a port that is currently unused."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
-
-
 class Processes:
     """The processes of one topology.
 
@@ -96,6 +92,7 @@
 
         Raises:
             SystemExit: The configuration was refused.
+            RuntimeError: A process has exited.
             TimeoutError: A process did not respond in time.
         """
         hosts = self.write("hosts.yaml", {"hosts": self.rows})
@@ -107,17 +104,17 @@
             "--hosts",
             hosts,
         )
-        self.wait_for(self.platform, "/hosts")
+        self.wait_for("platform", self.platform, "/hosts")
         for row in self.rows:
             self.start_row(row)
         self.run("admin", "hyssop-admin", "--settings", self.admin_settings())
-        self.wait_for(self.admin, "/healthz")
+        self.wait_for("admin", self.admin, "/healthz")
         text = yaml.safe_dump(self.configuration())
         status, report = self.call_admin("PUT", "/v1/files/10-base.yaml", text)
         if status != 200:
             raise SystemExit(f"initial configuration was refused: {report}")
         for row in self.gateways():
-            self.wait_for(row["address"], "/readyz")
+            self.wait_for(row["name"], row["address"], "/readyz")
 
     def start_row(self, row):
         """Start the process of one host-list row."""
@@ -222,20 +219,38 @@
         )
         log.close()
 
-    def wait_for(self, address, path):
-        """Wait until a request for *path* returns status 200.
+    def wait_for(self, name, address, path):
+        """Wait until a process answers a request for *path* with status 200.
 
         Raises:
+            RuntimeError: The process has exited.
             TimeoutError: It does not within `START_TIMEOUT_SECONDS`.
         """
+        last = "no response"
         deadline = time.monotonic() + START_TIMEOUT_SECONDS
         while time.monotonic() < deadline:
-            with contextlib.suppress(OSError):
+            code = self.running[name].poll()
+            if code is not None:
+                raise RuntimeError(
+                    f"{name} exited with {code}: {self.last_output(name)}"
+                )
+            try:
                 status, _ = self.fetch("GET", f"http://{address}{path}")
                 if status == 200:
                     return
+                last = f"status {status}"
+            except OSError as problem:
+                last = str(problem)
             time.sleep(0.05)
-        raise TimeoutError(f"no response with status 200 from {address}{path}")
+        raise TimeoutError(
+            f"{name} at {address}{path}: {last}; "
+            f"output: {self.last_output(name)}"
+        )
+
+    def last_output(self, name):
+        """Return the end of what a process has written to its log file."""
+        text = (self.directory / f"{name}.log").read_text(errors="replace")
+        return text[-OUTPUT_CHARACTERS:]
 
     def call_admin(self, method, path, text=None):
         """Call the admin server; return status and decoded JSON body."""
--- a/src/hyssopspring_fakes/fleet.py
+++ b/src/hyssopspring_fakes/fleet.py
@@ -1,9 +1,6 @@
 """A small fleet of gateways, fakes and administration on one reactor."""
 
 import hashlib
-import itertools
-import os
-import socket
 import time
 from dataclasses import dataclass, field
 
@@ -18,6 +15,7 @@
 
 from .engine import EngineModel, FakeEngine
 from .platform import FakePlatform
+from .ports import free_address
 from .service import FakeService
 
 LOOPBACK = "127.0.0.1"
@@ -27,35 +25,6 @@
 POLL = 0.02
 
 
-FIRST_PORT, LAST_PORT = 20_000, 32_000
-"""Ports below those from which the system takes the ports of connections. A
-port among them that was seen to be free could be taken by a connection
-before it is listened at; a fleet then failed to start."""
-
-START = os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
-"""Fleets of two processes begin to look at different ports."""
-
-PORTS = itertools.cycle(
-    [
-        *range(FIRST_PORT + START, LAST_PORT),
-        *range(FIRST_PORT, FIRST_PORT + START),
-    ]
-)
-
-
-def free_address():
-    """Return a loopback address with a port that is free now."""
-    for port in PORTS:
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return f"{LOOPBACK}:{port}"
-    raise AssertionError("cycle() does not end")
-
-
 def key_digest(key):
     """Return the digest by which configuration names a caller's key."""
     return hashlib.sha256(key.encode()).hexdigest()
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -3,16 +3,13 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 from twisted.internet import defer, protocol
 
-from hyssopspring.core.addresses import split_address
-
 from .backends import FakeBackend
-from .fleet import FIRST_PORT, LAST_PORT
 from .metadata import FakeMetadata
+from .ports import free_ports
 from .proxies import FaultProxy
 from .soakchecks import KEPT_ROUTES, ROTATION, service_of
 
@@ -248,7 +245,9 @@
         self.folder = pathlib.Path(folder)
         self.store = FakeMetadata(reactor, STORE_IP)
         self.store_address = ""
-        self.port = free_ports(hosts)
+        self.port = free_ports(
+            [ip_of(number) for number in range(hosts)], PORTS_EACH
+        )
         self.count = hosts
         self.hosts = {}
         self.backends = {}
@@ -325,27 +324,3 @@
 def ip_of(number):
     """Return the IP address of a host by its number."""
     return f"127.0.{10 + number // 200}.{1 + number % 200}"
-
-
-def free_ports(hosts):
-    """Return the first of the ports that are free at all hosts."""
-    start = FIRST_PORT + os.getpid() * PORTS_EACH % (LAST_PORT - FIRST_PORT)
-    for first in (*range(start, LAST_PORT), *range(FIRST_PORT, start)):
-        if all(
-            is_free(f"{ip_of(number)}:{port}")
-            for number in range(hosts)
-            for port in range(first, first + PORTS_EACH)
-        ):
-            return first
-    raise OSError("no ports are free at all hosts")
-
-
-def is_free(address):
-    """Whether nobody listens at an address."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(split_address(address))
-        except OSError:
-            return False
-    return True
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -1,9 +1,7 @@
 """Entry hosts, servers and a store on loopback, for tests."""
 
 import json
-import os
 import random
-import socket
 import time
 from io import BytesIO
 
@@ -22,6 +20,7 @@
 from hyssopspring.net.clients import read_body
 from hyssopspring_fakes.backends import FakeBackend
 from hyssopspring_fakes.metadata import FakeMetadata
+from hyssopspring_fakes.ports import free_ports
 from hyssopspring_fakes.proxies import FaultProxy
 
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
@@ -35,34 +34,13 @@
 LONGEST_WAIT = 8.0
 
 
-FIRST_PORT, LAST_PORT = 20_000, 32_000
-"""Ports below those from which the system takes the ports of connections;
-a listener among them would meet a connection now and then."""
-
 PORTS_A_HOST = 5
 ADDRESSES = [f"127.0.0.{20 + number}" for number in range(7)]
 
 
-def is_free(port):
-    """Whether *port* can be listened at on all addresses of the hosts."""
-    for address in ADDRESSES:
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((address, port))
-            except OSError:
-                return False
-    return True
-
-
 def free_port():
     """Return the first of the ports of a host, all of them free."""
-    start = FIRST_PORT + os.getpid() * 10 % (LAST_PORT - FIRST_PORT)
-    for port in range(start, LAST_PORT + FIRST_PORT, PORTS_A_HOST):
-        ports = range(port, port + PORTS_A_HOST)
-        if all(is_free(one) for one in ports):
-            return port
-    raise AssertionError("no free ports")
+    return free_ports(ADDRESSES, PORTS_A_HOST)
 
 
 class Hosts:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,8 @@
 from hyssopspring.core.servers import LoadReport, ServerEntry, ServerTable
 from hyssopspring.net.bus import Bus
 from hyssopspring.net.messages import Heartbeat
-from hyssopspring_fakes.fleet import Shape, free_address
+from hyssopspring_fakes.fleet import Shape
+from hyssopspring_fakes.ports import free_address
 
 MODEL = Target(TargetKind.MODEL, "m")
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -104,6 +104,32 @@
     return processes.fetch("GET", url)[1]["ran"]
 
 
+def test_no_two_processes_get_the_same_port(tmp_path):
+    """Guards against a process that cannot listen at its address."""
+    shape = {"gateways": 100, "engines": 100, "services": 100}
+    large = Processes(
+        {"models": [], "services": [], "regions": {"dar": shape}}, tmp_path
+    )
+    addresses = [large.platform, large.admin] + [
+        row[key]
+        for row in large.rows
+        for key in ("address", "forward", "control")
+        if key in row
+    ]
+    assert_that(len(set(addresses)), Equals(len(addresses)))
+
+
+def test_process_that_exits_at_its_start_is_reported_at_once(tmp_path):
+    """Guards against waiting for a process that no longer runs."""
+    processes = Processes({"models": [], "regions": {}}, tmp_path)
+    processes.run("platform", "hyssop-fake-platform", "--no-such-option")
+    try:
+        with pytest.raises(RuntimeError, match="no-such-option"):
+            processes.wait_for("platform", processes.platform, "/hosts")
+    finally:
+        processes.stop()
+
+
 def test_official_client_works_unchanged(processes):
     """The OpenAI client library works without changes.
 
@@ -276,7 +302,7 @@
     processes.running["dar-gateway-1"].wait()
     row = next(r for r in processes.rows if r["name"] == "dar-gateway-1")
     processes.start_row(row)
-    processes.wait_for(row["address"], "/readyz")
+    processes.wait_for(row["name"], row["address"], "/readyz")
 
 
 def test_frozen_gateway_wakes_up_without_old_rights(processes):
