Do not answer a roster that answers another one

A host that does not place answers a roster from another region with its own. If the sender has stopped placing when the answer arrives, it answers in turn, and the two exchange a roster and a heartbeat each round trip without end.

A roster now says whether it is an answer, in a field at the end that hosts of earlier releases ignore. Two hosts of which one is of an earlier release still exchange rosters as before.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -426,12 +426,12 @@
         self.rosters.handle_roster(message)
         sender = self.members.others.get(message.host)
         own = self.members.own.region
-        if sender is None or sender.region == own:
+        if sender is None or sender.region == own or message.is_answer:
             return
         self.datagrams.send(self.heartbeat(), sender.control)
         now = self.clock.seconds()
         if not self.is_placing(now):
-            roster = self.rosters.roster(own, now)
+            roster = self.rosters.roster(own, now, is_answer=True)
             self.datagrams.send(roster, sender.control)
 
     def handle_placements(self, message, now):
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -376,10 +376,12 @@
     Attributes:
         host: Name of the sender.
         rows: `RosterRow` of each host of the region.
+        is_answer: Whether it answers a roster of the recipient.
     """
 
     host: str
     rows: list[RosterRow]
+    is_answer: bool = False
 
 
 class HostEntriesRequest(
--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -52,7 +52,7 @@
         self.datagrams = datagrams
         self.clock = clock
 
-    def roster(self, region, now):
+    def roster(self, region, now, *, is_answer=False):
         """Return the `Roster` of the hosts of *region*.
 
         Hosts that timed out recently are reported as gone: this host exchanged
@@ -69,7 +69,7 @@
             rows.append(
                 RosterRow(members.own.id, 0, encode_state(members.own))
             )
-        return Roster(members.own.name, rows)
+        return Roster(members.own.name, rows, is_answer)
 
     def single_host_roster(self, member, now):
         """Return a `Roster` of one host."""
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -5,6 +5,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from hyssopspring.entry.messages import Roster
+
 MOST_CONTROL_BYTES = 2_000
 """Bytes per second that a host may send as control traffic."""
 
@@ -136,6 +138,28 @@
                 assert_that(host.live(region), Equals(network.names(region)))
 
 
+def test_the_answer_to_a_roster_is_not_answered(network):
+    """Guards against rosters that two hosts exchange without end.
+
+    A host that has stopped placing gets the answers to its last report.
+    """
+    first, second = network.hosts["north-30"], network.hosts["south-30"]
+    received = []
+    handle = second.membership.handlers[Roster]
+
+    def record(message):
+        if message.host == "north-30":
+            received.append(message)
+        handle(message)
+
+    second.membership.handlers[Roster] = record
+    now = network.clock.seconds()
+    report = first.membership.rosters.roster("north", now)
+    first.datagrams.send(report, second.members.own.control)
+    network.run(2.0)
+    assert_that(len(received), Equals(1))
+
+
 def test_a_host_that_leaves_is_named_no_more(network):
     """Guards against callers that are sent to a host that is shutting down."""
     leaving = network.hosts["north-30"]
