Ignore roster rows that are older than the known state of a host

The time in a row was compared, its state was not: a row about an earlier message of a host replaced what a later one had said of it. Right after a start, the contacts of a placing host reported one another as not yet able to place, and two placing hosts of 20 a region reported for six seconds to hosts that do not place (north-5 to south-17, -6 and -8 until 7.9 s, as they do with regions that report sooner; trace of the ranks of that host).

test_an_older_row_does_not_replace_a_newer_state failed before: the host counted as just started.

--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -128,17 +128,19 @@
 def apply_row(member, row, now):
     """Apply a row of a roster to a host.
 
-    A recent message from the host itself takes precedence.
+    Several hosts report it. A message from the host itself, or a row about a
+    later message of it, takes precedence.
     """
     last_seen_at = now - row.age_tenths / TENTHS_PER_SECOND
     if HostState.GONE in HostState(row.state):
         mark_gone(member, last_seen_at)
         return
     if (
-        member.reported_alive_at is NOTHING
-        or last_seen_at > member.reported_alive_at
+        member.reported_alive_at is not NOTHING
+        and last_seen_at < member.reported_alive_at
     ):
-        member.reported_alive_at = last_seen_at
+        return
+    member.reported_alive_at = last_seen_at
     if (
         member.last_heartbeat_at is not NOTHING
         and member.last_heartbeat_at >= last_seen_at
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -5,7 +5,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from hyssopspring.entry.messages import Roster
+from hyssopspring.entry.messages import Roster, RosterRow
+from hyssopspring.entry.rosters import HostState, apply_row
+from hyssopspring.traffic.members import PLACER_WARMUP_SECONDS, Member
 
 MOST_CONTROL_BYTES = 2_000
 """Bytes per second that a host may send as control traffic."""
@@ -160,6 +162,21 @@
     assert_that(len(received), Equals(1))
 
 
+def test_an_older_row_does_not_replace_a_newer_state():
+    """Guards against reports to other hosts than the ones that place.
+
+    Of two hosts that report a third one, one may not have heard since its
+    start that it is able to place.
+    """
+    member = Member("h", "south", "south-a", "f", "c", "r")
+    newer = RosterRow(member.id, 1, 0)
+    older = RosterRow(member.id, 9, int(HostState.UNSETTLED))
+    for row in (newer, older):
+        apply_row(member, row, 10.0)
+    assert_that(member.up_seconds, Equals(PLACER_WARMUP_SECONDS))
+    assert_that(member.reported_alive_at, Equals(9.9))
+
+
 def test_a_host_that_leaves_is_named_no_more(network):
     """Guards against callers that are sent to a host that is shutting down."""
     leaving = network.hosts["north-30"]
