Let hosts that start together reach other regions within two seconds

After an outage of all hosts, callers of a full region were refused for up to 4.6 s although other regions had room: their hosts did not know that any of these regions was up.

Cause: three periodic steps in a row. A placing host reported to the other regions with its fourth heartbeat (1.5 to 2 s), a contact there passed that on with the next periodic roster of other regions (up to 2 s later), and a row about a host that the receiver did not know yet was dropped, so that it counted with the roster after that one. A host that began to count on another contact in between waited as well.

A host that begins to place reports at once, and after a start repeats this at each heartbeat for the regions that have not answered. A host passes the roster of a region on when the region comes up, and sends those of all regions to a host that begins to count on it. A row of an unknown host is kept until the entry of that host arrives, and the entry is requested once. Contacts of other regions are forgotten when a host no longer places.

The bounds of control traffic in steady state hold (test_rosters).

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -5,7 +5,11 @@
 from ..core.events import EventKind
 from ..core.revisions import era_of, join_revision, number_of
 from ..core.sentinels import NOTHING
-from ..traffic.members import Subscription
+from ..traffic.members import (
+    PLACER_WARMUP_SECONDS,
+    STARTUP_DISCOVERY_SECONDS,
+    Subscription,
+)
 from ..traffic.pauses import StreamGaps
 from ..traffic.regions import RegionLoad, ServerCapacity
 from ..traffic.serverhealth import AttemptResult
@@ -125,6 +129,7 @@
         self.speed_handover = SpeedHandover(placer.speeds, placer.registry)
         self.heartbeats_sent = 0
         self.remote_contacts = []
+        self.relayed_regions = set()
         self.previously_live = set()
         self.rosters = Rosters(members, datagrams, clock)
         self.handlers = {
@@ -177,17 +182,17 @@
             [one for one in probed if one not in contacts],
         )
         self.heartbeats_sent += 1
-        if (
-            self.heartbeats_sent % REMOTE_INTERVAL_HEARTBEATS == 0
-            and self.is_placing(now)
-        ):
-            self.report_to_remote_regions(now)
+        if self.is_placing(now):
+            self.report_to_remote_regions(self.regions_to_report_to(now), now)
+        else:
+            self.remote_contacts = []
+        self.relay_new_regions(now)
         reporting = self.members.reporting(now)
         self.send_in_batches(
             self.heartbeat(),
             [one for one in reporting if one not in contacts],
         )
-        self.send_rosters(reporting, now)
+        self.send_rosters(now)
         self.update_live_hosts(now)
 
     def report_to_contacts(self, contacts):
@@ -218,13 +223,9 @@
             if members:
                 self.datagrams.send_all(message, members)
 
-    def send_rosters(self, reporting, now):
+    def send_rosters(self, now):
         """Send rosters to the hosts that rely on this one for them."""
-        recipients = [
-            one
-            for one in reporting
-            if one.subscription is Subscription.ROSTERS
-        ]
+        recipients = self.roster_recipients(now)
         regions = []
         if self.heartbeats_sent % ROSTER_INTERVAL_HEARTBEATS == 0:
             regions.append(self.members.own.region)
@@ -233,23 +234,74 @@
         for region in regions if recipients else ():
             self.send_in_batches(self.rosters.roster(region, now), recipients)
 
+    def regions_to_report_to(self, now):
+        """Return the other regions that get a report at this heartbeat.
+
+        A host that begins to place reports at once. Right after its start it
+        repeats this at each heartbeat for the regions that have not answered
+        yet, as it cannot send requests there.
+        """
+        regions = self.other_regions()
+        if self.heartbeats_sent % REMOTE_INTERVAL_HEARTBEATS == 0:
+            return regions
+        up_seconds = self.members.own.up_seconds
+        if up_seconds < PLACER_WARMUP_SECONDS:
+            return []
+        if not self.remote_contacts:
+            return regions
+        if up_seconds < STARTUP_DISCOVERY_SECONDS:
+            live = self.members.regions(now)
+            return [region for region in regions if region not in live]
+        return []
+
+    def relay_new_regions(self, now):
+        """Send the rosters of regions that were not up until now.
+
+        The hosts that rely on this one for rosters would otherwise learn of
+        such a region with the next periodic roster.
+        """
+        regions = self.members.regions(now) - {self.members.own.region}
+        new = regions - self.relayed_regions
+        self.relayed_regions = set(regions)
+        if not new:
+            return
+        recipients = self.roster_recipients(now)
+        for region in sorted(new):
+            self.send_in_batches(self.rosters.roster(region, now), recipients)
+
+    def send_remote_rosters(self, recipients, now):
+        """Send the rosters of the other regions that are up."""
+        for region in sorted(self.relayed_regions):
+            self.send_in_batches(self.rosters.roster(region, now), recipients)
+
+    def roster_recipients(self, now):
+        """Return the hosts that rely on this one for rosters."""
+        return [
+            member
+            for member in self.members.others.values()
+            if member.receives_rosters(now)
+        ]
+
     def other_regions(self):
         """Return the other regions of which at least one host is known."""
         known = {member.region for member in self.members.others.values()}
         return sorted(known - {self.members.own.region})
 
-    def report_to_remote_regions(self, now):
-        """Send this region's roster to a few hosts of each other region.
+    def report_to_remote_regions(self, regions, now):
+        """Send this region's roster to a few hosts of other regions.
 
         A roster is accepted only from a known host; the heartbeat that
         precedes it makes this host known.
         """
-        self.remote_contacts = self.choose_remote_contacts(
-            self.other_regions(), now
-        )
-        self.datagrams.send_all(self.heartbeat(), self.remote_contacts)
+        if not regions:
+            return
+        contacts = self.choose_remote_contacts(regions, now)
+        self.remote_contacts = contacts + [
+            one for one in self.remote_contacts if one.region not in regions
+        ]
+        self.datagrams.send_all(self.heartbeat(), contacts)
         roster = self.rosters.roster(self.members.own.region, now)
-        self.datagrams.send_all(roster, self.remote_contacts)
+        self.datagrams.send_all(roster, contacts)
 
     def send_in_batches(self, message, members):
         """Send a message to hosts of the region, a few at a time."""
@@ -381,6 +433,10 @@
             return
         member.last_heartbeat_at = now
         leaves = message.leaving and not member.leaving
+        subscribes = (
+            message.report is Subscription.ROSTERS
+            and not member.receives_rosters(now)
+        )
         member.subscription = message.report
         if message.report is not Subscription.NONE:
             member.reported_at = now
@@ -401,6 +457,9 @@
             self.speed_handover.merge(message.speeds, now)
         if message.placements is not None:
             self.handle_placements(message, now)
+        if subscribes:
+            self.send_remote_rosters([member], now)
+        self.relay_new_regions(now)
 
     def announce_leaving(self, member, now):
         """Announce at once that a host is shutting down.
@@ -408,13 +467,9 @@
         It keeps serving for only slightly longer than callers cache an answer
         of the directory, so the directory must stop naming it immediately.
         """
-        recipients = [
-            one
-            for one in self.members.reporting(now)
-            if one.subscription is Subscription.ROSTERS
-        ]
         self.send_in_batches(
-            self.rosters.single_host_roster(member, now), recipients
+            self.rosters.single_host_roster(member, now),
+            self.roster_recipients(now),
         )
 
     def handle_roster(self, message):
@@ -426,10 +481,11 @@
         self.rosters.handle_roster(message)
         sender = self.members.others.get(message.host)
         own = self.members.own.region
+        now = self.clock.seconds()
+        self.relay_new_regions(now)
         if sender is None or sender.region == own or message.is_answer:
             return
         self.datagrams.send(self.heartbeat(), sender.control)
-        now = self.clock.seconds()
         if not self.is_placing(now):
             roster = self.rosters.roster(own, now, is_answer=True)
             self.datagrams.send(roster, sender.control)
--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -23,6 +23,10 @@
 """Hosts whose entries are requested at once; the response is a datagram of 6
 KB. The rest are requested with the next roster."""
 
+ENTRY_WAIT_SECONDS = 1.0
+"""Time for which a row of an unknown host waits for the entry of that host,
+which is not requested again meanwhile."""
+
 
 class HostState(enum.IntFlag):
     """State of a host in a roster, apart from being up."""
@@ -45,12 +49,17 @@
         members: The `Members`.
         datagrams: The `DatagramEndpoint`.
         clock: The runtime's clock.
+
+    Attributes:
+        waiting_rows: `RosterRow` of each unknown host and the time of its
+            arrival, by identifier.
     """
 
     def __init__(self, members, datagrams, clock):
         self.members = members
         self.datagrams = datagrams
         self.clock = clock
+        self.waiting_rows = {}
 
     def roster(self, region, now, *, is_answer=False):
         """Return the `Roster` of the hosts of *region*.
@@ -78,19 +87,28 @@
     def handle_roster(self, message):
         """Apply a roster, and request the entries of unknown hosts."""
         now = self.clock.seconds()
+        self.drop_waiting_rows(now)
         unknown = []
         for row in message.rows:
             member = self.members.by_id.get(row.id)
             if member is not None:
                 apply_row(member, row, now)
-            elif row.id != self.members.own.id:
-                unknown.append(row.id)
+            elif (
+                row.id != self.members.own.id
+                and row.id not in self.waiting_rows
+            ):
+                unknown.append(row)
         sender = self.members.others.get(message.host)
         if unknown and sender is not None:
-            ask = HostEntriesRequest(
-                self.members.own.name, unknown[:MAX_RECORDS_REQUESTED]
-            )
-            self.datagrams.send(ask, sender.control)
+            self.request_entries(unknown[:MAX_RECORDS_REQUESTED], sender, now)
+
+    def request_entries(self, rows, sender, now):
+        """Request the entries of the hosts of some rows from their sender."""
+        self.waiting_rows.update((row.id, (row, now)) for row in rows)
+        ask = HostEntriesRequest(
+            self.members.own.name, [row.id for row in rows]
+        )
+        self.datagrams.send(ask, sender.control)
 
     def handle_records_request(self, message):
         """Send the entries of the requested hosts."""
@@ -107,10 +125,29 @@
         self.datagrams.send(HostEntriesMessage(entries), asker.control)
 
     def handle_records(self, message):
-        """Record the entries of hosts."""
+        """Record the entries of hosts, and apply the rows that wait for them.
+
+        Otherwise these hosts would count as down until the next roster.
+        """
         now = self.clock.seconds()
+        self.drop_waiting_rows(now)
         for entry in message.hosts:
-            self.members.add(member_from_entry(entry), announced_at=now)
+            member = member_from_entry(entry)
+            self.members.add(member, announced_at=now)
+            row, received_at = self.waiting_rows.pop(
+                member.id, (NOTHING, NOTHING)
+            )
+            known = self.members.by_id.get(member.id)
+            if row is not NOTHING and known is not None:
+                apply_row(known, row, received_at)
+
+    def drop_waiting_rows(self, now):
+        """Forget the rows whose hosts have not become known in time."""
+        self.waiting_rows = {
+            id_: (row, received_at)
+            for id_, (row, received_at) in self.waiting_rows.items()
+            if now - received_at < ENTRY_WAIT_SECONDS
+        }
 
 
 def is_reportable(member, now):
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -162,6 +162,12 @@
             return False
         return now - self.reported_at < HEARTBEAT_TIMEOUT_SECONDS
 
+    def receives_rosters(self, now):
+        """Whether it relies on this host for rosters."""
+        return self.subscription is Subscription.ROSTERS and self.is_reporting(
+            now
+        )
+
     def is_ahead(self, version, revisions):
         """Whether it has a newer version or revision than the given ones."""
         pairs = zip(self.revisions, revisions, strict=True)
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -202,6 +202,21 @@
         assert_that(named, Equals(network.names("west")))
 
 
+def test_a_reported_host_counts_as_up_once_its_entry_arrives(network):
+    """Guards against a region that is reported and not used until later.
+
+    The rosters name hosts by identifiers that this host does not know yet.
+    """
+    host, other = network.hosts["north-30"], network.hosts["north-31"]
+    now = network.clock.seconds()
+    for name in network.names("south"):
+        host.members.by_id.pop(host.members.others.pop(name).id)
+    roster = other.membership.rosters.roster("south", now)
+    other.datagrams.send(roster, host.members.own.control)
+    network.run(0.1)
+    assert_that(host.live("south"), Equals(network.names("south")))
+
+
 def test_hosts_that_start_together_reach_other_regions_soon():
     """Guards against refused callers of a full region after an outage.
 
