Weigh the risk of slow phases in the gaps of streams

A prompt was placed by the slowdown of the moment, at which the same engine would have kept all gaps within the objective.

The mean and mean square of the reported slowdowns of a service now give the slowdown of its slow phases and their share of the time, and the cost of gaps includes what a phase would do to the running streams and to the new one. Nothing changes where no server reports a slowdown.

--- a/src/hyssopspring/traffic/enginework.py
+++ b/src/hyssopspring/traffic/enginework.py
@@ -439,6 +439,7 @@
             self.queue.seconds,
             self.idle_token_seconds,
             self.speeds.current_slowdown(now),
+            self.speeds.slow_phases,
         )
         if predicted > request.in_time_within:
             gap_cost = MAX_GAP_COST_SECONDS
--- a/src/hyssopspring/traffic/pauses.py
+++ b/src/hyssopspring/traffic/pauses.py
@@ -6,6 +6,7 @@
 
 from ..core.sentinels import NOTHING
 from .decoding import INITIAL_BUSY_TOKEN_SECONDS
+from .reportedload import NO_SLOW_PHASES
 
 __all__ = [
     "MAX_GAP_COST_SECONDS",
@@ -291,9 +292,20 @@
         """Return the longest recent streak of prefill in seconds."""
         return max(self.decayed_streak(now), self.streak_now(now))
 
-    def cost(self, request, own, queued_by_urgency, idle, slowdown=1.0):
+    def cost(
+        self,
+        request,
+        own,
+        queued_by_urgency,
+        idle,
+        slowdown=1.0,
+        phases=NO_SLOW_PHASES,
+    ):
         """Return the cost of the gaps that a placement causes.
 
+        A slow phase of the engine may begin before the prompt is prefilled,
+        and the more likely before the stream ends.
+
         Args:
             request: The `EstimateRequest`.
             own: Seconds of prefill that the request adds.
@@ -301,45 +313,84 @@
                 urgency.
             idle: Seconds for an output token without prefill.
             slowdown: Reported slowdown of the engine.
+            phases: `SlowPhases` of the engines of the service.
 
         Returns:
             The cost in seconds, and the predicted longest gap of the request's
             own stream, 0 if it has no gap objective.
         """
-        model, factor = self.model, self.factor
-        now = request.now
-        late_streams = 0.0
-        if self.streams:
-            # The streams that wait for their first event see only the prefill
-            # behind them, on average half of the queue. The streams that
-            # exceed their objective anyway count as well: a streak that is
-            # too long already hits each stream that starts meanwhile.
-            objective = self.objectives / self.streams
-            running = self.streams - self.waiting
-            queued = sum(queued_by_urgency) * slowdown
-            for count, streak in (
-                (running, self.streak_now(now) + queued),
-                (self.waiting, queued / 2),
-            ):
-                if not count:
-                    continue
-                gap = model.longest_gap(idle, streak + own, slowdown)
-                gap *= factor
-                late_streams += count * risk(gap, objective)
+        worst = max(slowdown, phases.slowdown)
+        queued = sum(queued_by_urgency)
+        late_streams = self.late_streams(
+            request.now, own, queued, idle, slowdown
+        )
+        if worst > slowdown:
+            late_if_slow = self.late_streams(
+                request.now, own * worst / slowdown, queued, idle, worst
+            )
+            late_streams += phases.share * (late_if_slow - late_streams)
         cost = late_streams * LATE_STREAM_COST_SECONDS
         pause = 0.0
         if request.gap_objective:
-            behind = sum(queued_by_urgency[request.urgency + 1 :]) * slowdown
-            streak = max(self.recent_streak(now), behind)
-            pause = model.longest_gap(idle, streak, slowdown) * factor
-            exposure = request.demand.tokens_out * idle / EXPOSURE_SECONDS
-            cost += (
-                min(1.0, exposure)
-                * risk(pause, request.gap_objective)
-                * OWN_LATE_COST_SECONDS
-            )
+            behind = sum(queued_by_urgency[request.urgency + 1 :])
+            streak = self.recent_streak(request.now)
+            pause = self.longest_gap(streak, behind, idle, slowdown)
+            late = risk(pause, request.gap_objective)
+            seconds = request.demand.tokens_out * idle
+            if worst > slowdown:
+                slow_pause = self.longest_gap(
+                    streak * worst / slowdown, behind, idle, worst
+                )
+                late += phases.chance_within(seconds) * (
+                    risk(slow_pause, request.gap_objective) - late
+                )
+            exposure = min(1.0, seconds / EXPOSURE_SECONDS)
+            cost += exposure * late * OWN_LATE_COST_SECONDS
         return min(MAX_GAP_COST_SECONDS, cost), pause
 
+    def longest_gap(self, streak, queued, idle, slowdown):
+        """Return the predicted longest gap of a stream in seconds.
+
+        Args:
+            streak: Seconds of a recent streak of prefill.
+            queued: Usual seconds of prefill that wait behind the stream.
+            idle: Seconds for an output token without prefill.
+            slowdown: Slowdown of the engine.
+        """
+        streak = max(streak, queued * slowdown)
+        return self.model.longest_gap(idle, streak, slowdown) * self.factor
+
+    def late_streams(self, now, own, queued, idle, slowdown):
+        """Return how many streams of the engine exceed their objective.
+
+        The streams that wait for their first event see only the prefill behind
+        them, on average half of the queue. The streams that exceed their
+        objective anyway count as well: a streak that is too long already hits
+        each stream that starts meanwhile.
+
+        Args:
+            now: The time.
+            own: Seconds of prefill that a placement adds.
+            queued: Usual seconds of prefill that wait at the engine.
+            idle: Seconds for an output token without prefill.
+            slowdown: Slowdown of the engine.
+        """
+        if not self.streams:
+            return 0.0
+        late_streams = 0.0
+        objective = self.objectives / self.streams
+        running = self.streams - self.waiting
+        queued *= slowdown
+        for count, streak in (
+            (running, self.streak_now(now) + queued),
+            (self.waiting, queued / 2),
+        ):
+            if not count:
+                continue
+            gap = self.model.longest_gap(idle, streak + own, slowdown)
+            late_streams += count * risk(gap * self.factor, objective)
+        return late_streams
+
     def learn(self, placement, gaps, idle, now, *, median=False):
         """Learn from the gaps of a stream that has ended.
 
--- a/src/hyssopspring/traffic/reportedload.py
+++ b/src/hyssopspring/traffic/reportedload.py
@@ -5,7 +5,14 @@
 
 from ..core.sentinels import NOTHING
 
-__all__ = ["LiveSlowdown", "ReportedLoad", "UnseenRequests"]
+__all__ = [
+    "NO_SLOW_PHASES",
+    "LiveSlowdown",
+    "ReportedLoad",
+    "SlowPhases",
+    "SlowdownMoments",
+    "UnseenRequests",
+]
 
 LIVE_SECONDS = 0.6
 """Time constant with which a reported slowdown approaches the average of its
@@ -22,6 +29,10 @@
 """Weight of one report in the average slowdown. The average must span dozens
 of responses, because many arrive in the same phase."""
 
+MOMENTS_LEARNING_RATE = 0.002
+"""Weight of one report in the moments of the slowdown of a service. The
+reports of a few hundred responses reach all phases of its servers."""
+
 IN_FLIGHT_SECONDS = 0.05
 """Age of a placement from which on its request must have reached the server.
 A younger one may be missing from the reported number."""
@@ -99,6 +110,60 @@
         return round(self.difference * remaining) if remaining > 0 else 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlowPhases:
+    """Phases in which the servers of a service are slow.
+
+    Attributes:
+        slowdown: Slowdown in such a phase.
+        share: Fraction of the time that a server spends in them.
+    """
+
+    slowdown: float
+    share: float
+
+    def chance_within(self, seconds):
+        """Return the chance that a server is slow at some time within them."""
+        return 1.0 - (1.0 - self.share) ** (1.0 + seconds / LIVE_SECONDS)
+
+
+NO_SLOW_PHASES = SlowPhases(1.0, 0.0)
+
+
+@dataclass(slots=True, eq=False)
+class SlowdownMoments:
+    """Moments of the excess over 1 of the slowdowns that servers report.
+
+    Servers that alternate between the usual speed and one slowdown have these
+    moments if their mean is the share of the slow time, multiplied by the
+    excess, and their mean square is the share multiplied by its square.
+
+    Attributes:
+        count: Number of reports.
+        mean: Mean excess.
+        square: Mean square of the excess.
+        phases: The `SlowPhases` with these moments.
+    """
+
+    count: int = 0
+    mean: float = 0.0
+    square: float = 0.0
+    phases: SlowPhases = NO_SLOW_PHASES
+
+    def learn(self, slowdown):
+        """Learn from one report of any server of the service."""
+        excess = max(0.0, slowdown - 1.0)
+        self.count += 1
+        rate = max(MOMENTS_LEARNING_RATE, 1.0 / self.count)
+        self.mean += (excess - self.mean) * rate
+        self.square += (excess * excess - self.square) * rate
+        if self.mean:
+            self.phases = SlowPhases(
+                1.0 + self.square / self.mean,
+                min(1.0, self.mean * self.mean / self.square),
+            )
+
+
 @dataclass(slots=True, eq=False)
 class LiveSlowdown:
     """Slowdown that a server reports, which lapses to its average.
--- a/src/hyssopspring/traffic/serverspeeds.py
+++ b/src/hyssopspring/traffic/serverspeeds.py
@@ -6,7 +6,7 @@
 
 from ..core.sentinels import NOTHING
 from .mechanisms import Mechanism
-from .reportedload import LiveSlowdown, UnseenRequests
+from .reportedload import LiveSlowdown, SlowdownMoments, UnseenRequests
 
 __all__ = ["ServerSpeeds", "SpeedBook", "SteadyFactor", "bounded_slowdown"]
 
@@ -242,6 +242,7 @@
             return
         slowdown = bounded_slowdown(load.slowdown)
         self.live.report(slowdown, at)
+        self.levels.slowdowns.learn(slowdown)
         if slowdown != 1.0:
             self.uneven = True
 
@@ -262,6 +263,11 @@
         """Return the slowdown that is expected at *now*."""
         return self.live.current(now) if self.uneven else 1.0
 
+    @property
+    def slow_phases(self):
+        """The `SlowPhases` of the servers of the service."""
+        return self.levels.slowdowns.phases
+
     def prefill_factor(self, now):
         """Return the factor of prefill times at *now*."""
         return self.prefill.value * self.live.current(now)
@@ -328,6 +334,7 @@
         calls: `ServiceLevel` of plain calls.
         call_seconds: `CallSeconds`.
         reports_slowdown: Whether a server has reported a slowdown.
+        slowdowns: `SlowdownMoments` of all reports.
     """
 
     __slots__ = (
@@ -336,6 +343,7 @@
         "decode",
         "prefill",
         "reports_slowdown",
+        "slowdowns",
     )
 
     def __init__(self):
@@ -344,6 +352,7 @@
         self.calls = ServiceLevel()
         self.call_seconds = CallSeconds()
         self.reports_slowdown = False
+        self.slowdowns = SlowdownMoments()
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -31,10 +31,15 @@
     StreamGaps,
 )
 from hyssopspring.traffic.placing import Placer
+from hyssopspring.traffic.reportedload import (
+    NO_SLOW_PHASES,
+    SlowdownMoments,
+    SlowPhases,
+)
 from hyssopspring.traffic.routes import EngineSpec, Service
 from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring.traffic.servers import Registry, ServerEntry
-from hyssopspring.traffic.work import Demand, Placement
+from hyssopspring.traffic.work import Demand, EstimateRequest, Placement
 from hyssopspring_fakes.emulation import emulate
 from hyssopspring_fakes.loads import CALM, UNEVEN, UNEVEN_CALM
 
@@ -277,3 +282,38 @@
     """Guards against one faulty host that spoils the model of all."""
     message = AttemptEndedMessage("h", 1, "e", 0, events, longest, seconds)
     assert_that(gaps_from_message(message), Is(NOTHING))
+
+
+def test_slow_phases_are_known_from_reports():
+    """Guards against streams that the next slow phase of an engine delays."""
+    moments = SlowdownMoments()
+    for number in range(1000):
+        moments.learn(2.5 if number % 20 < 3 else 1.0)
+    assert moments.phases.slowdown == pytest.approx(2.5)
+    assert moments.phases.share == pytest.approx(0.15, abs=0.01)
+    assert moments.phases.chance_within(0.0) < 0.2
+    assert moments.phases.chance_within(2.0) > 0.4
+
+
+def test_one_absurd_slowdown_changes_little():
+    """Guards against one bad report that moves all streams."""
+    moments = SlowdownMoments()
+    for _ in range(500):
+        moments.learn(1.0)
+    moments.learn(8.0)
+    assert moments.phases.share < 0.01
+
+
+def test_a_prompt_costs_more_where_a_slow_phase_would_delay_streams():
+    """Guards against prompts at an engine whose streams are barely on time."""
+    gaps = EngineGaps(GapModel(ceiling=0.25))
+    for number in range(20):
+        placement = Placement("h", number, "e", 0.0, gap_objective=0.3)
+        gaps.add(placement)
+        gaps.mark_started(placement)
+    request = EstimateRequest(now=1.0, urgency=5, demand=SUMMARY)
+    usual, with_phases = (
+        gaps.cost(request, 0.08, [0.0] * 10, 0.004, 1.0, phases)[0]
+        for phases in (NO_SLOW_PHASES, SlowPhases(2.5, 0.15))
+    )
+    assert usual < with_phases
