Answer a request that comes as a stopping host is about to end

Cause: once a stopping host had no request left it slept 0.25 s, so that the last response left its buffer, and then ended whatever had come meanwhile. It refuses new requests in that time unless it is the last host of its region. In a rolling restart the other host began to stop in just that time (7.0 s), so the first one accepted requests again and ended with them.

A host now ends only if it accepted nothing while it waited for its buffers, and is still not needed; otherwise it waits again, within its time to stop.

test_a_request_that_comes_as_a_host_ends_is_answered failed before: the stop was over before the answer. test_entry: 34 passed.

--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -63,6 +63,7 @@
         self.state = state
         self.views = views
         self.exchanges = set()
+        self.accepted = 0
         self.startup_queue = HoldingQueue(
             state.clock,
             MAX_STARTUP_WAIT_SECONDS,
@@ -136,6 +137,7 @@
             arrived=arrived,
         )
         self.exchanges.add(exchange)
+        self.accepted += 1
         exchange.start()
 
     def find_route(self, configuration, request):
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -501,15 +501,30 @@
             factory.closing = True
         await self.sleep(DRAIN_ACCEPT_SECONDS)
         end = self.settings.stop_seconds - STOP_MARGIN_SECONDS
-        while self.state.stopping_for < end and self.is_busy():
-            self.factories[0].close_idle()
-            await self.sleep(CHECK_INTERVAL_SECONDS)
-        await self.sleep(SOCKET_FLUSH_SECONDS)
+        idle = False
+        while not idle:
+            await self.wait_until_idle(end)
+            accepted = self.accepted_requests
+            await self.sleep(SOCKET_FLUSH_SECONDS)
+            if self.state.stopping_for >= end:
+                break
+            idle = accepted == self.accepted_requests and not self.is_busy()
         self.timeline.note(
             EventKind.STOPPED, active=len(self.callers.exchanges)
         )
         self.log_writer.flush()
 
+    @property
+    def accepted_requests(self):
+        """Number of requests of callers and other hosts accepted so far."""
+        return self.callers.accepted + self.relay.accepted
+
+    async def wait_until_idle(self, end):
+        """Wait until the host is not busy, or has been stopping for *end*."""
+        while self.state.stopping_for < end and self.is_busy():
+            self.factories[0].close_idle()
+            await self.sleep(CHECK_INTERVAL_SECONDS)
+
     def is_busy(self):
         """Return whether requests are in progress or no host can take over."""
         if self.callers.exchanges or self.relay.relayed:
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -134,6 +134,7 @@
         self.state = state
         self.snapshot = snapshot
         self.relayed = set()
+        self.accepted = 0
 
     def handle(self, request):
         """Serve one HTTP request of another host."""
@@ -223,6 +224,7 @@
         disconnected = self.request.notifyFinish()
         disconnected.addErrback(self.handle_disconnect)
         self.api.relayed.add(self)
+        self.api.accepted += 1
         work = defer.ensureDeferred(self.run())
         work.addBoth(self.handle_end)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -339,6 +339,36 @@
     assert_that((status, body.count(b"data: ")), Equals((200, 9)))
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_comes_as_a_host_ends_is_answered(hosts):
+    """Guards against a request that ends with the process that accepted it.
+
+    The host has nothing left to do and is about to end. Then the only other
+    host of its region stops as well, so it serves requests again.
+    """
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    engine = hosts.backends["engine-north"]
+    engine.gap, engine.events = 0.1, 6
+    north = hosts.processes["h-north"]
+    stopped = defer.ensureDeferred(north.stop())
+    await task.deferLater(reactor, DRAIN_ACCEPT_SECONDS + 0.05)
+    hosts.processes["h-north-2"].members.own.leaving = True
+    hosts.processes["h-north-2"].membership.send_heartbeats()
+    await hosts.until(north.callers.is_last_host)
+    assert not stopped.called
+    answer = defer.ensureDeferred(
+        hosts.send(
+            "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+        )
+    )
+    await hosts.until(lambda: engine.ran)
+    await stopped
+    assert answer.called
+    status, _, _ = await answer
+    assert_that(status, Equals(200))
+
+
 @pytest_twisted.ensureDeferred
 async def test_log_lines_show_each_step_of_a_request(hosts):
     """The log shows why a request was served from another region."""
