Log the prompt parts of requests at crashed servers

The line server_ended named the request and nothing of its prompt, so that nobody could see whether requests at crashed servers had a part in common. It now names the parts that other requests may have too.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -48,6 +48,8 @@
         stream: Whether a successful response is a stream of events.
         repeatable: Whether a pooled connection may be used.
         key_digest: Digest of the caller's key, or ""; the key is not sent.
+        parts: Identifiers of the parts of its prompt that other requests may
+            have too.
     """
 
     id: bytes
@@ -58,6 +60,7 @@
     stream: bool
     repeatable: bool
     key_digest: str = ""
+    parts: tuple = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -166,6 +166,7 @@
             caller=caller,
             path=outgoing.uri.decode("latin-1"),
             body=digest_of((outgoing.body,))[:8],
+            parts=" ".join(outgoing.parts),
             ran_ms=int(attempt.attempt_age * 1000),
             events=attempt.events,
             early=early,
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -15,6 +15,7 @@
     RateLimited,
 )
 from ..traffic.pauses import GapMeter, objective_details, pause_details
+from ..traffic.promptparts import shared_parts
 from ..traffic.serverhealth import AttemptResult
 from .attempts import Attempt, OutgoingRequest, silence_limit
 from .connections import Endpoint
@@ -570,6 +571,7 @@
             stream=self.route.stream,
             repeatable=reuse or self.route.repeatable,
             key_digest=self.metadata.key_digest,
+            parts=shared_parts(self.metadata.demand.parts),
         )
 
     async def run_attempt(self, predicted):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -12,6 +12,7 @@
 from ..net.sinks import AnswerSink, first_value
 from ..traffic.decisions import Placed, PlacementQuery
 from ..traffic.pauses import GapMeter, pause_details
+from ..traffic.promptparts import shared_parts
 from ..traffic.serverhealth import AttemptResult
 from .attempts import Attempt, OutgoingRequest, ResponseHead, silence_limit
 from .connections import Endpoint
@@ -475,4 +476,5 @@
         stream=parameters.stream,
         repeatable=parameters.repeatable,
         key_digest=parameters.key_digest,
+        parts=shared_parts(metadata.demand.parts),
     )
--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -55,6 +55,8 @@
             "reset" or "foreign" (the answer is to another request).
         crashed_by: Body of a request under which the server ends as soon
             as it begins to run it, or None.
+        crashing_parts: Parts of prompts that make the server end as soon as
+            it begins an answer, unless they are the last part.
         crash_after: Seconds from then to its end.
         born: Time of its start as its report states it.
         unframed: Whether its streams have neither length nor chunks and end
@@ -89,6 +91,7 @@
         self.gap = 0.0
         self.kept_for = 0
         self.crashed_by = None
+        self.crashing_parts = frozenset()
         self.crash_after = 0.01
         self.up = False
         self.port = None
@@ -128,7 +131,7 @@
         request.notifyFinish().addErrback(
             lambda _: self.stopped.append(identifier.decode())
         )
-        if self.crashed_by is not None and self.is_crashed_by(request):
+        if self.is_crashed_by(request):
             self.reactor.callLater(self.crash_after, self.crash)
             return
         self.run(request, headers, identifier)
@@ -136,7 +139,11 @@
     def is_crashed_by(self, request):
         """Whether the server ends when it begins to run *request*."""
         request.content.seek(0)
-        return request.content.read() == self.crashed_by
+        if request.content.read() == self.crashed_by:
+            return True
+        stated = request.getHeader(b"x-prompt-prefix") or b""
+        parts = [one.split(b":")[0].decode() for one in stated.split(b",")]
+        return not self.crashing_parts.isdisjoint(parts[:-1])
 
     def crash(self):
         """End without a word: nobody listens any more, all is reset."""
