--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -60,6 +60,8 @@
     REQUEST_BLOCKED = (413, "request that crashes servers is blocked")
     CRASH_UNSAVED = (414, "crash records not written to the store yet")
     CRASH_UNREADABLE = (415, "crash records in the store are not readable")
+    PART_BLOCKED = (419, "part of prompts that crashes servers is blocked")
+    PART_CLEARED = (420, "suspected part of prompts ran without a crash")
     SERVER_LIMITED = (416, "backend server announced or withdrew a limit")
     SERVER_RESTING = (418, "backend server requested a retry-after pause")
     NOTICE_IGNORED = (417, "invalid notice of a backend server ignored")
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -208,6 +208,7 @@
         self.events = 0
         self.first_data_received = False
         self.first_data_at = NOTHING
+        self.last_data_at = NOTHING
         self.head_received = False
         self.sent_at = 0.0
         self.ended_at = 0.0
@@ -215,6 +216,7 @@
         self.was_silent = False
         self.framing = NOTHING
         self.incomplete_bytes = 0
+        self.run_recorded = False
         self.cause = ""
         self.deferred = NOTHING
 
@@ -241,12 +243,24 @@
         """Seconds from sending the request to its failure."""
         return self.ended_at - self.sent_at
 
+    @property
+    def is_success(self):
+        """Whether a complete response states no error."""
+        if self.result is not AttemptResult.ANSWERED:
+            return False
+        response = self.buffered_response
+        return response is NOTHING or response.status < 300
+
     @property
     def response_age(self):
-        """Seconds from the first response data to its end, or `NOTHING`."""
+        """Seconds from the first response data to the latest, or `NOTHING`.
+
+        The time at which the end was noticed shows nothing: this process may
+        have been stopped in between.
+        """
         if self.first_data_at is NOTHING:
             return NOTHING
-        return self.ended_at - self.first_data_at
+        return self.last_data_at - self.first_data_at
 
     def abandon(self, reason, *, silent=False):
         """Cancel the attempt and close its connection.
@@ -328,11 +342,12 @@
         ):
             raise _InvalidResponse
 
-    def note_first_data(self):
-        """Report once that the response has started."""
+    def note_data(self):
+        """Take the time, and report once that the response has started."""
+        self.last_data_at = self.clock.seconds()
         if not self.first_data_received:
             self.first_data_received = True
-            self.first_data_at = self.clock.seconds()
+            self.first_data_at = self.last_data_at
             self.on_first_data()
 
     async def receive_response(self, response, head):
@@ -349,7 +364,7 @@
             return self.refusal(head)
         if not head.signed and response.code < 300:
             raise _InvalidResponse
-        self.note_first_data()
+        self.note_data()
         self.result = AttemptResult.ANSWERED
         if response.code >= 500:
             self.result = AttemptResult.ERROR
@@ -380,7 +395,7 @@
         write = self.on_stream(buffered_response, response)
 
         def on_events(events):
-            self.note_first_data()
+            self.note_data()
             self.events += 1
             write(events)
 
--- a/src/hyssopspring/entry/crashchecks.py
+++ b/src/hyssopspring/entry/crashchecks.py
@@ -3,8 +3,10 @@
 from ..core.hashing import short_id
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
-from ..traffic.crashes import Verdict
+from ..traffic.crashes import Verdict, is_part_key, part_id_of
+from ..traffic.crashverdicts import Assessment
 from .crashdetection import fingerprint_of
+from .requestorigins import request_origin
 
 __all__ = ["SUSPECTED_RETRY_SECONDS", "REFUSING_REASONS", "CrashCheck"]
 
@@ -24,8 +26,8 @@
 class CrashCheck:
     """Decide whether a request may be sent to servers.
 
-    The fingerprint of the request is computed only if some request is
-    suspected, so that it costs nothing otherwise.
+    The fingerprint of the request is computed only if there are suspects, so
+    that it costs nothing otherwise.
 
     Args:
         sharing: The `CrashSharing`.
@@ -33,28 +35,39 @@
         caller: IP address of the caller; empty if it is unknown, in which case
             the request is never suspected.
         key_digest: Digest of the caller's key, or "".
+        parts: Identifiers of the parts of its prompt that other requests may
+            have too.
     """
 
-    def __init__(self, sharing, request, caller, key_digest):
+    def __init__(self, sharing, request, caller, key_digest, parts=()):
         self.sharing = sharing
         self.request = request
         self.caller = caller
         self.key_digest = key_digest
-        self.cached_fingerprint = ""
+        self.parts = parts
+        self.cached_origin = NOTHING
 
     @property
-    def fingerprint(self):
-        """Digest that repeats of the request have in common."""
-        if not self.cached_fingerprint:
+    def origin(self):
+        """The `RequestOrigin` of the request."""
+        if self.cached_origin is NOTHING:
             self.request.content.seek(0)
-            self.cached_fingerprint = fingerprint_of(
+            fingerprint = fingerprint_of(
                 self.request.method,
                 self.request.requestHeaders,
                 self.request.uri,
                 self.request.content.read(),
                 self.key_digest,
             )
-        return self.cached_fingerprint
+            self.cached_origin = request_origin(
+                fingerprint, self.caller, self.key_digest, self.parts
+            )
+        return self.cached_origin
+
+    @property
+    def fingerprint(self):
+        """Digest that repeats of the request have in common."""
+        return self.origin.fingerprint
 
     def caller_id(self):
         """Return a number that repeats by the same caller share, or 0.
@@ -67,23 +80,31 @@
             return 0
         return short_id(f"{self.caller} {self.fingerprint}")
 
-    def verdict(self):
-        """Return the `Verdict` on the request at this moment."""
+    def assess(self):
+        """Return the `Assessment` of the request at this moment."""
         # The body cannot be read once the caller has disconnected.
         if not self.caller or self.request._disconnected:
-            return Verdict.ALLOWED
+            return Assessment(Verdict.ALLOWED)
         if not self.sharing.has_suspects():
-            return Verdict.ALLOWED
-        return self.sharing.verdict(self.fingerprint, self.caller)
+            return Assessment(Verdict.ALLOWED)
+        return self.sharing.assess(self.origin)
 
     def refusal(self):
         """Return the `Reason` to refuse the request, or `NOTHING`."""
-        return VERDICT_REASONS.get(self.verdict(), NOTHING)
+        return VERDICT_REASONS.get(self.assess().verdict, NOTHING)
 
     def apart(self):
-        """Return the fingerprint if the request must run apart, or ""."""
-        return self.fingerprint if self.verdict() is Verdict.ISOLATED else ""
+        """Return the key under which the request must run apart, or "".
 
-    def evidence(self):
-        """Return the server crashes under the request for a log line."""
-        return self.sharing.evidence(self.fingerprint)
+        Requests with the same suspected part have the same key.
+        """
+        found = self.assess()
+        return found.key if found.verdict is Verdict.ISOLATED else ""
+
+    def refusal_details(self):
+        """Return the log fields on why the request is refused."""
+        key = self.assess().key
+        details = {"evidence": self.sharing.evidence(key)}
+        if is_part_key(key):
+            details["part"] = part_id_of(key)
+        return details
--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -6,9 +6,14 @@
 from ..core.hashing import digest_of
 from ..core.sentinels import NOTHING
 from ..net.sinks import first_value
-from ..traffic.crashes import EARLY_RESPONSE_SECONDS, may_be_cause
+from ..traffic.crashes import (
+    EARLY_RESPONSE_SECONDS,
+    may_be_cause,
+    part_key,
+)
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.servers import Usability
+from .requestorigins import request_origin
 
 __all__ = [
     "MAX_PROBE_WAIT_SECONDS",
@@ -141,17 +146,41 @@
         self.timeline.note(EventKind.UNEXPECTED, error=failure.getTraceback())
 
     def record_run(self, attempt, caller):
-        """Record that a request ran well, if any request is suspected."""
+        """Record that a request, and the parts of its prompt, ran well."""
+        self.record_part_runs(attempt)
         if self.sharing.has_suspects() and shows_success(attempt):
             self.sharing.record_completion(
                 attempt_fingerprint(attempt), caller
             )
 
+    def record_part_runs(self, attempt):
+        """Record that the parts of a request's prompt ran well."""
+        keys = [part_key(one) for one in attempt.outgoing.parts]
+        if not keys or attempt.response_age is NOTHING:
+            return
+        if attempt.is_success or attempt.response_age > EARLY_RESPONSE_SECONDS:
+            server = self.registry.current_instance(attempt.endpoint.key)
+            self.sharing.record_part_runs(keys, server)
+
+    def examine_running(self, attempt):
+        """Record that suspected parts run well before the response ends."""
+        age = attempt.response_age
+        if age is NOTHING or age <= EARLY_RESPONSE_SECONDS:
+            return
+        if self.sharing.has_suspects() and not attempt.run_recorded:
+            attempt.run_recorded = True
+            self.record_part_runs(attempt)
+
     def record_crash(self, attempt, caller, predicted, sent_by):
         """Log and record that a server crashed under a request."""
         outgoing = attempt.outgoing
         endpoint = attempt.endpoint
-        fingerprint = attempt_fingerprint(attempt)
+        origin = request_origin(
+            attempt_fingerprint(attempt),
+            caller,
+            outgoing.key_digest,
+            outgoing.parts,
+        )
         early = may_be_cause(
             attempt_age=attempt.attempt_age,
             predicted=predicted,
@@ -162,7 +191,7 @@
             EventKind.SERVER_ENDED,
             request=outgoing.id.decode("latin-1"),
             server=endpoint.key,
-            fingerprint=fingerprint,
+            fingerprint=origin.fingerprint,
             caller=caller,
             path=outgoing.uri.decode("latin-1"),
             body=digest_of((outgoing.body,))[:8],
@@ -173,13 +202,14 @@
         )
         if early:
             self.sharing.record_server_crash(
-                fingerprint,
-                caller,
+                origin,
                 self.registry.current_instance(endpoint.key),
-                sent_by,
+                release=self.registry.release_of(endpoint.key),
+                peer_ip=sent_by,
             )
         elif attempt.response_age is not NOTHING:
-            self.sharing.record_completion(fingerprint, caller)
+            self.sharing.record_completion(origin.fingerprint, caller)
+            self.record_part_runs(attempt)
 
 
 def attempt_fingerprint(attempt):
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -1,27 +1,28 @@
-"""Share between hosts which requests have crashed servers."""
+"""Share between hosts which requests and parts have crashed servers."""
 
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
-from ..traffic.crashes import ServerCrash, Suspect
+from ..traffic.crashes import ServerCrash, Suspect, part_id_of, part_key
+from ..traffic.crashverdicts import CRASHES_TO_BLOCK
 from .digests import DigestComparison, millis
 from .messages import ServerCrashRow, SuspectRow, SuspectsMessage
 
 __all__ = ["CrashSharing", "suspect_from_row", "suspect_row"]
 
 AGGREGATING_HOSTS = 3
-"""Hosts of a region that receive the first crash of a request: the placing
-hosts, to which the others report. All other hosts receive a request from its
+"""Hosts of a region that receive the first crash of a suspect: the placing
+hosts, to which the others report. All other hosts receive a suspect from its
 second crash on."""
 
 MAX_ROWS_PER_DATAGRAM = 100
-"""Rows of requests in one datagram, which is then at most 30 KB long."""
+"""Rows of suspects in one datagram, which is then at most 30 KB long."""
 
 EXPIRE_INTERVAL_SECONDS = 5.0
 """Seconds between two removals of expired crashes; each takes at most 2 ms."""
 
 
 class CrashSharing:
-    """Replicate the records of requests that crash servers on all hosts.
+    """Replicate the records of suspects on all hosts.
 
     Changes are forwarded at once. Placing hosts forward them to other
     regions, so that a region that is disconnected from one region receives
@@ -31,6 +32,7 @@
 
     Args:
         crashes: The `CrashTracker`.
+        part_runs: The `PartRuns` of this host.
         members: The `Members`.
         datagrams: The `DatagramEndpoint`.
         clock: The clock of the reactor.
@@ -43,6 +45,7 @@
     def __init__(
         self,
         crashes,
+        part_runs,
         members,
         datagrams,
         clock,
@@ -51,6 +54,7 @@
         save,
     ):
         self.crashes = crashes
+        self.part_runs = part_runs
         self.members = members
         self.datagrams = datagrams
         self.clock = clock
@@ -58,28 +62,59 @@
         self.remote_contacts = remote_contacts
         self.save = save
         self.comparison = DigestComparison(clock)
+        self.part_comparison = DigestComparison(clock)
         self.expire_due = 0.0
 
-    def record_server_crash(self, fingerprint, caller, server, peer_ip=""):
+    def record_server_crash(self, origin, server, *, release="", peer_ip=""):
         """Record that a server crashed as a request of this host began on it.
 
         Args:
-            fingerprint: Fingerprint of the request.
-            caller: Address of the caller.
+            origin: The `RequestOrigin` of the request.
             server: The start of the server.
+            release: Service and version of the server, or "".
             peer_ip: IP address of the host that forwarded the request, or
                 an empty string. That host is notified at once, because it
                 immediately decides on the next attempt.
         """
         now = self.clock.seconds()
-        end = ServerCrash(server, now, self.members.own.name, caller)
-        if not self.crashes.record_crash(fingerprint, end, now):
+        changed = []
+        for key, caller in origin.callers.items():
+            end = ServerCrash(
+                server, now, self.members.own.name, caller, release
+            )
+            parts = origin.parts if key == origin.fingerprint else ()
+            if self.crashes.record_crash(key, end, now, parts):
+                self.apply_earlier_run(key, now)
+                changed.append(self.crashes.suspects[key])
+        if not changed:
             return
-        suspect = self.crashes.suspects[fingerprint]
-        self.announce([suspect], now)
+        self.announce(changed, now)
         if peer_ip:
-            self.announce_to_ip([suspect], peer_ip, now)
-        if suspect.shared_with_all:
+            self.announce_to_ip(changed, peer_ip, now)
+        for suspect in changed:
+            self.save_if_needed(suspect)
+
+    def apply_earlier_run(self, key, now):
+        """Take into account that a part has run on this host.
+
+        Returns:
+            Whether it changes anything that other hosts should know.
+        """
+        at = self.part_runs.last_run(key, now)
+        if at is NOTHING:
+            return False
+        return self.crashes.record_earlier_run(key, at)
+
+    def save_if_needed(self, suspect):
+        """Write a suspect to the store if it matters after a restart.
+
+        A part is written when it is about to be blocked: most suspected parts
+        are cleared by the next run.
+        """
+        if not suspect.shared_with_all:
+            return
+        weight = self.crashes.causes.weight(suspect)
+        if not suspect.is_part or weight >= CRASHES_TO_BLOCK:
             self.save(suspect)
 
     def record_completion(self, fingerprint, caller):
@@ -88,15 +123,37 @@
         if self.crashes.record_success(fingerprint, caller, now):
             self.announce([self.crashes.suspects[fingerprint]], now)
 
-    def verdict(self, fingerprint, caller):
-        """Return the `Verdict` on a request of a caller."""
+    def record_part_runs(self, keys, server):
+        """Record that a server has run parts of a prompt without a crash."""
         now = self.clock.seconds()
-        return self.crashes.verdict(fingerprint, caller, now)
+        self.part_runs.record(keys, now)
+        if self.crashes.suspects:
+            self.clear_parts(keys, server, now)
 
-    def evidence(self, fingerprint):
-        """Return a description of a request's crashes for a log line."""
+    def clear_parts(self, keys, server, now):
+        """Remove the crashes of parts that have run."""
+        suspects = self.crashes.suspects
+        cleared = []
+        for key in keys:
+            suspect = suspects.get(key)
+            if suspect is None:
+                continue
+            known_to_all = suspect.concerns_all
+            if self.crashes.record_success(key, "", now):
+                cleared.append(suspect)
+                if known_to_all:
+                    self.note_cleared(suspect, server)
+        if cleared:
+            self.announce(cleared, now)
+
+    def assess(self, origin):
+        """Return the `Assessment` of a request, given its `RequestOrigin`."""
+        return self.crashes.causes.assess(origin.callers, self.clock.seconds())
+
+    def evidence(self, key):
+        """Return a description of a suspect's crashes for a log line."""
         now = self.clock.seconds()
-        suspect = self.crashes.suspects.get(fingerprint)
+        suspect = self.crashes.suspects.get(key)
         ends = suspect.crashes.values() if suspect is not None else ()
         return ", ".join(
             f"{end.server} {now - end.at:.1f} s ago by {end.host}"
@@ -104,8 +161,10 @@
         )
 
     def tick(self):
-        """Expire old records and block the requests that are at fault."""
+        """Expire old records and block the suspects that are at fault."""
         now = self.clock.seconds()
+        if not self.crashes.suspects:
+            return
         if now >= self.expire_due:
             self.expire_due = now + EXPIRE_INTERVAL_SECONDS
             self.crashes.expire(now)
@@ -115,11 +174,25 @@
             self.save(suspect)
 
     def note_blocked(self, suspect):
-        """Log that a request is blocked."""
+        """Log that a suspect is blocked."""
+        evidence = self.evidence(suspect.key)
+        if suspect.is_part:
+            self.timeline.note(
+                EventKind.PART_BLOCKED,
+                part=suspect.part_id,
+                evidence=evidence,
+            )
+        else:
+            self.timeline.note(
+                EventKind.REQUEST_BLOCKED,
+                fingerprint=suspect.key,
+                evidence=evidence,
+            )
+
+    def note_cleared(self, suspect, server):
+        """Log that a run showed that a suspected part is sound."""
         self.timeline.note(
-            EventKind.REQUEST_BLOCKED,
-            fingerprint=suspect.fingerprint,
-            evidence=self.evidence(suspect.fingerprint),
+            EventKind.PART_CLEARED, part=suspect.part_id, server=server
         )
 
     def announce(self, suspects, now, *, region=True):
@@ -156,43 +229,54 @@
 
     def message(self, suspects, now):
         """Return the message that carries *suspects*."""
+        sent = suspects[:MAX_ROWS_PER_DATAGRAM]
         return SuspectsMessage(
             self.members.own.name,
-            [
-                suspect_row(one, now)
-                for one in suspects[:MAX_ROWS_PER_DATAGRAM]
-            ],
+            [suspect_row(one, now) for one in sent if not one.is_part],
+            [suspect_row(one, now) for one in sent if one.is_part],
         )
 
     def merge(self, message):
         """Merge records that another host sent and forward the changes."""
         now = self.clock.seconds()
-        changed = []
-        for row in message.rows:
-            received = suspect_from_row(row, now)
-            if self.crashes.merge(received, now):
-                changed.append(received.fingerprint)
+        changed, answers = [], []
+        for received in suspects_from_message(message, now):
+            news = self.crashes.merge(received, now)
+            if received.is_part and self.apply_earlier_run(received.key, now):
+                answers.append(received.key)
+            if news:
+                changed.append(received.key)
         # The table may be full, and a later record may have evicted an
         # earlier one of the same message.
         suspects = self.crashes.suspects
         changed = [suspects[one] for one in changed if one in suspects]
+        answers = [suspects[one] for one in answers if one in suspects]
+        sender = self.members.others.get(message.host)
+        if answers and sender is not None:
+            self.datagrams.send(self.message(answers, now), sender.control)
         if not changed:
             return
         for suspect in changed:
             if suspect.blocked:
                 self.note_blocked(suspect)
-        sender = self.members.others.get(message.host)
         in_region = (
             sender is not None and sender.region == self.members.own.region
         )
         self.announce(changed, now, region=not in_region)
 
-    def compare(self, member, digest):
-        """Send all records to a host if its digest differs."""
-        own = self.crashes.digest
-        if not self.comparison.must_send(member.name, own, digest):
-            return
-        known = self.crashes.suspects_for_all()
+    def compare(self, member, heartbeat):
+        """Send all records to a host if a digest of its heartbeat differs."""
+        different = self.comparison.must_send(
+            member.name, self.crashes.digest, heartbeat.crashes
+        )
+        different_parts = self.part_comparison.must_send(
+            member.name, self.crashes.part_digest, heartbeat.part_crashes
+        )
+        known = [
+            one
+            for one in self.crashes.suspects_for_all()
+            if (different_parts if one.is_part else different)
+        ]
         if known:
             message = self.message(known, self.clock.seconds())
             self.datagrams.send(message, member.control)
@@ -208,27 +292,50 @@
     if suspect.cleared_at is not NOTHING:
         cleared = millis(now - suspect.cleared_at)
     return SuspectRow(
-        suspect.fingerprint,
+        suspect.part_id or suspect.key,
         [
             ServerCrashRow(
-                end.server, millis(now - end.at), end.host, end.caller
+                end.server,
+                millis(now - end.at),
+                end.host,
+                end.caller,
+                end.release,
             )
             for end in suspect.crashes.values()
         ],
         suspect.blocked,
         cleared,
+        sorted(map(part_id_of, suspect.parts)),
     )
 
 
-def suspect_from_row(row, now):
+def suspect_from_row(row, now, *, is_part=False):
     """Return the `Suspect` of a row, with its times by the local clock."""
     ends = {
         end.server: ServerCrash(
-            end.server, now - end.age_ms / 1000, end.host, end.caller
+            end.server,
+            now - end.age_ms / 1000,
+            end.host,
+            end.caller,
+            end.release,
         )
         for end in row.ends
     }
     cleared = NOTHING
     if row.cleared_age_ms >= 0:
         cleared = now - row.cleared_age_ms / 1000
-    return Suspect(row.fingerprint, ends, row.blocked, cleared)
+    return Suspect(
+        part_key(row.fingerprint) if is_part else row.fingerprint,
+        ends,
+        row.blocked,
+        cleared,
+        frozenset(map(part_key, row.parts)),
+    )
+
+
+def suspects_from_message(message, now):
+    """Return each `Suspect` of a `SuspectsMessage`."""
+    return [
+        *(suspect_from_row(row, now) for row in message.rows),
+        *(suspect_from_row(row, now, is_part=True) for row in message.parts),
+    ]
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -119,7 +119,11 @@
         self.next_placement = NOTHING
         self.fallback_response = NOTHING
         self.crash_check = CrashCheck(
-            state.sharing, request, request.peer_ip, metadata.key_digest
+            state.sharing,
+            request,
+            request.peer_ip,
+            metadata.key_digest,
+            shared_parts(metadata.demand.parts),
         )
         self.stream_version = StreamVersion(
             state.stream_origins, state.registry, route, metadata
@@ -261,7 +265,7 @@
             reason=reason,
             route=self.route.name,
             fingerprint=self.crash_check.fingerprint,
-            evidence=self.crash_check.evidence(),
+            **self.crash_check.refusal_details(),
             **self.state.provenance.details(),
         )
         return NotRun(reason, SUSPECTED_RETRY_SECONDS)
@@ -571,7 +575,7 @@
             stream=self.route.stream,
             repeatable=reuse or self.route.repeatable,
             key_digest=self.metadata.key_digest,
-            parts=shared_parts(self.metadata.demand.parts),
+            parts=self.crash_check.parts,
         )
 
     async def run_attempt(self, predicted):
@@ -692,6 +696,7 @@
             return
         if self.attempt is NOTHING or self.attempt.abandon_reason:
             return
+        self.state.crash_detector.examine_running(self.attempt)
         if self.crash_check.refusal() is Reason.CRASHES_SERVERS:
             self.attempt.abandon(Reason.CRASHES_SERVERS)
             return
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -384,6 +384,7 @@
             self.notices.digest,
             list(speeds),
             list(map(era_of, own.revisions)),
+            self.sharing.crashes.part_digest,
         )
 
     def update_live_hosts(self, now):
@@ -459,7 +460,7 @@
         own = self.members.own
         if member.is_ahead(own.version, own.revisions):
             self.on_peer_ahead(member)
-        self.sharing.compare(member, message.crashes)
+        self.sharing.compare(member, message)
         self.notices.compare(member, message.notices)
         if member.region == own.region:
             self.speed_handover.merge(message.speeds, now)
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -341,6 +341,8 @@
         speeds: Rows of `SpeedHandover`, from the placing host to the one that
             would take over.
         eras: Eras of the two revisions; empty from earlier releases.
+        part_crashes: Digest of its records of parts of prompts that crash
+            servers.
     """
 
     host: str
@@ -362,6 +364,7 @@
     notices: int = 0
     speeds: list[tuple[int, int, int, int, int]] = []
     eras: list[int] = []
+    part_crashes: int = 0
 
 
 class RosterRow(msgspec.Struct, array_like=True, frozen=True):
@@ -522,41 +525,48 @@
         server: The start of the server.
         age_ms: Milliseconds since the crash.
         host: Host that observed it.
-        caller: Address of the caller of the request.
+        caller: Caller of the request.
+        release: Service and version of the server, or an empty string.
     """
 
     server: str
     age_ms: int
     host: str
     caller: str = ""
+    release: str = ""
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
-    """Request under which servers have crashed.
+    """Request, or part of prompts, under which servers have crashed.
 
     Attributes:
-        fingerprint: Fingerprint that repeats of the request share.
+        fingerprint: Fingerprint that repeats of the request share, or
+            identifier of the part.
         ends: `ServerCrashRow` of each server.
-        blocked: Whether the request is considered the cause.
+        blocked: Whether it is considered the cause.
         cleared_age_ms: Milliseconds since it succeeded, or -1.
+        parts: Identifiers of the parts of the request's prompt.
     """
 
     fingerprint: str
     ends: list[ServerCrashRow]
     blocked: bool = False
     cleared_age_ms: int = -1
+    parts: list[str] = []
 
 
 class SuspectsMessage(msgspec.Struct, array_like=True, tag="x", frozen=True):
-    """Report requests under which servers have crashed.
+    """Report requests and parts under which servers have crashed.
 
     Attributes:
         host: Name of the sender.
         rows: `SuspectRow` of each request.
+        parts: `SuspectRow` of each part. Earlier releases ignore it.
     """
 
     host: str
     rows: list[SuspectRow]
+    parts: list[SuspectRow] = []
 
 
 class LimitRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -21,6 +21,7 @@
 from ..traffic.crashes import CrashTracker
 from ..traffic.mechanisms import parse_disabled
 from ..traffic.members import Member, Members
+from ..traffic.partruns import PartRuns
 from ..traffic.placing import Placer
 from ..traffic.retries import WindowedRetryBudget
 from ..traffic.retryafter import RetryAfterPauses
@@ -131,6 +132,8 @@
         self.keeper = ConfigurationKeeper()
         self.registry = Registry(settings.regions)
         self.crashes = CrashTracker()
+        self.crashes.causes.listed_releases = self.registry.listed_releases
+        self.part_runs = PartRuns()
         self.members = Members(own_member(settings, int(wall() * 1000)))
         placement_share = PlacementShare(self.members, self.reactor)
         self.retry_after_pauses = RetryAfterPauses(self.registry, self.rng)
@@ -189,6 +192,7 @@
         )
         sharing = CrashSharing(
             self.crashes,
+            self.part_runs,
             self.members,
             self.datagrams,
             self.reactor,
@@ -426,7 +430,10 @@
             "requests_in_progress": len(self.callers.exchanges),
             "relayed_in_progress": len(self.relay.relayed),
             "questions_left_out_total": self.coordinator.queries_dropped,
-            "requests_suspected": len(self.crashes.suspects),
+            "requests_suspected": self.crashes.count(parts=False),
+            "requests_blocked": self.crashes.count(parts=False, blocked=True),
+            "parts_suspected": self.crashes.count(parts=True),
+            "parts_blocked": self.crashes.count(parts=True, blocked=True),
             "servers_leaving_by_answer": self.registry.leaving_by_answer(),
             "servers_at_rest": self.retry_after_pauses.count_blocked(now),
             "servers_slow": self.placer.speeds.count_slow(now, SLOW_SERVER),
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -214,11 +214,13 @@
         self.request = request
         self.parameters = parameters
         self.sink = AnswerSink(request)
+        self.metadata = self.state.codec.read_caller(request.requestHeaders)
         self.crash_check = CrashCheck(
             self.state.sharing,
             request,
             parameters.caller,
             parameters.key_digest,
+            shared_parts(self.metadata.demand.parts),
         )
         self.attempt = NOTHING
         self.arrived = self.state.clock.seconds()
@@ -259,7 +261,7 @@
 
     async def run(self):
         """Place the request, make one attempt and forward its response."""
-        metadata = self.state.codec.read_caller(self.request.requestHeaders)
+        metadata = self.metadata
         self.id = metadata.id.decode("latin-1")
         denial_reason = self.api.denial_reason(self.parameters)
         if denial_reason is not NOTHING:
@@ -304,8 +306,10 @@
         reason = self.crash_check.refusal()
         if reason is NOTHING:
             return False
-        evidence = self.crash_check.evidence()
-        self.refuse(NotRun(reason, SUSPECTED_RETRY_SECONDS), evidence=evidence)
+        self.refuse(
+            NotRun(reason, SUSPECTED_RETRY_SECONDS),
+            **self.crash_check.refusal_details(),
+        )
         return True
 
     def ask(self, metadata):
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -9,7 +9,7 @@
 from ..stores.keyvalues import Applied
 from ..traffic.members import PLACER_WARMUP_SECONDS, STARTUP_DISCOVERY_SECONDS
 from ..traffic.servers import LeavingNotice
-from .crashstore import CRASHES_PREFIX
+from .crashstore import CRASHES_PREFIX, PARTS_PREFIX
 from .hostentries import MEMBERS_PREFIX, OWN_PREFIX, decode_host, encode_host
 from .mirrors import HistoryLostError, Mirror
 from .replication import Replication
@@ -519,12 +519,12 @@
         ]
         self.hosts.replace(hosts, listing.revision)
         for entry in listing.entries:
-            if entry.key.startswith(CRASHES_PREFIX):
+            if entry.key.startswith((CRASHES_PREFIX, PARTS_PREFIX)):
                 self.on_crash_written(entry)
         self.on_hosts_read()
 
     def on_crash_written(self, entry):
-        """Record a request that crashes servers."""
+        """Record a request or part that crashes servers."""
         try:
             self.on_crash_found(entry)
         except ProtocolError as problem:
--- a/src/hyssopspring/net/crashdetection.py
+++ b/src/hyssopspring/net/crashdetection.py
@@ -176,7 +176,7 @@
         for row in message.rows:
             received = suspect_from_row(row, now)
             if self.crashes.merge(received, now):
-                updated.append(received.fingerprint)
+                updated.append(received.key)
         suspects = self.crashes.suspects
         updated = [suspects[one] for one in updated if one in suspects]
         if updated:
@@ -191,7 +191,7 @@
         for suspect in self.crashes.block_causes(now):
             self.timeline.note(
                 EventKind.REQUEST_BLOCKED,
-                fingerprint=suspect.fingerprint,
+                fingerprint=suspect.key,
                 evidence=", ".join(sorted(suspect.crashes)),
             )
         if now < self.next_broadcast_at:
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -285,6 +285,8 @@
         text += f", at version {record.details['version']}"
     if "counted_by" in record.details:
         text += describe_limit(record.details)
+    if record.details.get("part"):
+        text += f", for part {record.details['part']} of its prompt"
     if record.details.get("evidence"):
         text += (
             f", server crashes while it was running: "
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -1,42 +1,43 @@
-"""Requests that crash servers, and how the responsible request is found.
+"""Records of the requests and parts of prompts at servers that crashed.
 
 A request may crash every server that starts to run it. It is retried at other
 servers, its caller repeats it at any host, and everything else that runs on
-the server is cut off each time. Hosts therefore record which requests were
-starting when servers crashed, share these records, and stop sending such a
-request to any server.
-
-Every request that was about to start on a server that crashes is a suspect.
-Three rules tell the cause from the others: a request that was answered, or has
-run for a while, is not the cause; a crash that a blocked request explains does
-not count against other requests; and a request with two unexplained crashes is
-run isolated from other suspects, so that the next crash shows which one is
-responsible.
+the server is cut off each time. A part of prompts may do so as well, in
+requests of which no two are alike. Hosts therefore record which requests were
+starting when servers crashed, and which parts their prompts have, share these
+records, and stop sending such requests to any server.
+
+Everything that was about to start on a server that crashes is a suspect.
+Three rules tell the cause from the others: what was answered, or has run for a
+while, is not the cause; a crash that a blocked suspect explains does not count
+against others; and a suspect with two unexplained crashes is run isolated from
+other suspects, so that the next crash shows which one is responsible.
 """
 
-import enum
-from collections import Counter
 from dataclasses import dataclass, field
 
 from ..core.hashing import hash_text
 from ..core.sentinels import NOTHING
-
-__all__ = ["CrashTracker", "ServerCrash", "Suspect", "Verdict", "may_be_cause"]
-
-CRASHES_TO_BLOCK = 3
-"""Server crashes after which a request is blocked. Servers crash for other
-reasons too, but rarely three times just as the same request starts on them.
-Each further crash would cost a server for seconds, and all requests that it
-runs."""
-
-CRASHES_TO_ISOLATE = 2
-"""Server crashes after which a request runs isolated from other suspects."""
-
-EXPLAINED_CRASH_WEIGHT = 1
-"""Weight of two or more crashes that a blocked request explains, added to the
-crashes that none explains. A request that merely ran beside the blocked one
-meets no more crashes; of two requests that both crash servers, the second
-would otherwise crash three more servers."""
+from .crashverdicts import (
+    CRASHES_TO_BLOCK,
+    CRASHES_TO_ISOLATE,
+    EXTRA_CRASHES_AFTER_RUN,
+    REPORT_DELAY_SECONDS,
+    CauseFinder,
+    Verdict,
+)
+
+__all__ = [
+    "CRASHES_TO_BLOCK",
+    "CrashTracker",
+    "ServerCrash",
+    "Suspect",
+    "Verdict",
+    "is_part_key",
+    "may_be_cause",
+    "part_id_of",
+    "part_key",
+]
 
 EARLY_RESPONSE_SECONDS = 0.5
 """Seconds after the start of a response within which the request may still be
@@ -49,11 +50,6 @@
 predicted. A crash after a longer wait counts neither for nor against the
 request."""
 
-REPORT_DELAY_SECONDS = 0.3
-"""Seconds after a crash within which other hosts may still report requests
-that were affected: a message from another region takes 0.1 s, and a lost one
-is sent again."""
-
 RETENTION_SECONDS = 600.0
 """Seconds for which crashes are remembered. A new version of the servers may
 run the request without a crash, and the store grants no longer lease."""
@@ -64,13 +60,8 @@
 beside the cause."""
 
 
-class Verdict(enum.Enum):
-    """How a request may be run."""
-
-    ALLOWED = enum.auto()
-    ISOLATED = enum.auto()
-    DEFERRED = enum.auto()
-    BLOCKED = enum.auto()
+PART_PREFIX = "part:"
+"""Start of the key of a part, which no fingerprint of a request has."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,37 +72,64 @@
         server: Identifier of the server instance.
         at: Time of the crash.
         host: Host that detected it.
-        caller: Address that the request came from.
+        caller: Caller that the request came from.
+        release: Service and version of the server, separated by a slash, or
+            an empty string if they are not known.
     """
 
     server: str
     at: float
     host: str
     caller: str = ""
+    release: str = ""
 
 
 @dataclass(slots=True, eq=False)
 class Suspect:
-    """A request that was starting when servers crashed.
+    """A request, or a part of prompts, that was starting as servers crashed.
 
     Attributes:
-        fingerprint: Digest that all repeats of the request share.
+        key: Digest that all repeats of the request share, or the `part_key`
+            of the part.
         crashes: `ServerCrash` by server instance.
-        blocked: Whether the request was found to be the cause.
-        cleared_at: Time at which the request was last known to run without a
-            crash, or `NOTHING`. Crashes up to that time do not count.
+        blocked: Whether it was found to be the cause.
+        cleared_at: Time at which it was last known to run without a crash, or
+            `NOTHING`. Crashes up to that time do not count.
+        parts: Keys of the parts of the request's prompt; empty for a part.
         shared_with_all: Whether every host needs the record, and not only the
             hosts that collect first crashes. For a request that was affected
             by a single crash, neither the crash nor a later success matters to
             the other hosts.
     """
 
-    fingerprint: str
+    key: str
     crashes: dict = field(default_factory=dict)
     blocked: bool = False
     cleared_at: object = NOTHING
+    parts: frozenset = frozenset()
     shared_with_all: bool = False
 
+    @property
+    def is_part(self):
+        """Whether it is a part of prompts and not a request."""
+        return is_part_key(self.key)
+
+    @property
+    def part_id(self):
+        """Identifier of the part, or an empty string for a request."""
+        return part_id_of(self.key) if self.is_part else ""
+
+    @property
+    def concerns_all(self):
+        """Whether its crashes matter to every host.
+
+        Crashes of a part that has run well matter only if they are many.
+        """
+        least = CRASHES_TO_ISOLATE
+        if self.is_part and self.cleared_at is not NOTHING:
+            least += EXTRA_CRASHES_AFTER_RUN
+        return self.blocked or len(self.crashes) >= least
+
     @property
     def last_event_at(self):
         """Time of the latest crash or success."""
@@ -155,72 +173,110 @@
 
 
 class CrashTracker:
-    """The requests of this and other hosts that coincided with server crashes.
+    """The suspects of this and other hosts.
 
     Records are merged by set union and only grow until they expire, so reports
     may be duplicated, late or out of order.
+
+    Attributes:
+        causes: The `CauseFinder`.
     """
 
     def __init__(self):
         self.suspects = {}
         self.by_server = {}
-        self.cached_digest = 0
+        self.causes = CauseFinder(self.suspects, self.by_server)
+        self.cached_digests = {}
+
+    def record_crash(self, key, crash, now, parts=()):
+        """Add a crash to a suspect; return whether it is new.
 
-    def record_crash(self, fingerprint, crash, now):
-        """Add a crash to a request; return whether it is new."""
+        Args:
+            key: Key of the suspect.
+            crash: The `ServerCrash`.
+            now: The time.
+            parts: Keys of the parts of the prompt, if it is a request.
+        """
         if now - crash.at > RETENTION_SECONDS:
             return False
-        suspect = self.suspects.get(fingerprint)
+        suspect = self.suspects.get(key)
         if suspect is None:
-            suspect = self.add_suspect(Suspect(fingerprint))
+            suspect = self.add_suspect(Suspect(key))
         if crash.server in suspect.crashes or is_cleared(suspect, crash):
             return False
         suspect.crashes[crash.server] = crash
-        if len(suspect.crashes) >= CRASHES_TO_ISOLATE:
+        suspect.parts |= frozenset(parts)
+        if suspect.concerns_all:
             suspect.shared_with_all = True
-        self.by_server.setdefault(crash.server, set()).add(fingerprint)
-        self.cached_digest = NOTHING
+        self.by_server.setdefault(crash.server, set()).add(key)
+        self.cached_digests.clear()
         self.evict_excess()
         return True
 
     def add_suspect(self, suspect):
-        """Add a suspected request."""
-        self.suspects[suspect.fingerprint] = suspect
+        """Add a suspect."""
+        self.suspects[suspect.key] = suspect
         return suspect
 
-    def record_success(self, fingerprint, caller, now):
+    def record_success(self, key, caller, now):
         """Record a run without a crash; return whether it changes anything.
 
-        If the request is blocked, a run for another caller does not clear it.
+        If a request is blocked, a run for another caller does not clear it. A
+        part is the same for all callers.
         """
-        suspect = self.suspects.get(fingerprint)
+        suspect = self.suspects.get(key)
         if suspect is None or not suspect.crashes:
             return False
-        if suspect.blocked and caller not in suspect.callers:
+        if (
+            suspect.blocked
+            and not suspect.is_part
+            and caller not in suspect.callers
+        ):
             return False
         self.clear(suspect, now)
         return True
 
+    def record_earlier_run(self, key, at):
+        """Record a run of a part that was known before its crashes were.
+
+        Args:
+            key: Key of the part.
+            at: Time of its latest run.
+
+        Returns:
+            Whether it changes anything that other hosts should know.
+        """
+        suspect = self.suspects.get(key)
+        if suspect is None or not suspect.crashes:
+            return False
+        known = suspect.cleared_at
+        news = known is NOTHING or any(
+            known < crash.at <= at for crash in suspect.crashes.values()
+        )
+        self.clear(suspect, at)
+        return news
+
     def clear(self, suspect, at):
-        """Remove the crashes of a request up to the time *at*."""
+        """Remove the crashes of a suspect up to the time *at*."""
         if suspect.cleared_at is NOTHING or at > suspect.cleared_at:
             suspect.cleared_at = at
         for crash in list(suspect.crashes.values()):
             if crash.at <= suspect.cleared_at:
                 self.remove_crash(suspect, crash.server)
         suspect.blocked = suspect.blocked and bool(suspect.crashes)
+        self.cached_digests.clear()
 
     def remove_crash(self, suspect, server):
-        """Remove one crash from a request."""
+        """Remove one crash from a suspect."""
         del suspect.crashes[server]
         others = self.by_server.get(server, set())
-        others.discard(suspect.fingerprint)
+        others.discard(suspect.key)
         if not others:
             self.by_server.pop(server, None)
-        self.cached_digest = NOTHING
+        self.cached_digests.clear()
 
     def merge(self, remote, now):
-        """Merge another host's record of a request.
+        """Merge another host's record of a suspect.
 
         Args:
             remote: The `Suspect`, with times of this host's clock.
@@ -236,8 +292,9 @@
         ):
             news = self.merge_success(remote)
         for crash in remote.crashes.values():
-            news = self.record_crash(remote.fingerprint, crash, now) or news
-        suspect = self.suspects.get(remote.fingerprint)
+            recorded = self.record_crash(remote.key, crash, now, remote.parts)
+            news = recorded or news
+        suspect = self.suspects.get(remote.key)
         if (
             remote.blocked
             and suspect
@@ -250,8 +307,13 @@
 
     def merge_success(self, remote):
         """Merge a reported success; return whether it changes anything."""
-        suspect = self.suspects.get(remote.fingerprint)
+        suspect = self.suspects.get(remote.key)
         if suspect is None:
+            # Whether a part ever ran well decides how its crashes count.
+            if remote.is_part and remote.crashes:
+                self.add_suspect(
+                    Suspect(remote.key, cleared_at=remote.cleared_at)
+                )
             return False
         known = suspect.cleared_at
         if (
@@ -263,83 +325,28 @@
         return True
 
     def block(self, suspect):
-        """Mark a request as the cause of its crashes."""
+        """Mark a suspect as the cause of its crashes."""
         suspect.blocked = True
         suspect.shared_with_all = True
-        self.cached_digest = NOTHING
-
-    def verdict(self, fingerprint, caller, now):
-        """Return the `Verdict` on a request of a caller."""
-        suspect = self.suspects.get(fingerprint)
-        if suspect is None:
-            return Verdict.ALLOWED
-        found = Verdict.BLOCKED
-        if not suspect.blocked:
-            found = self.assess_unblocked(suspect, now)
-        if found is Verdict.BLOCKED and not suspect.is_blocked_for(caller):
-            return Verdict.ISOLATED
-        return found
+        self.cached_digests.clear()
 
-    def assess_unblocked(self, suspect, now):
-        """Return the `Verdict` on a request that is not blocked."""
-        own = self.unexplained(suspect)
-        weight = len(own)
-        if own and len(suspect.crashes) - len(own) >= CRASHES_TO_ISOLATE:
-            weight += EXPLAINED_CRASH_WEIGHT
-        if weight < CRASHES_TO_ISOLATE:
-            return Verdict.ALLOWED
-        if weight < CRASHES_TO_BLOCK:
-            return Verdict.ISOLATED
-        if now - suspect.last_event_at < REPORT_DELAY_SECONDS:
-            return Verdict.DEFERRED
-        return (
-            Verdict.ISOLATED
-            if self.equally_suspect(suspect, own)
-            else Verdict.BLOCKED
-        )
+    def verdict(self, fingerprint, caller, now, parts=()):
+        """Return the `Verdict` on a request of a caller; see `assess`."""
+        return self.assess(fingerprint, caller, now, parts).verdict
 
-    def unexplained(self, suspect):
-        """Return the crashes of a request that no blocked request explains."""
-        return {
-            server
-            for server in suspect.crashes
-            if not self.has_blocked_request(server)
-        }
-
-    def has_blocked_request(self, server):
-        """Whether a blocked request was at a server that crashed."""
-        return any(
-            self.suspects[one].blocked
-            for one in self.by_server.get(server, ())
-        )
-
-    def equally_suspect(self, suspect, servers):
-        """Return the other requests that may equally be the cause.
-
-        These have at least as many unexplained crashes, and share two or more
-        with the given request. A request that merely ran beside the cause has
-        fewer from the next crash on, as both run isolated by then.
+    def assess(self, fingerprint, caller, now, parts=()):
+        """Return the `Assessment` of a request of a caller.
 
         Args:
-            suspect: The `Suspect`.
-            servers: The servers that crashed under it without a blocked
-                request.
+            fingerprint: Its fingerprint.
+            caller: Its caller.
+            now: The time.
+            parts: The caller for each key of a part of its prompt.
         """
-        shared = Counter(
-            one
-            for server in servers
-            for one in self.by_server[server]
-            if one != suspect.fingerprint
-        )
-        return [
-            one
-            for one, count in shared.items()
-            if count >= CRASHES_TO_ISOLATE
-            and len(self.unexplained(self.suspects[one])) >= len(servers)
-        ]
+        return self.causes.assess({fingerprint: caller, **dict(parts)}, now)
 
     def block_causes(self, now):
-        """Block the requests that are now found to be the cause.
+        """Block the suspects that are now found to be the cause.
 
         Returns:
             Each `Suspect` that is newly blocked.
@@ -351,12 +358,12 @@
                 if len(suspect.crashes) >= CRASHES_TO_BLOCK
                 and not suspect.blocked
             ),
-            key=lambda one: (-len(one.crashes), one.fingerprint),
+            key=lambda one: (-len(one.crashes), one.key),
         )
         found = []
         for suspect in most_first:
-            # The request blocked before may explain the crashes of this one.
-            if self.assess_unblocked(suspect, now) is Verdict.BLOCKED:
+            # The suspect blocked before may explain the crashes of this one.
+            if self.causes.is_cause(suspect, now):
                 self.block(suspect)
                 found.append(suspect)
         return found
@@ -368,10 +375,10 @@
                 self.forget(suspect)
 
     def forget(self, suspect):
-        """Remove a suspected request."""
+        """Remove a suspect."""
         for server in list(suspect.crashes):
             self.remove_crash(suspect, server)
-        self.suspects.pop(suspect.fingerprint, None)
+        self.suspects.pop(suspect.key, None)
 
     def evict_excess(self):
         """Remove a tenth, the least suspect ones, above `MAX_SUSPECTS`."""
@@ -379,34 +386,82 @@
             return
         least_first = sorted(
             self.suspects.values(),
-            key=lambda one: (one.blocked, len(one.crashes), one.last_event_at),
+            key=lambda one: (
+                one.blocked,
+                one.concerns_all,
+                len(one.crashes),
+                one.last_event_at,
+            ),
         )
         for suspect in least_first[: MAX_SUSPECTS // 10]:
             self.forget(suspect)
 
     def suspects_for_all(self):
-        """Return each `Suspect` that every host needs, newest first."""
+        """Return each `Suspect` that every host needs.
+
+        Blocked ones come first, then the newest.
+        """
         found = [one for one in self.suspects.values() if one.shared_with_all]
-        return sorted(found, key=lambda one: -one.last_event_at)
+        return sorted(
+            found, key=lambda one: (not one.blocked, -one.last_event_at)
+        )
+
+    def count(self, *, parts, blocked=False):
+        """Return the number of suspects with crashes.
+
+        Args:
+            parts: Whether to count parts of prompts, or requests.
+            blocked: Whether to count only blocked ones.
+        """
+        return sum(
+            bool(one.crashes)
+            and one.is_part is parts
+            and (one.blocked or not blocked)
+            for one in self.suspects.values()
+        )
 
     @property
     def digest(self):
-        """A number that is equal on hosts that hold the same records.
+        """A number that is equal on hosts with the same records of requests.
 
         Only records that every host needs count; 0 means that there are none.
         """
-        if self.cached_digest is NOTHING:
+        return self.digest_of(parts=False)
+
+    @property
+    def part_digest(self):
+        """A number that is equal on hosts with the same records of parts."""
+        return self.digest_of(parts=True)
+
+    def digest_of(self, *, parts):
+        """Return the digest of the records of parts or of requests."""
+        if parts not in self.cached_digests:
             rows = sorted(
-                (one.fingerprint, sorted(one.crashes), one.blocked)
-                for one in self.suspects_for_all()
-                if one.crashes
+                (one.key, sorted(one.crashes), one.blocked)
+                for one in self.suspects.values()
+                if one.is_part is parts and one.crashes and one.concerns_all
             )
-            self.cached_digest = hash_text(repr(rows)) if rows else 0
-        return self.cached_digest
+            self.cached_digests[parts] = hash_text(repr(rows)) if rows else 0
+        return self.cached_digests[parts]
+
+
+def part_key(part_id):
+    """Return the key of a part of prompts."""
+    return PART_PREFIX + part_id
+
+
+def is_part_key(key):
+    """Whether a key is that of a part, and not of a request."""
+    return key.startswith(PART_PREFIX)
+
+
+def part_id_of(key):
+    """Return the identifier of a part, given its key."""
+    return key[len(PART_PREFIX) :]
 
 
 def is_cleared(suspect, crash):
-    """Whether a request ran without a crash after the given crash."""
+    """Whether a suspect ran without a crash after the given crash."""
     if suspect.cleared_at is NOTHING:
         return False
     return crash.at <= suspect.cleared_at
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -306,6 +306,18 @@
         server = self.servers.get(server_id)
         return "" if server is None else server.entry.version
 
+    def release_of(self, server_id):
+        """Return the service and version of a listed server, or "".
+
+        A server without a version has no release.
+        """
+        server = self.servers.get(server_id)
+        return "" if server is None else release_of(server.entry)
+
+    def listed_releases(self):
+        """Return the releases of all listed servers."""
+        return {release_of(one.entry) for one in self.servers.values()} - {""}
+
     def has_version(self, service, region, version, now):
         """Return whether a usable server of a region has a version.
 
@@ -477,6 +489,11 @@
         return found
 
 
+def release_of(entry):
+    """Return the service and version of a server, or "" without a version."""
+    return f"{entry.service}/{entry.version}" if entry.version else ""
+
+
 def instance_id_of(entry):
     """Return the identifier of the server instance that an entry describes."""
     return f"{entry.id}/{entry.born}" if entry.born else entry.id
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -32,6 +32,7 @@
 from hyssopspring.traffic.crashes import CrashTracker
 from hyssopspring.traffic.decisions import Placed, PlacementQuery
 from hyssopspring.traffic.members import Member, Members
+from hyssopspring.traffic.partruns import PartRuns
 from hyssopspring.traffic.retryafter import RetryAfterPauses
 from hyssopspring.traffic.routes import Configuration, ConfigurationKeeper
 from hyssopspring.traffic.serverlimits import ServerLimits
@@ -137,8 +138,10 @@
         self.datagrams = DatagramEndpoint(self.receive, self.refuse)
         self.datagrams.transport = self
         self.saved = []
+        crashes = CrashTracker()
         self.sharing = CrashSharing(
-            CrashTracker(),
+            crashes,
+            PartRuns(),
             self.members,
             self.datagrams,
             network.clock,
--- a/tests/test_crashdetection.py
+++ b/tests/test_crashdetection.py
@@ -75,7 +75,7 @@
         """Return that some request is suspected."""
         return True
 
-    def record_server_crash(self, fingerprint, caller, server, sent_by):
+    def record_server_crash(self, origin, server, *, release, peer_ip):
         """Record a crash."""
         self.recorded.append(f"crashed {server}")
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -70,7 +70,7 @@
         assert_that(verdict, Equals(Verdict.ISOLATED))
     record_crashes(crashes, "bad", "d", 1.0)
     blocked = crashes.block_causes(1.0 + LATER)
-    assert_that([one.fingerprint for one in blocked], Equals(["bad"]))
+    assert_that([one.key for one in blocked], Equals(["bad"]))
     for fingerprint in ("beside", "beside too"):
         verdict = crashes.verdict(fingerprint, "c", 1.0 + LATER)
         assert_that(verdict, Equals(Verdict.ALLOWED))
--- a/tests/test_crashing.py
+++ b/tests/test_crashing.py
@@ -18,6 +18,7 @@
 
 CRASHING = b"draft that no server survives"
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
+OTHER_PARTS = {"x_token_usage": "100,20", "x_prompt_prefix": "ef:60,cd:40"}
 REPEATS = 4
 MOST_RETRIES = 3
 """Maximum number of times that a request may be sent to servers after it has
@@ -149,7 +150,7 @@
         await send_repeatedly(plain, send, "/lookup/a"),
         await send_repeatedly(plain, send, "/post/a"),
         await send_repeatedly(engines, send, "/quote/a", **USAGE),
-        await send_repeatedly(engines, send, "/review/a", **USAGE),
+        await send_repeatedly(engines, send, "/review/a", **OTHER_PARTS),
     ]
     assert_that(max(again), LessThan(MOST_RETRIES + 1))
 
--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -15,6 +15,7 @@
     SuspectRow,
     SuspectsMessage,
 )
+from hyssopspring.entry.requestorigins import request_origin
 from hyssopspring.traffic.crashes import MAX_SUSPECTS, Verdict
 
 PROPAGATION_SECONDS = 5.0
@@ -32,11 +33,21 @@
     return made
 
 
+def origin_of(fingerprint, *parts):
+    """Return the `RequestOrigin` of a request of one caller."""
+    return request_origin(fingerprint, "c", "", parts)
+
+
+def verdict_of(host, fingerprint=FINGERPRINT, *parts):
+    """Return the verdict of a host on a request."""
+    return host.sharing.assess(origin_of(fingerprint, *parts)).verdict
+
+
 def end_servers(network, names, *, interval=0.1, fingerprint=FINGERPRINT):
     """Crash a server under a request at each host of *names*."""
     for number, name in enumerate(names):
         network.hosts[name].sharing.record_server_crash(
-            fingerprint, "c", f"server-{name}-{number}"
+            origin_of(fingerprint), f"server-{name}-{number}"
         )
         network.run(interval)
 
@@ -44,7 +55,7 @@
 def verdicts(network, fingerprint=FINGERPRINT):
     """Return the verdicts of all hosts that are up and connected."""
     return {
-        host.sharing.verdict(fingerprint, "c")
+        verdict_of(host, fingerprint)
         for host in network.hosts.values()
         if host.up and host not in network.cut
     }
@@ -72,7 +83,7 @@
     )
     for number in range(60):
         network.hosts["north-3"].sharing.record_server_crash(
-            f"{number:032}", "c", "s"
+            origin_of(f"{number:032}"), "s"
         )
     network.run(1.0)
     spent = sum(
@@ -118,9 +129,7 @@
     restarted = network.add("north-9", "north", 9, 2)
     network.introduce(restarted, network.hosts.values())
     network.run(2.0)
-    assert_that(
-        restarted.sharing.verdict(FINGERPRINT, "c"), Equals(Verdict.BLOCKED)
-    )
+    assert_that(verdict_of(restarted), Equals(Verdict.BLOCKED))
 
 
 def test_a_lost_announcement_is_repeated(network):
@@ -130,9 +139,7 @@
     end_servers(network, ["south-3", "south-5", "south-7"])
     network.cut.discard(isolated)
     network.run(PROPAGATION_SECONDS)
-    assert_that(
-        isolated.sharing.verdict(FINGERPRINT, "c"), Equals(Verdict.BLOCKED)
-    )
+    assert_that(verdict_of(isolated), Equals(Verdict.BLOCKED))
 
 
 def test_all_hosts_learn_that_a_request_succeeded(network):
@@ -181,7 +188,7 @@
     """
     for number in range(60):
         network.hosts["north-3"].sharing.record_server_crash(
-            f"{number:032}", "c", "s"
+            origin_of(f"{number:032}"), "s"
         )
     network.run(1.0)
     count_since = count_suspects(network)
