Answer reports of a part's crashes with a later run

A host that had recorded a crash of a popular part itself kept its knowledge of an earlier run to itself: the report of another host changed nothing for it, so that it was not answered. That host counted the crashes as those of a part that never ran.

More tests of parts, on loopback: four kinds of prompts at eight requests a second to two regions with five engines each, streams that end inside an event, a sound part that only bad requests had, ends by a timer, a start of one host after the end of all, refusals and lines, and a caller that sends crashing prompts with the part of another workspace.

--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -95,15 +95,10 @@
             self.save_if_needed(suspect)
 
     def apply_earlier_run(self, key, now):
-        """Take into account that a part has run on this host.
-
-        Returns:
-            Whether it changes anything that other hosts should know.
-        """
+        """Take into account that a part has run on this host."""
         at = self.part_runs.last_run(key, now)
-        if at is NOTHING:
-            return False
-        return self.crashes.record_earlier_run(key, at)
+        if at is not NOTHING:
+            self.crashes.record_earlier_run(key, at)
 
     def save_if_needed(self, suspect):
         """Write a suspect to the store if it matters after a restart.
@@ -242,8 +237,10 @@
         changed, answers = [], []
         for received in suspects_from_message(message, now):
             news = self.crashes.merge(received, now)
-            if received.is_part and self.apply_earlier_run(received.key, now):
-                answers.append(received.key)
+            if received.is_part:
+                self.apply_earlier_run(received.key, now)
+                if self.crashes.knows_later_run(received):
+                    answers.append(received.key)
             if news:
                 changed.append(received.key)
         # The table may be full, and a later record may have evicted an
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -242,19 +242,23 @@
         Args:
             key: Key of the part.
             at: Time of its latest run.
-
-        Returns:
-            Whether it changes anything that other hosts should know.
         """
         suspect = self.suspects.get(key)
-        if suspect is None or not suspect.crashes:
+        if suspect is not None:
+            self.clear(suspect, at)
+
+    def knows_later_run(self, remote):
+        """Whether a run that another host does not know changes its verdict.
+
+        Args:
+            remote: The `Suspect` of a part, as that host has it.
+        """
+        suspect = self.suspects.get(remote.key)
+        if suspect is None or suspect.cleared_at is NOTHING:
             return False
-        known = suspect.cleared_at
-        news = known is NOTHING or any(
-            known < crash.at <= at for crash in suspect.crashes.values()
+        return remote.cleared_at is NOTHING or any(
+            crash.at <= suspect.cleared_at for crash in remote.crashes.values()
         )
-        self.clear(suspect, at)
-        return news
 
     def clear(self, suspect, at):
         """Remove the crashes of a suspect up to the time *at*."""
--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -58,6 +58,9 @@
         crashing_parts: Parts of prompts that make the server end as soon as
             it begins an answer, unless they are the last part.
         crash_after: Seconds from then to its end.
+        crash_output: What it writes of a stream before it ends, with neither
+            length nor chunks, or b"".
+        crash_closes: Whether it closes that connection in order as it ends.
         born: Time of its start as its report states it.
         unframed: Whether its streams have neither length nor chunks and end
             with their connection.
@@ -93,6 +96,8 @@
         self.crashed_by = None
         self.crashing_parts = frozenset()
         self.crash_after = 0.01
+        self.crash_output = b""
+        self.crash_closes = False
         self.up = False
         self.port = None
 
@@ -132,10 +137,31 @@
             lambda _: self.stopped.append(identifier.decode())
         )
         if self.is_crashed_by(request):
-            self.reactor.callLater(self.crash_after, self.crash)
+            if self.crash_output:
+                self.begin_stream(request, identifier)
+            self.reactor.callLater(self.crash_after, self.crash_under, request)
             return
         self.run(request, headers, identifier)
 
+    def begin_stream(self, request, identifier):
+        """Write the head and the beginning of a stream that never ends."""
+        lines = [
+            b"HTTP/1.1 200 OK",
+            b"content-type: text/event-stream",
+            b"x-request-attempt-id: " + identifier,
+            b"x-response-stamp: stamp-" + self.name.encode(),
+        ]
+        head = b"\r\n".join(lines) + b"\r\n\r\n"
+        request.transport.write(head + self.crash_output)
+
+    def crash_under(self, request):
+        """End under a request."""
+        if self.crash_closes and not request._disconnected:
+            request.transport.loseConnection()
+            self.reactor.callLater(0, self.crash)
+            return
+        self.crash()
+
     def is_crashed_by(self, request):
         """Whether the server ends when it begins to run *request*."""
         request.content.seek(0)
