Test the replication of parts that crash servers

Sixty hosts in three regions: a part is blocked everywhere, a run that one host knows counts on all, also after a partition and a restart; hosts that know runs add no messages to the reports, and nothing is sent once all agree. Earlier releases read the requests of a message and no parts.

--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -5,6 +5,7 @@
 thousand.
 """
 
+import msgspec
 import pytest
 from networks import Network
 from testtools.assertions import assert_that
@@ -14,6 +15,8 @@
     ServerCrashRow,
     SuspectRow,
     SuspectsMessage,
+    decode_message,
+    encode_message,
 )
 from hyssopspring.entry.requestorigins import request_origin
 from hyssopspring.traffic.crashes import MAX_SUSPECTS, Verdict
@@ -210,3 +213,170 @@
         return now - before
 
     return count_since
+
+
+def end_servers_under_part(network, names, *parts, interval=0.1):
+    """Crash a server under a new request with the parts at each host."""
+    for number, name in enumerate(names):
+        network.hosts[name].sharing.record_server_crash(
+            origin_of(f"{number:032}", *parts), f"server-{name}-{number}"
+        )
+        network.run(interval)
+
+
+def part_verdicts(network, *parts):
+    """Return the verdicts of all connected hosts on a new request."""
+    return {
+        verdict_of(host, "new", *parts)
+        for host in network.hosts.values()
+        if host.up and host not in network.cut
+    }
+
+
+def test_all_hosts_learn_of_a_part_that_crashes_servers(network):
+    """Guards against each region losing three servers to one part."""
+    end_servers_under_part(network, ["north-3", "south-5", "west-19"], "bad")
+    network.run(1.0)
+    assert_that(part_verdicts(network, "bad"), Equals({Verdict.BLOCKED}))
+    assert_that(part_verdicts(network, "other"), Equals({Verdict.ALLOWED}))
+
+
+def test_a_run_that_one_host_knows_counts_on_all(network):
+    """Guards against blocking a common part that ran on another host only.
+
+    The hosts at which servers crash have started since.
+    """
+    network.hosts["west-8"].sharing.record_part_runs(["part:common"], "s")
+    network.run(20.0)
+    end_servers_under_part(
+        network, ["north-3", "south-5", "north-7"], "common", "bad"
+    )
+    network.run(1.0)
+    assert_that(part_verdicts(network, "common"), Equals({Verdict.ALLOWED}))
+    assert_that(
+        part_verdicts(network, "common", "bad"), Equals({Verdict.BLOCKED})
+    )
+
+
+def test_runs_that_all_hosts_know_are_not_announced(network):
+    """Guards against a burst of messages when servers crash under load.
+
+    Each host has run the common part, and none has anything to add to the
+    reports of crashes, which go to the same hosts as those without parts.
+    """
+    for host in network.hosts.values():
+        host.sharing.record_part_runs(["part:common"], "s")
+    names = ["north-3", "south-5", "north-7", "west-2"]
+    counts = []
+    for request, parts in (("a", ()), ("b", ("common",))):
+        count_since = count_suspects(network)
+        for name in names:
+            network.hosts[name].sharing.record_server_crash(
+                origin_of(f"{request}-{name}", *parts), f"{request}-{name}"
+            )
+            network.run(0.3)
+        counts.append(count_since())
+    without_parts, with_parts = counts
+    assert_that(with_parts, LessThan(without_parts + len(names)))
+    assert_that(part_verdicts(network, "common"), Equals({Verdict.ALLOWED}))
+
+
+def test_a_run_after_the_crashes_clears_a_part_on_all_hosts(network):
+    """Guards against isolating a sound part for minutes after it ran."""
+    end_servers_under_part(network, ["north-3", "south-5"], "sound")
+    network.run(1.0)
+    assert_that(part_verdicts(network, "sound"), Equals({Verdict.ISOLATED}))
+    network.hosts["west-8"].sharing.record_part_runs(["part:sound"], "s")
+    network.run(PROPAGATION_SECONDS)
+    assert_that(part_verdicts(network, "sound"), Equals({Verdict.ALLOWED}))
+
+
+def test_a_partitioned_region_learns_of_a_part_when_reconnected(network):
+    """Guards against a region that goes on with a part after a partition."""
+    west = {host for host in network.hosts.values() if host.region == "west"}
+    network.cut |= west
+    end_servers_under_part(network, ["north-3", "south-5", "north-7"], "bad")
+    network.run(12.0)
+    network.cut -= west
+    network.run(PROPAGATION_SECONDS)
+    assert_that(part_verdicts(network, "bad"), Equals({Verdict.BLOCKED}))
+
+
+def test_a_restarted_host_learns_of_blocked_parts(network):
+    """Guards against a restarted host that sends a part to servers."""
+    end_servers_under_part(network, ["north-3", "south-5", "north-7"], "bad")
+    network.hosts["north-9"].up = False
+    network.run(10.0)
+    restarted = network.add("north-9", "north", 9, 2)
+    network.introduce(restarted, network.hosts.values())
+    network.run(2.0)
+    assert_that(verdict_of(restarted, "new", "bad"), Equals(Verdict.BLOCKED))
+
+
+def test_parts_are_not_sent_between_hosts_in_sync(network):
+    """Guards against hosts that keep sending records that all have.
+
+    Some hosts know a run of one of the parts.
+    """
+    for name in ("north-1", "west-8"):
+        network.hosts[name].sharing.record_part_runs(["part:common"], "s")
+    end_servers_under_part(
+        network, ["north-3", "south-5", "west-7"], "common", "bad"
+    )
+    network.run(5.0)
+    count_since = count_suspects(network)
+    network.run(10.0)
+    assert_that(count_since(), Equals(0))
+
+
+class EarlierCrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """The row of a crash as releases without parts know it."""
+
+    server: str
+    age_ms: int
+    host: str
+    caller: str = ""
+
+
+class EarlierSuspectRow(msgspec.Struct, array_like=True, frozen=True):
+    """The row of a request as these releases know it."""
+
+    fingerprint: str
+    ends: list[EarlierCrashRow]
+    blocked: bool = False
+    cleared_age_ms: int = -1
+
+
+class EarlierSuspectsMessage(
+    msgspec.Struct, array_like=True, tag="x", frozen=True
+):
+    """The message as these releases know it."""
+
+    host: str
+    rows: list[EarlierSuspectRow]
+
+
+def test_an_earlier_release_reads_requests_and_no_parts(network):
+    """Guards against a rolling restart in which hosts drop each other's news.
+
+    Rows of parts beside those of requests would be rivals of requests there,
+    so that no request would be blocked any more.
+    """
+    sharing = network.hosts["north-3"].sharing
+    end_servers_under_part(network, ["north-3", "south-5", "north-7"], "bad")
+    suspects = list(sharing.crashes.suspects.values())
+    data = encode_message(sharing.message(suspects, network.clock.seconds()))
+    read = msgspec.msgpack.decode(data, type=EarlierSuspectsMessage)
+    assert_that(
+        {row.fingerprint for row in read.rows},
+        Equals({one.key for one in suspects if not one.is_part}),
+    )
+
+
+def test_a_message_of_an_earlier_release_is_read(network):
+    """Guards against losing reports of hosts that are not updated yet."""
+    row = ["f" * 32, [["s1", 5, "h", "c"], ["s2", 5, "h", "c"]], False, -1]
+    data = msgspec.msgpack.encode(["x", "north-4", [row]])
+    network.hosts["north-3"].sharing.merge(decode_message(data))
+    suspect = network.hosts["north-3"].sharing.crashes.suspects["f" * 32]
+    assert_that(len(suspect.crashes), Equals(2))
