Block a part only after a crash of an isolated request

As hosts start under load, two requests that are bad as a whole crashed four engines within 0.7 s, before any other request had run.

A part is now blocked only if a server crashed while a request with it ran isolated; until then one request with it runs at a time. Requests are blocked as before. A record of a crash says whether the request ran isolated.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -50,6 +50,8 @@
         key_digest: Digest of the caller's key, or ""; the key is not sent.
         parts: Identifiers of the parts of its prompt that other requests may
             have too.
+        isolated: Whether it runs isolated from requests that are suspected of
+            server crashes.
     """
 
     id: bytes
@@ -61,6 +63,7 @@
     repeatable: bool
     key_digest: str = ""
     parts: tuple = ()
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopspring/entry/crashchecks.py
+++ b/src/hyssopspring/entry/crashchecks.py
@@ -37,6 +37,9 @@
         key_digest: Digest of the caller's key, or "".
         parts: Identifiers of the parts of its prompt that other requests may
             have too.
+
+    Attributes:
+        isolated: Whether it had to run apart when it was last placed.
     """
 
     def __init__(self, sharing, request, caller, key_digest, parts=()):
@@ -46,6 +49,7 @@
         self.key_digest = key_digest
         self.parts = parts
         self.cached_origin = NOTHING
+        self.isolated = False
 
     @property
     def origin(self):
@@ -99,7 +103,8 @@
         Requests with the same suspected part have the same key.
         """
         found = self.assess()
-        return found.key if found.verdict is Verdict.ISOLATED else ""
+        self.isolated = found.verdict is Verdict.ISOLATED
+        return found.key if self.isolated else ""
 
     def refusal_details(self):
         """Return the log fields on why the request is refused."""
--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -205,6 +205,7 @@
                 origin,
                 self.registry.current_instance(endpoint.key),
                 release=self.registry.release_of(endpoint.key),
+                isolated=outgoing.isolated,
                 peer_ip=sent_by,
             )
         elif attempt.response_age is not NOTHING:
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -65,13 +65,16 @@
         self.part_comparison = DigestComparison(clock)
         self.expire_due = 0.0
 
-    def record_server_crash(self, origin, server, *, release="", peer_ip=""):
+    def record_server_crash(
+        self, origin, server, *, release="", isolated=False, peer_ip=""
+    ):
         """Record that a server crashed as a request of this host began on it.
 
         Args:
             origin: The `RequestOrigin` of the request.
             server: The start of the server.
             release: Service and version of the server, or "".
+            isolated: Whether the request ran isolated from other suspects.
             peer_ip: IP address of the host that forwarded the request, or
                 an empty string. That host is notified at once, because it
                 immediately decides on the next attempt.
@@ -80,7 +83,12 @@
         changed = []
         for key, caller in origin.callers.items():
             end = ServerCrash(
-                server, now, self.members.own.name, caller, release
+                server,
+                now,
+                self.members.own.name,
+                caller,
+                release,
+                isolated,
             )
             parts = origin.parts if key == origin.fingerprint else ()
             if self.crashes.record_crash(key, end, now, parts):
@@ -297,6 +305,7 @@
                 end.host,
                 end.caller,
                 end.release,
+                end.isolated,
             )
             for end in suspect.crashes.values()
         ],
@@ -315,6 +324,7 @@
             end.host,
             end.caller,
             end.release,
+            end.isolated,
         )
         for end in row.ends
     }
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -576,6 +576,7 @@
             repeatable=reuse or self.route.repeatable,
             key_digest=self.metadata.key_digest,
             parts=self.crash_check.parts,
+            isolated=self.crash_check.isolated,
         )
 
     async def run_attempt(self, predicted):
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -527,6 +527,7 @@
         host: Host that observed it.
         caller: Caller of the request.
         release: Service and version of the server, or an empty string.
+        isolated: Whether the request ran isolated from other suspects.
     """
 
     server: str
@@ -534,6 +535,7 @@
     host: str
     caller: str = ""
     release: str = ""
+    isolated: bool = False
 
 
 class SuspectRow(msgspec.Struct, array_like=True, frozen=True):
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -354,7 +354,11 @@
             self.state.connections,
             Endpoint(placed.server_id, placed.address),
             outgoing_request_for(
-                self.request, metadata, headers, self.parameters
+                self.request,
+                metadata,
+                headers,
+                self.parameters,
+                isolated=self.crash_check.isolated,
             ),
             self.state.codec.read_head,
             self.state.clock,
@@ -461,7 +465,7 @@
         respond_refusal(self.request, 503, str(outcome.reason), headers)
 
 
-def outgoing_request_for(request, metadata, headers, parameters):
+def outgoing_request_for(request, metadata, headers, parameters, *, isolated):
     """Return the `OutgoingRequest` of a request.
 
     Args:
@@ -469,6 +473,7 @@
         metadata: The `RequestMetadata`.
         headers: `Headers` to send.
         parameters: States whether it is a stream and may be repeated.
+        isolated: Whether it runs isolated from suspects of server crashes.
     """
     request.content.seek(0)
     return OutgoingRequest(
@@ -481,4 +486,5 @@
         repeatable=parameters.repeatable,
         key_digest=parameters.key_digest,
         parts=shared_parts(metadata.demand.parts),
+        isolated=isolated,
     )
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -75,6 +75,7 @@
         caller: Caller that the request came from.
         release: Service and version of the server, separated by a slash, or
             an empty string if they are not known.
+        isolated: Whether the request ran isolated from other suspects.
     """
 
     server: str
@@ -82,6 +83,7 @@
     host: str
     caller: str = ""
     release: str = ""
+    isolated: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -119,6 +121,22 @@
         """Identifier of the part, or an empty string for a request."""
         return part_id_of(self.key) if self.is_part else ""
 
+    @property
+    def digest_row(self):
+        """What hosts with the same record of it have in common.
+
+        The row of a request is that of earlier releases.
+        """
+        servers = sorted(self.crashes)
+        if self.is_part:
+            servers = [(one, self.crashes[one].isolated) for one in servers]
+        return self.key, servers, self.blocked
+
+    @property
+    def is_confirmed(self):
+        """Whether a server crashed while it ran isolated."""
+        return any(crash.isolated for crash in self.crashes.values())
+
     @property
     def concerns_all(self):
         """Whether its crashes matter to every host.
@@ -202,7 +220,7 @@
         suspect = self.suspects.get(key)
         if suspect is None:
             suspect = self.add_suspect(Suspect(key))
-        if crash.server in suspect.crashes or is_cleared(suspect, crash):
+        if is_cleared(suspect, crash) or is_known(suspect, crash):
             return False
         suspect.crashes[crash.server] = crash
         suspect.parts |= frozenset(parts)
@@ -441,7 +459,7 @@
         """Return the digest of the records of parts or of requests."""
         if parts not in self.cached_digests:
             rows = sorted(
-                (one.key, sorted(one.crashes), one.blocked)
+                one.digest_row
                 for one in self.suspects.values()
                 if one.is_part is parts and one.crashes and one.concerns_all
             )
@@ -449,6 +467,12 @@
         return self.cached_digests[parts]
 
 
+def is_known(suspect, crash):
+    """Whether a suspect has a record of a crash that says as much."""
+    known = suspect.crashes.get(crash.server)
+    return known is not None and (known.isolated or not crash.isolated)
+
+
 def part_key(part_id):
     """Return the key of a part of prompts."""
     return PART_PREFIX + part_id
--- a/src/hyssopspring/traffic/crashverdicts.py
+++ b/src/hyssopspring/traffic/crashverdicts.py
@@ -145,6 +145,8 @@
             return Verdict.ISOLATED
         if now - suspect.last_event_at < REPORT_DELAY_SECONDS:
             return Verdict.DEFERRED
+        if not self.is_evident(suspect):
+            return Verdict.ISOLATED
         rivals = self.rivals(suspect, weight)
         return (
             Verdict.BLOCKED if rivals <= callers.keys() else Verdict.ISOLATED
@@ -162,8 +164,20 @@
             return False
         if now - suspect.last_event_at < REPORT_DELAY_SECONDS:
             return False
+        if not self.is_evident(suspect):
+            return False
         return self.rivals(suspect, weight) <= suspect.parts
 
+    def is_evident(self, suspect):
+        """Whether a suspect may be blocked for its crashes.
+
+        Servers that crash within a moment may all have begun requests with a
+        sound part, which other requests have as well. The block of a part
+        affects all of them, so that one more crash must show that it is not
+        another request that is to blame.
+        """
+        return suspect.is_confirmed or not suspect.is_part
+
     def weight(self, suspect):
         """Return how many crashes speak against a suspect."""
         own = self.unexplained(suspect)
--- a/src/hyssopspring_fakes/crashload.py
+++ b/src/hyssopspring_fakes/crashload.py
@@ -1,12 +1,14 @@
-"""A load with one request under which each engine ends, emulated.
-
-An engine ends 0.08 s after it has begun to run that request, with all that
-runs and waits there, and another starts four seconds later. Hosts send what
-was cut to another engine once, and callers come back once. The request
-itself comes again every few seconds, sometimes to several regions at once.
+"""A load with requests under which each engine ends, emulated.
+
+They are one request that comes again, or requests of which no two are alike
+and which have a part of their prompts in common. An engine ends 0.08 s after
+it has begun to run such a request, with all that runs and waits there, and
+another starts four seconds later. Hosts send what was cut to another engine
+once, and callers come back once. Such requests come every few seconds,
+sometimes to several regions at once.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.traffic.crashes import (
@@ -15,12 +17,16 @@
     Suspect,
     Verdict,
     may_be_cause,
+    part_key,
 )
+from hyssopspring.traffic.crashverdicts import Assessment
 from hyssopspring.traffic.decisions import (
     Placed,
     PlacedRemotely,
     PlacementQuery,
 )
+from hyssopspring.traffic.partruns import PartRuns
+from hyssopspring.traffic.promptparts import shared_parts
 from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring.traffic.servers import ServerEntry
 
@@ -42,6 +48,9 @@
 JUDGED_EVERY = 0.5
 """Seconds between two looks for what is to be blocked, as hosts have it."""
 
+BAD_PART_TOKENS = 40
+"""Tokens of a part under which engines end."""
+
 RETRY_PAUSE = 0.06
 """Seconds after which a caller comes back whose stream was cut."""
 
@@ -62,6 +71,8 @@
         kind: Its `Kind`.
         requests: How many such requests there are.
         remembered: Whether hosts remember under what engines ended.
+        part: Part of prompts that each new such request has, or "" if the
+            requests themselves come again.
     """
 
     every: float
@@ -69,6 +80,7 @@
     kind: object
     requests: int = 1
     remembered: bool = True
+    part: str = ""
 
 
 @dataclass(slots=True, eq=False)
@@ -79,23 +91,36 @@
         name: Its fingerprint.
         load: The `Load`.
         caller: Address that it comes from.
-        bad: Whether engines end under it.
+        cause: What makes engines end under it, or "" for a sound one.
         runs: Servers that it was sent to in this try of its caller.
         tries: Tries of its caller.
         sent_at: Time at which it was last sent.
         predicted: Seconds in which it was to begin there.
         begun_at: Time at which it began there, or `NOTHING`.
+        isolated: Whether it runs isolated from other suspects.
     """
 
     name: str
     load: object
     caller: str = "c"
-    bad: bool = False
+    cause: str = ""
     runs: int = 0
     tries: int = 1
     sent_at: float = 0.0
     predicted: float = 0.0
     begun_at: object = NOTHING
+    isolated: bool = False
+
+    @property
+    def bad(self):
+        """Whether engines end under it."""
+        return bool(self.cause)
+
+    @property
+    def callers(self):
+        """The caller for each key of the request."""
+        keys = map(part_key, shared_parts(self.load.demand.parts))
+        return {self.name: self.caller, **dict.fromkeys(keys, self.caller)}
 
 
 @dataclass(slots=True, eq=False)
@@ -103,23 +128,26 @@
     """What is counted.
 
     Attributes:
-        ends: Times at which engines ended under each bad request.
-        sent: Times at which each bad request was sent to an engine.
-        refused: Fingerprints of requests that were refused as blocked.
+        ends: Times at which engines ended, by cause.
+        sent: Times at which requests were sent to an engine, by cause.
+        refused: Causes, and fingerprints of sound requests, that were
+            refused as blocked.
+        last_end: Number of the end from which on the bound counts.
     """
 
     ends: dict = field(default_factory=dict)
     sent: dict = field(default_factory=dict)
     refused: set = field(default_factory=set)
+    last_end: int = 3
 
     @property
     def ended(self):
-        """Most engines that have ended under one request."""
+        """Most engines that have ended by one cause."""
         return max(map(len, self.ends.values()), default=0)
 
     @property
     def sent_late(self):
-        """Most sends of one request later than the bound allows."""
+        """Most sends by one cause later than the bound allows."""
         return max(map(self.late, self.ends), default=0)
 
     @property
@@ -128,11 +156,12 @@
         return self.refused - self.ends.keys()
 
     def late(self, name):
-        """Return the sends of one after its third end and the bound."""
+        """Return the sends by one cause later than the bound allows."""
         ends = self.ends[name]
-        if len(ends) < 3:
+        if len(ends) < self.last_end:
             return 0
-        return sum(at > ends[2] + BOUND_AFTER for at in self.sent[name])
+        bound = ends[self.last_end - 1] + BOUND_AFTER
+        return sum(at > bound for at in self.sent[name])
 
 
 class CrashEmulation(Emulation):
@@ -147,8 +176,9 @@
     def __init__(self, shape, seed, repeats):
         super().__init__(shape, seed)
         self.repeats = repeats
-        self.tally = Tally()
+        self.tally = Tally(last_end=5 if repeats.part else 3)
         self.crashes = {region: CrashTracker() for region in shape.engines}
+        self.part_runs = {region: PartRuns() for region in shape.engines}
         self.trials = {}
         self.by_load = {}
         self.news = []
@@ -172,13 +202,23 @@
             for _ in range(self.rng.randint(1, self.repeats.at_once)):
                 region = self.rng.choice(list(self.shape.engines))
                 load = self.make(self.repeats.kind, region, now)
-                name = f"bad {self.rng.randrange(self.repeats.requests)}"
-                trial = Trial(name, load, caller=region, bad=True)
-                self.by_load[load] = trial
+                self.by_load[load] = self.make_bad(load, region)
                 self.outcome.loads.remove(load)
                 load.number = self.next_number()
                 self.ask(load, region, now)
 
+    def make_bad(self, load, region):
+        """Return the `Trial` of a request under which engines end."""
+        part = self.repeats.part
+        if not part:
+            name = f"bad {self.rng.randrange(self.repeats.requests)}"
+            return Trial(name, load, caller=region, cause=name)
+        first, *rest = load.demand.parts
+        parts = (first, (part, BAD_PART_TOKENS), *rest)
+        load.demand = replace(load.demand, parts=parts)
+        name = f"bad {self.next_number()}"
+        return Trial(name, load, caller=region, cause=part)
+
     def next_number(self):
         """Return a number that no request has."""
         self.numbers += 1
@@ -193,16 +233,15 @@
     def place(self, load, region, now, *, may_leave=True):
         """Have a request placed, unless engines end under it."""
         trial = self.trial_of(load)
-        verdict = Verdict.ALLOWED
+        found = Assessment(Verdict.ALLOWED)
         if self.repeats.remembered:
-            verdict = self.crashes[region].verdict(
-                trial.name, trial.caller, now
-            )
-        if verdict in (Verdict.BLOCKED, Verdict.DEFERRED):
-            if verdict is Verdict.BLOCKED:
-                self.tally.refused.add(trial.name)
+            found = self.crashes[region].causes.assess(trial.callers, now)
+        if found.verdict in (Verdict.BLOCKED, Verdict.DEFERRED):
+            if found.verdict is Verdict.BLOCKED:
+                self.tally.refused.add(trial.cause or trial.name)
             load.refused = True
             return
+        trial.isolated = found.verdict is Verdict.ISOLATED
         waited = now - load.at
         ask = PlacementQuery(
             host="h",
@@ -214,7 +253,7 @@
             priority=load.kind.priority,
             may_leave=may_leave,
             begun=bool(load.first_at),
-            apart=trial.name if verdict is Verdict.ISOLATED else "",
+            apart=found.key if trial.isolated else "",
         )
         decision = self.placers[region].place(ask, now)
         if isinstance(decision, PlacedRemotely):
@@ -236,7 +275,7 @@
         self.at_engine[load.number] = region, now
         self.engines[placed.server_id].add(load)
         if trial.bad:
-            self.tally.sent.setdefault(trial.name, []).append(now)
+            self.tally.sent.setdefault(trial.cause, []).append(now)
 
     def tell(self, engine, now):
         """Note what an engine has begun, and whether it is to end."""
@@ -248,12 +287,17 @@
         for load in engine.ended:
             region, _ = self.at_engine.get(load.number, ("", 0))
             if region and load.left_out <= 0:
-                trial = self.trial_of(load)
-                self.crashes[region].record_success(
-                    trial.name, trial.caller, now
-                )
+                self.record_run(self.trial_of(load), region, now)
         super().tell(engine, now)
 
+    def record_run(self, trial, region, now):
+        """Record in one region that a request ran well."""
+        callers = trial.callers
+        for key, caller in callers.items():
+            self.crashes[region].record_success(key, caller, now)
+        del callers[trial.name]
+        self.part_runs[region].record(callers, now)
+
     def end_engines(self, now):
         """Let the engines end that are to end by now."""
         for name in [one for one, at in self.ending.items() if at <= now]:
@@ -267,9 +311,8 @@
         self.by_region[region].remove(engine.name)
         self.starting.append((now + BACK_AFTER, region))
         lost = [*engine.running, *engine.waiting]
-        for name in {self.trial_of(load).name for load in lost}:
-            if name.startswith("bad"):
-                self.tally.ends.setdefault(name, []).append(now)
+        for cause in {self.trial_of(load).cause for load in lost} - {""}:
+            self.tally.ends.setdefault(cause, []).append(now)
         for load in lost:
             self.lose(load, engine.name, region, now)
         self.registry.remove(engine.name, now, outage=False)
@@ -289,18 +332,30 @@
             response_age=begun,
         )
         if early:
-            end = ServerCrash(name, now, region, trial.caller)
-            self.note_end(trial.name, end, region, now)
+            end = ServerCrash(
+                name, now, region, trial.caller, isolated=trial.isolated
+            )
+            for key in trial.callers:
+                self.note_end(key, end, region, now)
         self.at_engine.pop(load.number, None)
         self.placers[region].record_attempt_end(
             "h", load.number, name, AttemptResult.ERROR, now
         )
         self.send_again(trial, now)
 
-    def note_end(self, name, end, region, now):
+    def note_end(self, key, end, region, now):
         """Note an end here, and let the other regions hear of it."""
-        self.crashes[region].record_crash(name, end, now)
-        self.news.append((now + ONE_WAY, region, name, end))
+        self.crashes[region].record_crash(key, end, now)
+        at = self.apply_earlier_run(key, region, now)
+        told = Suspect(key, {end.server: end}, cleared_at=at)
+        self.news.append((now + ONE_WAY, region, told))
+
+    def apply_earlier_run(self, key, region, now):
+        """Apply a run that a region knows; return its time or `NOTHING`."""
+        at = self.part_runs[region].last_run(key, now)
+        if at is not NOTHING:
+            self.crashes[region].record_earlier_run(key, at)
+        return at
 
     def send_again(self, trial, now):
         """Let the host send a request on, or its caller come back."""
@@ -346,11 +401,10 @@
         """Hear other regions, and block what is found to be the cause."""
         heard = [row for row in self.news if row[0] <= now]
         self.news = [row for row in self.news if row[0] > now]
-        for _, region, name, end in heard:
-            told = Suspect(name, {end.server: end})
-            for other, crashes in self.crashes.items():
-                if other != region:
-                    crashes.merge(told, now)
+        for _, region, told in heard:
+            for other in self.crashes.keys() - {region}:
+                self.crashes[other].merge(told, now)
+                self.apply_earlier_run(told.key, other, now)
         if now >= self.judge_due:
             self.judge_due = now + JUDGED_EVERY
             for crashes in self.crashes.values():
--- a/tests/test_crashdetection.py
+++ b/tests/test_crashdetection.py
@@ -1,6 +1,6 @@
 """Tell server crashes from responses that a server ended early."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 from networks import Quiet
@@ -10,7 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from hyssopspring.core.sentinels import NOTHING
-from hyssopspring.entry.attempts import OutgoingRequest
+from hyssopspring.entry.attempts import Attempt, OutgoingRequest
 from hyssopspring.entry.connections import Endpoint
 from hyssopspring.entry.crashdetection import (
     MAX_PROBE_WAIT_SECONDS,
@@ -39,6 +39,8 @@
     broken_by_peer: bool = True
     events: int = 0
     result: AttemptResult = AttemptResult.ERROR
+    is_success: bool = False
+    run_recorded: bool = False
     outgoing: OutgoingRequest = field(
         default_factory=lambda: OutgoingRequest(
             id=b"r",
@@ -75,7 +77,9 @@
         """Return that some request is suspected."""
         return True
 
-    def record_server_crash(self, origin, server, *, release, peer_ip):
+    def record_server_crash(
+        self, origin, server, *, release, isolated, peer_ip
+    ):
         """Record a crash."""
         self.recorded.append(f"crashed {server}")
 
@@ -83,6 +87,10 @@
         """Record that the request ran well."""
         self.recorded.append("ran well")
 
+    def record_part_runs(self, keys, server):
+        """Record that parts of its prompt ran well."""
+        self.recorded.append(f"{' '.join(keys)} ran on {server}")
+
 
 class DetectorHarness:
     """A `CrashDetector` and its dependencies."""
@@ -168,3 +176,62 @@
     harness.clock.advance(MAX_PROBE_WAIT_SECONDS)
     assert harness.done.called
     assert_that(harness.recorder.recorded, Equals([]))
+
+
+def request_with_parts():
+    """Return an `OutgoingRequest` whose prompt has two shared parts."""
+    return replace(BrokenAttempt().outgoing, parts=("a", "b"))
+
+
+@pytest.mark.parametrize(
+    ("changes", "recorded"),
+    [
+        (
+            {"is_success": True, "response_age": 0.0},
+            ["part:a part:b ran on s"],
+        ),
+        ({"response_age": 0.7}, ["part:a part:b ran on s", "ran well"]),
+        ({"response_age": 0.3}, []),
+        ({"result": AttemptResult.SILENT}, []),
+    ],
+)
+def test_only_a_response_that_shows_a_run_clears_parts(
+    harness, changes, recorded
+):
+    """A part is not taken for sound after an error or a short response."""
+    attempt = BrokenAttempt(
+        broken_by_peer=False, outgoing=request_with_parts(), **changes
+    )
+    assert_that(harness.examine(attempt), Equals(recorded))
+
+
+def test_a_long_response_clears_parts_before_it_ends(harness):
+    """A sound part is not isolated until a stream of minutes has ended."""
+    attempt = BrokenAttempt(response_age=0.7, outgoing=request_with_parts())
+    for _ in range(2):
+        harness.endings.examine_running(attempt)
+    assert_that(harness.recorder.recorded, Equals(["part:a part:b ran on s"]))
+
+
+def test_a_pause_of_this_host_is_no_run():
+    """A host that was stopped does not take a crash for a long run.
+
+    A server begins a response and crashes at once, while the host is stopped;
+    the host notices the end seconds later.
+    """
+    clock = task.Clock()
+    attempt = Attempt(
+        NOTHING,
+        ENDPOINT,
+        request_with_parts(),
+        NOTHING,
+        clock,
+        on_stream=NOTHING,
+        on_first_data=lambda: None,
+    )
+    attempt.note_data()
+    clock.advance(0.1)
+    attempt.note_data()
+    clock.advance(8.0)
+    attempt.ended_at = clock.seconds()
+    assert_that(round(attempt.response_age, 3), Equals(0.1))
--- a/tests/test_crashload.py
+++ b/tests/test_crashload.py
@@ -18,7 +18,7 @@
 MOST_RETRIES = 3
 
 
-def play(seed, scale, **changes):
+def play(seed, scale, every=4.0, **changes):
     """Return the tally and the outcome of a load of 25 seconds."""
     kinds = tuple(
         dataclasses.replace(kind, rate=kind.rate * scale)
@@ -31,7 +31,7 @@
         seconds=25.0,
         kinds=kinds,
     )
-    repeats = Repeats(every=4.0, at_once=2, kind=QUOTE, **changes)
+    repeats = Repeats(every=every, at_once=2, kind=QUOTE, **changes)
     emulation = CrashEmulation(shape, seed, repeats)
     outcome = emulation.run()
     return emulation.tally, outcome
@@ -58,3 +58,21 @@
     tally, _ = play(seed, 1.8, requests=2)
     assert_that(tally.sent_late, LessThan(MOST_RETRIES + 1))
     assert_that(tally.refused_others, Equals(set()))
+
+
+@pytest.mark.parametrize("scale", [1.0, 1.8])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_engines_go_on_while_a_part_ends_those_that_run_it(seed, scale):
+    """Half of all callers are cut or refused, as no two requests are alike.
+
+    New requests with one part come every second and a half, beside sound ones
+    with the same first part.
+    """
+    tally, outcome = play(seed, scale, every=1.5, part="bad")
+    before, without = play(
+        seed, scale, every=1.5, part="bad", remembered=False
+    )
+    assert_that(tally.sent_late, LessThan(MOST_RETRIES + 1))
+    assert_that(tally.refused_others, Equals(set()))
+    assert tally.ended < before.ended
+    assert outcome.share() > without.share() + 0.1
--- a/tests/test_crashverdicts.py
+++ b/tests/test_crashverdicts.py
@@ -33,13 +33,25 @@
         self.now = 0.0
         self.count = 0
 
-    def crash(self, *requests, caller="c", after=1.0, release=""):
-        """Record the crash of a server; a request is its name and parts."""
+    def crash(
+        self, *requests, caller="c", after=1.0, release="", together=False
+    ):
+        """Record the crash of a server; a request is its name and parts.
+
+        They were sent to it after the crash before, or together with all
+        others.
+        """
+        isolated = [
+            not together
+            and self.verdict(name, *parts, caller=caller, after=after)
+            is Verdict.ISOLATED
+            for name, *parts in requests
+        ]
         self.now += after
         self.count += 1
-        for name, *parts in requests:
+        for (name, *parts), alone in zip(requests, isolated, strict=True):
             crash = ServerCrash(
-                f"s{self.count}", self.now, "h", caller, release
+                f"s{self.count}", self.now, "h", caller, release, alone
             )
             keys = [part_key(part) for part in parts]
             self.crashes.record_crash(name, crash, self.now, keys)
@@ -207,6 +219,22 @@
     assert_that(records.verdict("new", "common"), Equals(Verdict.ALLOWED))
 
 
+def test_servers_that_crash_together_block_no_part_that_never_ran(records):
+    """Guards against a common part that is blocked as hosts start.
+
+    Two requests, bad as a whole, crash four servers within a moment, before
+    any other request has run. The first request with the common part alone
+    shows that it is sound.
+    """
+    for name in ("bad", "worse", "bad", "worse"):
+        records.crash(
+            (name, "common"), ("other", "common"), after=0.1, together=True
+        )
+    assert_that(records.verdict("new", "common"), Equals(Verdict.ISOLATED))
+    records.run("common")
+    assert_that(records.verdict("new", "common"), Equals(Verdict.ALLOWED))
+
+
 def test_servers_that_crash_in_turn_blame_no_part_that_runs(records):
     """Guards against refusing all requests as servers crash by a timer."""
     for number in range(8):
