Block starts of prompts that crash servers in the gateway

The hash of the start, by which calls are placed, is now a part as on the platform, blocked by workspace first. Earlier releases ignore the list of parts in the message.

--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -164,10 +164,10 @@
 
     def examine_running(self, attempt):
         """Record that suspected parts run well before the response ends."""
-        age = attempt.response_age
-        if age is NOTHING or age <= EARLY_RESPONSE_SECONDS:
+        if attempt.run_recorded or not self.sharing.has_suspects():
             return
-        if self.sharing.has_suspects() and not attempt.run_recorded:
+        age = attempt.response_age
+        if age is not NOTHING and age > EARLY_RESPONSE_SECONDS:
             attempt.run_recorded = True
             self.record_part_runs(attempt)
 
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -7,7 +7,12 @@
 from .digests import DigestComparison, millis
 from .messages import ServerCrashRow, SuspectRow, SuspectsMessage
 
-__all__ = ["CrashSharing", "suspect_from_row", "suspect_row"]
+__all__ = [
+    "CrashSharing",
+    "suspect_from_row",
+    "suspect_row",
+    "suspects_from_message",
+]
 
 AGGREGATING_HOSTS = 3
 """Hosts of a region that receive the first crash of a suspect: the placing
--- a/src/hyssopspring/net/crashdetection.py
+++ b/src/hyssopspring/net/crashdetection.py
@@ -8,14 +8,18 @@
 from ..core.hashing import digest_of
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
-from ..entry.crashsharing import suspect_from_row, suspect_row
+from ..entry.crashsharing import suspect_row, suspects_from_message
+from ..entry.requestorigins import RequestOrigin
 from ..traffic.crashes import (
     RETENTION_SECONDS,
     CrashTracker,
     ServerCrash,
     Verdict,
     may_be_cause,
+    part_id_of,
+    part_key,
 )
+from ..traffic.partruns import PartRuns
 from .messages import CrashSuspectsMessage
 
 __all__ = ["CRASH_TOPIC", "AttemptTiming", "CallCrashDetector"]
@@ -49,7 +53,8 @@
     """Refuse calls under which servers crash, and report them to all hosts.
 
     Callers are identified by their API keys here, so a call is identified
-    by its workspace, target, method, path and body.
+    by its workspace, target, method, path and body. Calls may have the start
+    of their prompts in common, which is a suspect of its own.
 
     Args:
         host: Name of this host.
@@ -64,6 +69,7 @@
         self.timeline = timeline
         self.publish = publish
         self.crashes = CrashTracker()
+        self.part_runs = PartRuns()
         self.isolated = set()
         self.next_broadcast_at = 0.0
 
@@ -80,8 +86,8 @@
         if not self.crashes.suspects:
             return NOTHING
         now = self.clock.seconds()
-        fingerprint = fingerprint_of(request, message)
-        verdict = self.crashes.verdict(fingerprint, "", now)
+        callers = origin_of(request, message).callers
+        verdict = self.crashes.causes.assess(callers, now).verdict
         if verdict is Verdict.BLOCKED:
             # The block is removed when it expires, and not sooner.
             return NotRun(Reason.CRASHES_SERVERS, RETENTION_SECONDS)
@@ -116,7 +122,7 @@
             times: The `AttemptTiming`.
         """
         if isinstance(outcome, Answered):
-            self.record_success(fingerprint_of(request, message))
+            self.record_success(origin_of(request, message))
         connection_broken = (
             isinstance(outcome, Unknown)
             and outcome.reason in CONNECTION_BROKEN_REASONS
@@ -124,9 +130,7 @@
         if not connection_broken or not times.early:
             return
         if await self.refuses_connections(address):
-            self.record_crash(
-                request, fingerprint_of(request, message), server
-            )
+            self.record_crash(request, origin_of(request, message), server)
 
     async def refuses_connections(self, address):
         """Whether connections to *address* are refused."""
@@ -141,29 +145,60 @@
         opened.transport.loseConnection()
         return False
 
-    def record_success(self, fingerprint):
-        """Record that a call ran without a crash."""
-        if self.crashes.record_success(fingerprint, "", self.clock.seconds()):
-            self.broadcast([self.crashes.suspects[fingerprint]])
-
-    def record_crash(self, request, fingerprint, server):
+    def record_success(self, origin):
+        """Record that a call, given its `RequestOrigin`, ran well."""
+        now = self.clock.seconds()
+        self.part_runs.record(origin.parts, now)
+        cleared = [
+            self.crashes.suspects[key]
+            for key, caller in origin.callers.items()
+            if self.crashes.record_success(key, caller, now)
+        ]
+        if cleared:
+            self.broadcast(cleared)
+
+    def record_crash(self, request, origin, server):
         """Record that a server crashed when it began to run a call."""
         now = self.clock.seconds()
         self.timeline.note(
             EventKind.SERVER_ENDED,
             request=request.id,
             server=server,
-            fingerprint=fingerprint,
+            fingerprint=origin.fingerprint,
+            parts=" ".join(map(part_id_of, origin.parts)),
         )
-        end = ServerCrash(server, now, self.host)
-        if self.crashes.record_crash(fingerprint, end, now):
-            self.broadcast([self.crashes.suspects[fingerprint]])
+        changed = []
+        for key, caller in origin.callers.items():
+            end = ServerCrash(
+                server,
+                now,
+                self.host,
+                caller,
+                isolated=request.id in self.isolated,
+            )
+            parts = origin.parts if key == origin.fingerprint else ()
+            if self.crashes.record_crash(key, end, now, parts):
+                self.apply_earlier_run(key, now)
+                changed.append(self.crashes.suspects[key])
+        if changed:
+            self.broadcast(changed)
+
+    def apply_earlier_run(self, key, now):
+        """Take into account that a start of prompts ran on this host."""
+        at = self.part_runs.last_run(key, now)
+        if at is not NOTHING:
+            self.crashes.record_earlier_run(key, at)
 
     def broadcast(self, suspects):
         """Send the first `MAX_BROADCAST_ROWS` of *suspects* to all hosts."""
         now = self.clock.seconds()
-        rows = [suspect_row(one, now) for one in suspects[:MAX_BROADCAST_ROWS]]
-        self.publish(CrashSuspectsMessage(host=self.host, rows=rows))
+        sent = suspects[:MAX_BROADCAST_ROWS]
+        message = CrashSuspectsMessage(
+            host=self.host,
+            rows=[suspect_row(one, now) for one in sent if not one.is_part],
+            parts=[suspect_row(one, now) for one in sent if one.is_part],
+        )
+        self.publish(message)
 
     def handle_message(self, message):
         """Merge the suspects of another host and rebroadcast the changes.
@@ -173,9 +208,12 @@
         """
         now = self.clock.seconds()
         updated = []
-        for row in message.rows:
-            received = suspect_from_row(row, now)
-            if self.crashes.merge(received, now):
+        for received in suspects_from_message(message, now):
+            news = self.crashes.merge(received, now)
+            if received.is_part:
+                self.apply_earlier_run(received.key, now)
+                news = news or self.crashes.knows_later_run(received)
+            if news:
                 updated.append(received.key)
         suspects = self.crashes.suspects
         updated = [suspects[one] for one in updated if one in suspects]
@@ -189,11 +227,19 @@
         """
         now = self.clock.seconds()
         for suspect in self.crashes.block_causes(now):
-            self.timeline.note(
-                EventKind.REQUEST_BLOCKED,
-                fingerprint=suspect.key,
-                evidence=", ".join(sorted(suspect.crashes)),
-            )
+            evidence = ", ".join(sorted(suspect.crashes))
+            if suspect.is_part:
+                self.timeline.note(
+                    EventKind.PART_BLOCKED,
+                    part=suspect.part_id,
+                    evidence=evidence,
+                )
+            else:
+                self.timeline.note(
+                    EventKind.REQUEST_BLOCKED,
+                    fingerprint=suspect.key,
+                    evidence=evidence,
+                )
         if now < self.next_broadcast_at:
             return
         self.next_broadcast_at = now + BROADCAST_INTERVAL_SECONDS
@@ -245,3 +291,15 @@
             message.body,
         )
     )
+
+
+def origin_of(request, message):
+    """Return the `RequestOrigin` of a call.
+
+    A start of prompts is blocked for the workspaces whose calls crashed
+    servers, until a call of another one did.
+    """
+    callers = {fingerprint_of(request, message): ""}
+    if request.prefix:
+        callers[part_key(f"{request.prefix:016x}")] = request.workspace
+    return RequestOrigin(next(iter(callers)), callers)
--- a/src/hyssopspring/net/messages.py
+++ b/src/hyssopspring/net/messages.py
@@ -144,11 +144,14 @@
         version: Version of the message format.
         host: Name of the sender.
         rows: `SuspectRow` of each request.
+        parts: `SuspectRow` of each start of prompts. Earlier releases ignore
+            it.
     """
 
     version: int = FORMAT_VERSION
     host: str
     rows: list[SuspectRow]
+    parts: list[SuspectRow] = []
 
 
 class ForwardedRequestHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hyssopspring/traffic/crashverdicts.py
+++ b/src/hyssopspring/traffic/crashverdicts.py
@@ -101,14 +101,15 @@
             now: The time.
         """
         found = [
-            Assessment(self.verdict_on(self.suspects[key], callers, now), key)
-            for key in callers
-            if key in self.suspects
+            Assessment(self.verdict_on(suspect, callers, now), suspect.key)
+            for suspect in map(self.suspects.get, callers)
+            if suspect is not None and suspect.concerns_all
         ]
+        if not found:
+            return Assessment(Verdict.ALLOWED)
         return max(
             found,
             key=lambda one: (one.verdict.value, self.weight_of_key(one.key)),
-            default=Assessment(Verdict.ALLOWED),
         )
 
     def weight_of_key(self, key):
--- a/src/hyssopspring_fakes/engine.py
+++ b/src/hyssopspring_fakes/engine.py
@@ -96,6 +96,11 @@
         reactor: The reactor.
         name: Name of the engine.
         model: `EngineModel`.
+
+    Attributes:
+        ended_by: Start of a prompt under which the engine ends, or "".
+        ended: Whether it has ended; it resets all connections then.
+        port: Its listening port.
     """
 
     def __init__(self, reactor, name, model=None):
@@ -112,6 +117,9 @@
         self.ran = []
         self.reports = deque()
         self.busy_seconds = 0.0
+        self.ended_by = ""
+        self.ended = False
+        self.port = None
 
     def site(self):
         """Return the site to listen with."""
@@ -127,6 +135,9 @@
 
     def complete(self, request):
         """Take a request."""
+        if self.ended:
+            request.transport.abortConnection()
+            return
         if self.faults.refuse or self.faults.leaving:
             code = "leaving" if self.faults.leaving else "refused"
             headers = [("hyssop-not-run", code)]
@@ -146,6 +157,11 @@
         while len(self.jobs) > 4096:
             self.jobs.popitem(last=False)
         request.notifyFinish().addErrback(lambda _: None)
+        if self.ended_by and prompt_text(body).startswith(self.ended_by):
+            self.ended = True
+            self.port.stopListening()
+            request.transport.abortConnection()
+            return
         if self.faults.hang:
             return
         self.admit(job)
--- a/src/hyssopspring_fakes/fleet.py
+++ b/src/hyssopspring_fakes/fleet.py
@@ -113,6 +113,7 @@
         engine = FakeEngine(self.reactor, name, self.shape.engine_model)
         self.engines[name] = engine
         self.add_row(name, "engine", region, engine, models=[self.shape.model])
+        engine.port = self.ports[-1]
 
     def add_row(self, name, kind, region, server, **more):
         """Listen with a backend server and put it on the host list."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -403,3 +403,22 @@
         await caller.send(host, "/services/rating/a", CRASHING_BODY)
     ended = sum(service.ended for service in fleet.services.values())
     assert_that(ended, LessThan(MAX_CRASHES + 1))
+
+
+@pytest.mark.parametrize("shape", [Shape(engines=6)])
+@pytest_twisted.ensureDeferred
+async def test_a_prompt_start_that_ends_engines_is_sent_to_few(fleet, caller):
+    """Calls with the same start of their prompts do not crash all engines.
+
+    No two of the calls are alike, so that none is known from before.
+    """
+    start = "Instructions that no engine survives. " * 8
+    for engine in fleet.engines.values():
+        engine.ended_by = start
+    for number in range(12):
+        host = ("dar-0", "arusha-0")[number % 2]
+        await caller.complete(host, prompt=f"{start}{number}")
+    ended = sum(engine.ended for engine in fleet.engines.values())
+    assert_that(ended, LessThan(MAX_CRASHES + 1))
+    status, _, _ = await caller.complete("dar-0")
+    assert_that(status, Equals(200))
