Bound messages about parts that crash servers

Callers state the parts of their prompts: rows of requests with many long identifiers could exceed a datagram. At most 24 parts of 40 characters count, and a datagram has 30 rows. A crash of a new request beside a known part is no longer announced to all hosts of the region.

--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -19,8 +19,12 @@
 hosts, to which the others report. All other hosts receive a suspect from its
 second crash on."""
 
-MAX_ROWS_PER_DATAGRAM = 100
-"""Rows of suspects in one datagram, which is then at most 30 KB long."""
+MAX_ROWS_PER_DATAGRAM = 30
+"""Rows of suspects in one datagram, which is then at most 52 KB long, and a
+fifth of that with prompts of a few parts."""
+
+MAX_DATAGRAMS_TO_ONE_HOST = 8
+"""Datagrams in which all records are sent to a host that lacks some."""
 
 EXPIRE_INTERVAL_SECONDS = 5.0
 """Seconds between two removals of expired crashes; each takes at most 2 ms."""
@@ -215,17 +219,23 @@
         self.datagrams.send_all(message, self.remote_contacts())
         if not region:
             return
-        if any(one.shared_with_all for one in suspects):
-            name = self.members.own.region
-            others = self.members.others.values()
-            in_region = [one for one in others if one.region == name]
-        else:
-            in_region = [
-                one
-                for one in self.members.placers(now)[:AGGREGATING_HOSTS]
-                if one is not self.members.own
-            ]
-        self.datagrams.send_all(message, in_region)
+        aggregating = [
+            one
+            for one in self.members.placers(now)[:AGGREGATING_HOSTS]
+            if one is not self.members.own
+        ]
+        self.datagrams.send_all(message, aggregating)
+        shared = [one for one in suspects if one.shared_with_all]
+        if shared:
+            self.datagrams.send_all(
+                self.message(shared, now),
+                [
+                    one
+                    for one in self.members.others.values()
+                    if one.region == self.members.own.region
+                    and one not in aggregating
+                ],
+            )
 
     def announce_to_ip(self, suspects, ip, now):
         """Send changed records to the host with an IP address."""
@@ -287,9 +297,12 @@
             for one in self.crashes.suspects_for_all()
             if (different_parts if one.is_part else different)
         ]
-        if known:
-            message = self.message(known, self.clock.seconds())
-            self.datagrams.send(message, member.control)
+        now = self.clock.seconds()
+        for number in range(MAX_DATAGRAMS_TO_ONE_HOST):
+            first = number * MAX_ROWS_PER_DATAGRAM
+            rows = known[first : first + MAX_ROWS_PER_DATAGRAM]
+            if rows:
+                self.datagrams.send(self.message(rows, now), member.control)
 
     def has_suspects(self):
         """Return whether there are any records to check requests against."""
--- a/src/hyssopspring/traffic/crashes.py
+++ b/src/hyssopspring/traffic/crashes.py
@@ -203,7 +203,8 @@
     def __init__(self):
         self.suspects = {}
         self.by_server = {}
-        self.causes = CauseFinder(self.suspects, self.by_server)
+        self.blocked = set()
+        self.causes = CauseFinder(self.suspects, self.by_server, self.blocked)
         self.cached_digests = {}
 
     def record_crash(self, key, crash, now, parts=()):
@@ -285,7 +286,9 @@
         for crash in list(suspect.crashes.values()):
             if crash.at <= suspect.cleared_at:
                 self.remove_crash(suspect, crash.server)
-        suspect.blocked = suspect.blocked and bool(suspect.crashes)
+        if not suspect.crashes:
+            suspect.blocked = False
+            self.blocked.discard(suspect.key)
         self.cached_digests.clear()
 
     def remove_crash(self, suspect, server):
@@ -349,6 +352,7 @@
     def block(self, suspect):
         """Mark a suspect as the cause of its crashes."""
         suspect.blocked = True
+        self.blocked.add(suspect.key)
         suspect.shared_with_all = True
         self.cached_digests.clear()
 
@@ -401,6 +405,7 @@
         for server in list(suspect.crashes):
             self.remove_crash(suspect, server)
         self.suspects.pop(suspect.key, None)
+        self.blocked.discard(suspect.key)
 
     def evict_excess(self):
         """Remove a tenth, the least suspect ones, above `MAX_SUSPECTS`."""
--- a/src/hyssopspring/traffic/crashverdicts.py
+++ b/src/hyssopspring/traffic/crashverdicts.py
@@ -82,14 +82,16 @@
     Args:
         suspects: `Suspect` by key.
         by_server: Keys of the suspects at each server that crashed.
+        blocked: Keys of the blocked suspects.
 
     Attributes:
         listed_releases: Called for the releases of the listed servers.
     """
 
-    def __init__(self, suspects, by_server):
+    def __init__(self, suspects, by_server, blocked):
         self.suspects = suspects
         self.by_server = by_server
+        self.blocked = blocked
         self.listed_releases = frozenset
 
     def assess(self, callers, now):
@@ -213,8 +215,10 @@
         prompt, as the part may be the cause of its crashes.
         """
         return any(
-            one.blocked and one is not suspect and suspect.key not in one.parts
-            for one in map(self.suspects.get, self.by_server.get(server, ()))
+            server in one.crashes
+            and one is not suspect
+            and suspect.key not in one.parts
+            for one in map(self.suspects.get, self.blocked)
         )
 
     def rivals(self, suspect, weight):
--- a/src/hyssopspring/traffic/promptparts.py
+++ b/src/hyssopspring/traffic/promptparts.py
@@ -1,13 +1,15 @@
 """Parts of prompts that requests may have in common."""
 
-__all__ = ["MAX_PARTS", "shared_parts"]
+from ..core.hashing import digest_of
 
-MAX_PARTS = 64
+__all__ = ["shared_parts"]
+
+MAX_PARTS = 24
 """Parts of one prompt that are considered. Callers state them, and each may
 become a record on every host."""
 
-MAX_PART_ID_CHARACTERS = 64
-"""Length of an identifier above which a part is not considered."""
+MAX_ID_CHARACTERS = 40
+"""Length of an identifier above which its digest stands for it."""
 
 
 def shared_parts(parts):
@@ -21,9 +23,12 @@
     Returns:
         A tuple without duplicates.
     """
-    shared = [name for name, _ in parts[:-1][:MAX_PARTS]]
-    return tuple(
-        dict.fromkeys(
-            name for name in shared if len(name) <= MAX_PART_ID_CHARACTERS
-        )
-    )
+    shared = [short_id_of(name) for name, _ in parts[:-1][:MAX_PARTS]]
+    return tuple(dict.fromkeys(shared))
+
+
+def short_id_of(name):
+    """Return an identifier of bounded length."""
+    if len(name) <= MAX_ID_CHARACTERS:
+        return name
+    return digest_of((name.encode(),))
