Soak prompts with parts that crash servers

Servers of three regions crash under one part at a time, which changes every twelve seconds, and are replaced; no two requests are alike, and sound ones have the other parts. The soak checks that at most three requests with a part reach servers, sent by hosts in touch, later than six seconds after its fifth crash, and that sound ones are served.

--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -57,6 +57,8 @@
             as it begins to run it, or None.
         crashing_parts: Parts of prompts that make the server end as soon as
             it begins an answer, unless they are the last part.
+        on_prompt: Called with the sending address and the shared parts of
+            each prompt that it takes.
         crash_after: Seconds from then to its end.
         crash_output: What it writes of a stream before it ends, with neither
             length nor chunks, or b"".
@@ -95,6 +97,7 @@
         self.kept_for = 0
         self.crashed_by = None
         self.crashing_parts = frozenset()
+        self.on_prompt = lambda peer, parts: None
         self.crash_after = 0.01
         self.crash_output = b""
         self.crash_closes = False
@@ -136,6 +139,8 @@
         request.notifyFinish().addErrback(
             lambda _: self.stopped.append(identifier.decode())
         )
+        if b"x-prompt-prefix" in headers:
+            self.on_prompt(peer, parts_of(request))
         if self.is_crashed_by(request):
             if self.crash_output:
                 self.begin_stream(request, identifier)
@@ -167,9 +172,7 @@
         request.content.seek(0)
         if request.content.read() == self.crashed_by:
             return True
-        stated = request.getHeader(b"x-prompt-prefix") or b""
-        parts = [one.split(b":")[0].decode() for one in stated.split(b",")]
-        return not self.crashing_parts.isdisjoint(parts[:-1])
+        return not self.crashing_parts.isdisjoint(parts_of(request))
 
     def crash(self):
         """End without a word: nobody listens any more, all is reset."""
@@ -251,3 +254,10 @@
         if self.up:
             self.up = False
             await self.port.stopListening()
+
+
+def parts_of(request):
+    """Return the parts of a request's prompt but the last."""
+    stated = request.getHeader(b"x-prompt-prefix") or b""
+    parts = [one.split(b":")[0].decode() for one in stated.split(b",")]
+    return parts[:-1]
--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -27,6 +27,7 @@
 )
 from .soakfleet import REGIONS, SoakFleet, configuration
 from .soaknotices import NOTICE_SERVERS, Notifier, check_notices
+from .soakparts import PartCaller, PartHistory, PartServers, check_parts
 from .soakplan import Fault, draw_plan
 from .soakstreams import Release, StreamCaller, check_streams
 
@@ -38,6 +39,9 @@
 STREAM_CALLERS = 6
 """Callers that ask for streams, one after the other."""
 
+PART_CALLERS = 6
+"""Callers that send prompts of which some crash servers."""
+
 NOTICE_PROBES = 2
 """Requests to servers that say things of themselves, in each round."""
 
@@ -208,6 +212,8 @@
         self.notifiers = []
         self.releases = []
         self.stream_callers = []
+        self.part_callers = []
+        self.parts = PartHistory()
         self.copies = deque(maxlen=KEPT_COPIES)
         self.began = 0.0
         self.changing = True
@@ -247,7 +253,7 @@
         ]
         work += [
             defer.ensureDeferred(one.run(lambda: not self.probing))
-            for one in self.stream_callers
+            for one in (*self.stream_callers, *self.part_callers)
         ]
         await self.sleep(self.seconds)
         self.changing = False
@@ -259,7 +265,9 @@
                 result.raiseException()
         self.collect_runs()
         found = check_history(self.history) + self.check_notices()
-        found += check_streams(self.streams(), self.history, Bounds().stable)
+        stable = Bounds().stable
+        found += check_streams(self.streams(), self.history, stable)
+        found += check_parts(self.parts, self.history, stable)
         return found + [
             Violation("ENDED", None, f"{host.name}, {end}")
             for host in self.fleet.hosts.values()
@@ -285,6 +293,12 @@
             StreamCaller(self, rng, f"stream-{self.seed}-{number}")
             for number in range(STREAM_CALLERS)
         ]
+        for region in REGIONS:
+            PartServers(self, region, self.parts)
+        self.part_callers = [
+            PartCaller(self, rng, f"part-{self.seed}-{number}", self.parts)
+            for number in range(PART_CALLERS)
+        ]
 
     def servers_of(self, version):
         """Return how many servers of a version take streams."""
@@ -478,6 +492,13 @@
             f"{sum(one.went_on for one in resumed)}, refused "
             f"{sum(one.refused for one in resumed)}"
         )
+        crashes = self.parts.crashes
+        sound = [status == 200 for _, _, status in self.parts.sound]
+        yield (
+            f"  prompts: {len(self.parts.seen)} at servers, crashes by part "
+            f"{ {part: len(times) for part, times in crashes.items()} }, "
+            f"{sum(sound)} of {len(sound)} sound ones served"
+        )
         yield "  faults: " + ", ".join(
             f"{name} {count}" for name, count in sorted(counts.items())
         )
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "NOTICE_SERVICE",
+    "PROMPT_SERVICE",
     "REGIONS",
     "SETTINGS",
     "STREAM_SERVICE",
@@ -36,6 +37,9 @@
 STREAM_SERVICE = "streaming"
 """Service and route of streams."""
 
+PROMPT_SERVICE = "prompting"
+"""Service and route of prompts of which some crash servers."""
+
 RESTART_SECONDS = 0.2
 """Seconds after which a process that has ended by itself is started again."""
 
@@ -75,14 +79,16 @@
         for number in range(first, version + 1)
     ]
     routes.append(route(NOTICE_SERVICE, NOTICE_SERVICE))
-    routes.append(stream_route())
+    routes.append(stream_route(STREAM_SERVICE))
+    routes.append(stream_route(PROMPT_SERVICE))
     services = [{"name": service_of(number)} for number in range(ROTATION)]
-    services.append(
+    services += [
         {
-            "name": STREAM_SERVICE,
+            "name": name,
             "engine": {"slots": 64, "kv_capacity_tokens": 100000},
         }
-    )
+        for name in (STREAM_SERVICE, PROMPT_SERVICE)
+    ]
     services.append({"name": NOTICE_SERVICE})
     return {
         "version": version,
@@ -106,10 +112,10 @@
     }
 
 
-def stream_route():
-    """Return the route of streams that may be resumed."""
+def stream_route(name):
+    """Return a route of streams that may be resumed."""
     return {
-        **route(STREAM_SERVICE, STREAM_SERVICE),
+        **route(name, name),
         "kind": "streaming",
         "resumable": True,
         "timeout_ms": 6000,
@@ -306,6 +312,10 @@
         """Start a server of streams of a version; return it."""
         return self.register(name, region, STREAM_SERVICE, version)
 
+    def add_prompt_backend(self, name, region):
+        """Start a server of prompts; return it."""
+        return self.register(name, region, PROMPT_SERVICE)
+
     def drain(self, name):
         """Mark the entry of a server as draining."""
         entry = self.store.get_json(f"servers/{name}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,11 @@
     service_of,
 )
 from hyssopspring_fakes.soakfleet import REGIONS, SETTINGS, HostProcess
+from hyssopspring_fakes.soakparts import (
+    PartHistory,
+    PromptSeen,
+    check_parts,
+)
 from hyssopspring_fakes.soakplan import Fault, draw_plan
 
 
@@ -139,6 +144,34 @@
     assert_that(rules(history), Equals(["SERVED"]))
 
 
+def parts_history(late, host="north-0"):
+    """Return a history of five crashes by one part, and what came later."""
+    made = PartHistory()
+    made.crashes["bad"] = [0.0, 0.1, 0.2, 0.3, 0.4]
+    made.seen = [
+        PromptSeen(6.5 + number / 10, host, ("common", "bad"))
+        for number in range(late)
+    ]
+    return made
+
+
+def test_a_part_that_goes_on_to_crash_servers_is_found(history):
+    """Guards against a soak that is blind to a part that is not blocked."""
+    for late, expected in ((3, []), (4, ["BUDGET"])):
+        found = check_parts(parts_history(late), history, 6.0)
+        assert_that([one.rule for one in found], Equals(expected))
+    history.disturb("north-0", 5.0, 8.0)
+    assert_that(check_parts(parts_history(4), history, 6.0), Equals([]))
+
+
+def test_sound_prompts_that_are_refused_are_found(history):
+    """Guards against a bound that is kept by refusing everything."""
+    parts = parts_history(0)
+    parts.sound = [(13.0 + one / 10, "north-0", 503) for one in range(20)]
+    found = check_parts(parts, history, 6.0)
+    assert_that([one.rule for one in found], Equals(["LOST"]))
+
+
 def test_a_plan_is_the_same_for_the_same_seed():
     """Guards against a finding that its seed does not show again."""
     hosts = ("a", "b", "c")
