--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -265,9 +265,8 @@
                 result.raiseException()
         self.collect_runs()
         found = check_history(self.history) + self.check_notices()
-        stable = Bounds().stable
-        found += check_streams(self.streams(), self.history, stable)
-        found += check_parts(self.parts, self.history, stable)
+        found += check_streams(self.streams(), self.history, Bounds().stable)
+        found += check_parts(self.parts, self.history)
         return found + [
             Violation("ENDED", None, f"{host.name}, {end}")
             for host in self.fleet.hosts.values()
--- a/src/hyssopspring_fakes/soakparts.py
+++ b/src/hyssopspring_fakes/soakparts.py
@@ -43,6 +43,10 @@
 """Crashes of one part from which on the bound counts, and requests with it
 that may reach servers later than that."""
 
+SETTLED_SECONDS = 2.0
+"""Seconds without a disturbance after which a host knows which parts are
+blocked, and seconds after the fifth crash from which on the bound counts."""
+
 FEWEST_JUDGED = 20
 """Sound requests from which on the share that is served is judged."""
 
@@ -194,14 +198,13 @@
         return response.code
 
 
-def check_parts(parts, history, stable):
+def check_parts(parts, history, stable=SETTLED_SECONDS):
     """Return each `Violation` of the bounds on parts that crash servers.
 
     Args:
         parts: The `PartHistory`.
         history: The `History`, which tells what disturbed hosts.
-        stable: Seconds without a disturbance after which a host counts as in
-            touch.
+        stable: Seconds without a disturbance after which a host is judged.
     """
     found = []
     for part, times in parts.crashes.items():
@@ -218,12 +221,10 @@
         if len(late) > MOST_LATE:
             text = f"{len(late)} requests with {part} reached servers late"
             found.append(Violation("BUDGET", None, text))
-    crashes = sorted(at for times in parts.crashes.values() for at in times)
     judged = [
         status == 200
         for sent, host, status in parts.sound
         if history.in_touch(host, sent, sent + 1.0, stable)
-        and not any(sent - 2 * stable < at < sent + 1.0 for at in crashes)
     ]
     if len(judged) >= FEWEST_JUDGED and sum(judged) * 2 < len(judged):
         text = f"{sum(judged)} of {len(judged)} sound prompts were served"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -149,7 +149,7 @@
     made = PartHistory()
     made.crashes["bad"] = [0.0, 0.1, 0.2, 0.3, 0.4]
     made.seen = [
-        PromptSeen(6.5 + number / 10, host, ("common", "bad"))
+        PromptSeen(2.5 + number / 10, host, ("common", "bad"))
         for number in range(late)
     ]
     return made
@@ -158,17 +158,17 @@
 def test_a_part_that_goes_on_to_crash_servers_is_found(history):
     """Guards against a soak that is blind to a part that is not blocked."""
     for late, expected in ((3, []), (4, ["BUDGET"])):
-        found = check_parts(parts_history(late), history, 6.0)
+        found = check_parts(parts_history(late), history)
         assert_that([one.rule for one in found], Equals(expected))
-    history.disturb("north-0", 5.0, 8.0)
-    assert_that(check_parts(parts_history(4), history, 6.0), Equals([]))
+    history.disturb("north-0", 1.0, 2.4)
+    assert_that(check_parts(parts_history(4), history), Equals([]))
 
 
 def test_sound_prompts_that_are_refused_are_found(history):
     """Guards against a bound that is kept by refusing everything."""
     parts = parts_history(0)
     parts.sound = [(13.0 + one / 10, "north-0", 503) for one in range(20)]
-    found = check_parts(parts, history, 6.0)
+    found = check_parts(parts, history)
     assert_that([one.rule for one in found], Equals(["LOST"]))
 
 
