--- a/tests/test_crashverdicts.py
+++ b/tests/test_crashverdicts.py
@@ -226,9 +226,10 @@
     any other request has run. The first request with the common part alone
     shows that it is sound.
     """
-    for name in ("bad", "worse", "bad", "worse"):
+    for number, name in enumerate(("bad", "worse", "bad", "worse")):
+        other = f"other {number}"
         records.crash(
-            (name, "common"), ("other", "common"), after=0.1, together=True
+            (name, "common"), (other, "common"), after=0.1, together=True
         )
     assert_that(records.verdict("new", "common"), Equals(Verdict.ISOLATED))
     records.run("common")
