Probe a server whose response ended with its connection

A stream without length or chunks that is closed in order after an event looks complete. If its server crashed as it began, the crash was taken for a run of the part: 12 crashes under 12 requests, where 5 are allowed. The server's address is now probed before such a short response counts as a run; the response itself is passed on as before.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -243,7 +243,7 @@
 
     @property
     def attempt_age(self):
-        """Seconds from sending the request to its failure."""
+        """Seconds from sending the request to its end."""
         return self.ended_at - self.sent_at
 
     @property
@@ -369,6 +369,7 @@
             raise _InvalidResponse
         self.note_data()
         self.result = AttemptResult.ANSWERED
+        self.ended_at = self.clock.seconds()
         if response.code >= 500:
             self.result = AttemptResult.ERROR
         return Answered(response.code)
@@ -408,6 +409,7 @@
         finally:
             self.incomplete_bytes = len(reader.buffer)
         self.result = AttemptResult.ANSWERED
+        self.ended_at = self.clock.seconds()
         return Answered(response.code)
 
     async def read(self, response, reader):
--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -13,6 +13,7 @@
 )
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.servers import Usability
+from .connections import Framing
 from .requestorigins import request_origin
 
 __all__ = [
@@ -115,7 +116,7 @@
             connections, and the requests that it aborted must not wait for the
             probe to time out.
         """
-        if not attempt.broken_by_peer:
+        if not (attempt.broken_by_peer or may_be_truncated(attempt)):
             self.record_run(attempt, caller)
             return defer.succeed(None)
         work = self.probe(attempt, caller, predicted, sent_by)
@@ -213,6 +214,19 @@
             self.record_part_runs(attempt)
 
 
+def may_be_truncated(attempt):
+    """Whether a complete response may have ended as its server crashed.
+
+    The end of the connection marks its end, so that a crash right after it
+    began looks the same.
+    """
+    return (
+        attempt.is_success
+        and attempt.framing is Framing.CLOSE
+        and attempt.response_age <= EARLY_RESPONSE_SECONDS
+    )
+
+
 def attempt_fingerprint(attempt):
     """Return the fingerprint of the request of an `Attempt`."""
     outgoing = attempt.outgoing
--- a/tests/test_crashdetection.py
+++ b/tests/test_crashdetection.py
@@ -11,7 +11,7 @@
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.entry.attempts import Attempt, OutgoingRequest
-from hyssopspring.entry.connections import Endpoint
+from hyssopspring.entry.connections import Endpoint, Framing
 from hyssopspring.entry.crashdetection import (
     MAX_PROBE_WAIT_SECONDS,
     CrashDetector,
@@ -41,6 +41,7 @@
     result: AttemptResult = AttemptResult.ERROR
     is_success: bool = False
     run_recorded: bool = False
+    framing: Framing = Framing.LENGTH
     outgoing: OutgoingRequest = field(
         default_factory=lambda: OutgoingRequest(
             id=b"r",
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -113,6 +113,9 @@
 HALF_EVENT = b"id: 0\ndata: event 0\n\nid: 1\ndata: a part of"
 """Beginning of a stream, which ends inside its second event."""
 
+WHOLE_EVENT = b"id: 0\ndata: event 0\n\n"
+"""Beginning of a stream, which ends after its first event."""
+
 
 @dataclass
 class Counts:
@@ -204,15 +207,20 @@
     assert counts.served > 0.9
 
 
-@pytest.mark.parametrize("closes", [True, False])
+@pytest.mark.parametrize(
+    ("output", "closes"),
+    [(HALF_EVENT, True), (HALF_EVENT, False), (WHOLE_EVENT, True)],
+)
 @pytest_twisted.ensureDeferred
-async def test_a_stream_that_ends_inside_an_event_shows_a_crash(hosts, closes):
-    """A server that crashes inside an event has not run the part.
+async def test_a_stream_that_ends_as_its_server_crashes_is_no_run(
+    hosts, output, closes
+):
+    """A server that crashes within its first events has not run the part.
 
-    Its stream has neither length nor chunks, so that only its content shows
-    that it is not complete.
+    Its stream has neither length nor chunks. If it is closed in order after
+    an event, only the server's address shows that it has crashed.
     """
-    load = PartLoad(hosts, crash_output=HALF_EVENT, crash_closes=closes)
+    load = PartLoad(hosts, crash_output=output, crash_closes=closes)
     await load.renew()
     for number in range(12):
         await load.send(host_of(number), ("common", "bad"), "/review/a")
