--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -8,13 +8,9 @@
 from hyssopspring.entry.crashdetection import fingerprint_of
 from hyssopspring.entry.crashsharing import suspect_row
 from hyssopspring.entry.messages import SuspectsMessage, encode_message
-from hyssopspring.traffic.crashes import (
-    CrashTracker,
-    ServerCrash,
-    Suspect,
-    part_key,
-)
+from hyssopspring.traffic.crashes import CrashTracker
 from hyssopspring.traffic.partruns import MAX_PART_RUNS, PartRuns
+from hyssopspring.traffic.suspects import ServerCrash, Suspect, part_key
 
 HOST = "front-dar-kariakoo-1"
 CALLER = "100.64.0.7"
--- a/src/hyssopspring/entry/crashchecks.py
+++ b/src/hyssopspring/entry/crashchecks.py
@@ -3,8 +3,8 @@
 from ..core.hashing import short_id
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
-from ..traffic.crashes import Verdict, is_part_key, part_id_of
-from ..traffic.crashverdicts import Assessment
+from ..traffic.crashverdicts import Assessment, Verdict
+from ..traffic.suspects import is_part_key, part_id_of
 from .crashdetection import fingerprint_of
 from .requestorigins import request_origin
 
--- a/src/hyssopspring/entry/crashdetection.py
+++ b/src/hyssopspring/entry/crashdetection.py
@@ -6,13 +6,10 @@
 from ..core.hashing import digest_of
 from ..core.sentinels import NOTHING
 from ..net.sinks import first_value
-from ..traffic.crashes import (
-    EARLY_RESPONSE_SECONDS,
-    may_be_cause,
-    part_key,
-)
+from ..traffic.crashes import EARLY_RESPONSE_SECONDS, may_be_cause
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.servers import Usability
+from ..traffic.suspects import part_key
 from .connections import Framing
 from .requestorigins import request_origin
 
--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -2,13 +2,14 @@
 
 from ..core.events import EventKind
 from ..core.sentinels import NOTHING
-from ..traffic.crashes import ServerCrash, Suspect, part_id_of, part_key
 from ..traffic.crashverdicts import CRASHES_TO_BLOCK
+from ..traffic.suspects import ServerCrash, Suspect, part_id_of, part_key
 from .digests import DigestComparison, millis
 from .messages import ServerCrashRow, SuspectRow, SuspectsMessage
 
 __all__ = [
     "CrashSharing",
+    "note_blocked",
     "suspect_from_row",
     "suspect_row",
     "suspects_from_message",
@@ -187,19 +188,7 @@
 
     def note_blocked(self, suspect):
         """Log that a suspect is blocked."""
-        evidence = self.evidence(suspect.key)
-        if suspect.is_part:
-            self.timeline.note(
-                EventKind.PART_BLOCKED,
-                part=suspect.part_id,
-                evidence=evidence,
-            )
-        else:
-            self.timeline.note(
-                EventKind.REQUEST_BLOCKED,
-                fingerprint=suspect.key,
-                evidence=evidence,
-            )
+        note_blocked(self.timeline, suspect, self.evidence(suspect.key))
 
     def note_cleared(self, suspect, server):
         """Log that a run showed that a suspected part is sound."""
@@ -309,6 +298,20 @@
         return bool(self.crashes.suspects)
 
 
+def note_blocked(timeline, suspect, evidence):
+    """Log that a suspect is blocked, and the text on its crashes."""
+    if suspect.is_part:
+        timeline.note(
+            EventKind.PART_BLOCKED, part=suspect.part_id, evidence=evidence
+        )
+    else:
+        timeline.note(
+            EventKind.REQUEST_BLOCKED,
+            fingerprint=suspect.key,
+            evidence=evidence,
+        )
+
+
 def suspect_row(suspect, now):
     """Return the `SuspectRow` of a `Suspect`, with its times as ages."""
     cleared = -1
--- a/src/hyssopspring/entry/requestorigins.py
+++ b/src/hyssopspring/entry/requestorigins.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from ..traffic.crashes import part_key
+from ..traffic.suspects import part_key
 
 __all__ = ["RequestOrigin", "request_origin"]
 
--- a/src/hyssopspring/net/crashdetection.py
+++ b/src/hyssopspring/net/crashdetection.py
@@ -8,18 +8,16 @@
 from ..core.hashing import digest_of
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
-from ..entry.crashsharing import suspect_row, suspects_from_message
-from ..entry.requestorigins import RequestOrigin
-from ..traffic.crashes import (
-    RETENTION_SECONDS,
-    CrashTracker,
-    ServerCrash,
-    Verdict,
-    may_be_cause,
-    part_id_of,
-    part_key,
+from ..entry.crashsharing import (
+    note_blocked,
+    suspect_row,
+    suspects_from_message,
 )
+from ..entry.requestorigins import RequestOrigin
+from ..traffic.crashes import RETENTION_SECONDS, CrashTracker, may_be_cause
+from ..traffic.crashverdicts import Verdict
 from ..traffic.partruns import PartRuns
+from ..traffic.suspects import ServerCrash, part_id_of, part_key
 from .messages import CrashSuspectsMessage
 
 __all__ = ["CRASH_TOPIC", "AttemptTiming", "CallCrashDetector"]
@@ -227,19 +225,9 @@
         """
         now = self.clock.seconds()
         for suspect in self.crashes.block_causes(now):
-            evidence = ", ".join(sorted(suspect.crashes))
-            if suspect.is_part:
-                self.timeline.note(
-                    EventKind.PART_BLOCKED,
-                    part=suspect.part_id,
-                    evidence=evidence,
-                )
-            else:
-                self.timeline.note(
-                    EventKind.REQUEST_BLOCKED,
-                    fingerprint=suspect.key,
-                    evidence=evidence,
-                )
+            note_blocked(
+                self.timeline, suspect, ", ".join(sorted(suspect.crashes))
+            )
         if now < self.next_broadcast_at:
             return
         self.next_broadcast_at = now + BROADCAST_INTERVAL_SECONDS
--- a/src/hyssopspring_fakes/crashload.py
+++ b/src/hyssopspring_fakes/crashload.py
@@ -11,15 +11,8 @@
 from dataclasses import dataclass, field, replace
 
 from hyssopspring.core.sentinels import NOTHING
-from hyssopspring.traffic.crashes import (
-    CrashTracker,
-    ServerCrash,
-    Suspect,
-    Verdict,
-    may_be_cause,
-    part_key,
-)
-from hyssopspring.traffic.crashverdicts import Assessment
+from hyssopspring.traffic.crashes import CrashTracker, may_be_cause
+from hyssopspring.traffic.crashverdicts import Assessment, Verdict
 from hyssopspring.traffic.decisions import (
     Placed,
     PlacedRemotely,
@@ -29,6 +22,7 @@
 from hyssopspring.traffic.promptparts import shared_parts
 from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring.traffic.servers import ServerEntry
+from hyssopspring.traffic.suspects import ServerCrash, Suspect, part_key
 
 from .emulation import ONE_WAY, Emulation
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -10,18 +10,19 @@
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.traffic.crashes import (
-    CRASHES_TO_BLOCK,
     EARLY_RESPONSE_SECONDS,
     MAX_EXTRA_WAIT_SECONDS,
     MAX_SUSPECTS,
-    REPORT_DELAY_SECONDS,
     RETENTION_SECONDS,
     CrashTracker,
-    ServerCrash,
-    Suspect,
-    Verdict,
     may_be_cause,
 )
+from hyssopspring.traffic.crashverdicts import (
+    CRASHES_TO_BLOCK,
+    REPORT_DELAY_SECONDS,
+    Verdict,
+)
+from hyssopspring.traffic.suspects import ServerCrash, Suspect
 
 LATER = REPORT_DELAY_SECONDS + 0.1
 
--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -19,7 +19,8 @@
     encode_message,
 )
 from hyssopspring.entry.requestorigins import request_origin
-from hyssopspring.traffic.crashes import MAX_SUSPECTS, Verdict
+from hyssopspring.traffic.crashes import MAX_SUSPECTS
+from hyssopspring.traffic.crashverdicts import Verdict
 
 PROPAGATION_SECONDS = 5.0
 """Seconds after a third crash in which each connected host must have the
--- a/tests/test_crashverdicts.py
+++ b/tests/test_crashverdicts.py
@@ -7,14 +7,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
-from hyssopspring.traffic.crashes import (
-    RETENTION_SECONDS,
-    CrashTracker,
-    ServerCrash,
-    Verdict,
-    part_key,
-)
-from hyssopspring.traffic.crashverdicts import REPORT_DELAY_SECONDS
+from hyssopspring.traffic.crashes import RETENTION_SECONDS, CrashTracker
+from hyssopspring.traffic.crashverdicts import REPORT_DELAY_SECONDS, Verdict
+from hyssopspring.traffic.suspects import ServerCrash, part_key
 
 LATER = REPORT_DELAY_SECONDS + 0.1
 
