Test what no test of parts guarded

Not guarded: that a forwarded request says that it ran isolated, that digests of parts tell isolated crashes from others, and that a stream clears its parts before it ends where an exchange is checked.

--- a/tests/test_crashsharing.py
+++ b/tests/test_crashsharing.py
@@ -11,6 +11,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.crashsharing import suspect_row
 from hyssopspring.entry.messages import (
     ServerCrashRow,
     SuspectRow,
@@ -21,6 +23,7 @@
 from hyssopspring.entry.requestorigins import request_origin
 from hyssopspring.traffic.crashes import MAX_SUSPECTS
 from hyssopspring.traffic.crashverdicts import Verdict
+from hyssopspring.traffic.suspects import Suspect
 
 PROPAGATION_SECONDS = 5.0
 """Seconds after a third crash in which each connected host must have the
@@ -264,6 +267,30 @@
     )
 
 
+def test_a_host_that_knows_a_run_answers_each_report_without_it(network):
+    """Guards against a report that is not answered, as it brings no news.
+
+    The host has the record of the crash already, and its own run before it.
+    """
+    host, other = network.hosts["north-3"], network.hosts["north-4"]
+    host.sharing.record_part_runs(["part:common"], "s")
+    network.run(0.1)
+    end_servers_under_part(network, ["north-3"], "common")
+    network.run(1.0)
+    (crash,) = host.sharing.crashes.suspects["part:common"].crashes.values()
+    report = Suspect("part:common", {crash.server: crash})
+    now = network.clock.seconds()
+    count_since = count_suspects(network)
+    host.sharing.merge(
+        SuspectsMessage("north-4", [], [suspect_row(report, now)])
+    )
+    assert_that(count_since(), Equals(1))
+    other.sharing.crashes.merge(report, now)
+    network.run(0.5)
+    found = other.sharing.crashes.suspects["part:common"]
+    assert found.cleared_at is not NOTHING
+
+
 def test_runs_that_all_hosts_know_are_not_announced(network):
     """Guards against a burst of messages when servers crash under load.
 
@@ -373,10 +400,11 @@
     suspects = list(sharing.crashes.suspects.values())
     data = encode_message(sharing.message(suspects, network.clock.seconds()))
     read = msgspec.msgpack.decode(data, type=EarlierSuspectsMessage)
+    names = {row.fingerprint for row in read.rows}
     assert_that(
-        {row.fingerprint for row in read.rows},
-        Equals({one.key for one in suspects if not one.is_part}),
+        names, Equals({one.key for one in suspects if not one.is_part})
     )
+    assert "bad" not in names
 
 
 def test_a_message_of_an_earlier_release_is_read(network):
--- a/tests/test_crashverdicts.py
+++ b/tests/test_crashverdicts.py
@@ -7,9 +7,11 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from hyssopspring.core.hashing import digest_of
 from hyssopspring.traffic.crashes import RETENTION_SECONDS, CrashTracker
 from hyssopspring.traffic.crashverdicts import REPORT_DELAY_SECONDS, Verdict
-from hyssopspring.traffic.suspects import ServerCrash, part_key
+from hyssopspring.traffic.promptparts import shared_parts
+from hyssopspring.traffic.suspects import ServerCrash, Suspect, part_key
 
 LATER = REPORT_DELAY_SECONDS + 0.1
 
@@ -183,6 +185,7 @@
     for _ in range(3):
         records.crash(("bad", "part"))
     assert_that(records.verdict("bad", "part"), Equals(Verdict.BLOCKED))
+    assert records.crashes.suspects["bad"].blocked
     assert_that(records.verdict("new", "part"), Equals(Verdict.ISOLATED))
     records.run("part")
     assert_that(records.verdict("new", "part"), Equals(Verdict.ALLOWED))
@@ -322,6 +325,44 @@
     assert_that(records.crashes.part_digest, Equals(0))
 
 
+def test_a_report_of_a_part_brings_the_run_before_its_crashes(records):
+    """Guards against a common part that is blocked on a host that starts."""
+    crashes = {
+        name: ServerCrash(name, 1.0, "h", "c", isolated=True)
+        for name in ("s1", "s2", "s3")
+    }
+    reported = Suspect(part_key("common"), crashes, cleared_at=0.5)
+    records.crashes.merge(reported, 1.0)
+    records.now = 1.0
+    assert_that(records.verdict("new", "common"), Equals(Verdict.ALLOWED))
+
+
+def test_a_crash_is_known_as_isolated_whatever_report_comes_first(records):
+    """Guards against hosts that differ on whether a part is blocked.
+
+    A request that ran isolated and another one were at the same server.
+    """
+    for isolated in (False, True, False):
+        crash = ServerCrash("s1", 1.0, "h", "c", isolated=isolated)
+        records.crashes.record_crash(part_key("bad"), crash, 1.0)
+    assert records.crashes.suspects[part_key("bad")].is_confirmed
+
+
+@pytest.mark.parametrize(
+    ("stated", "shared"),
+    [
+        ([("a", 1)], ()),
+        ([("a", 1), ("b", 1), ("a", 1), ("c", 1)], ("a", "b")),
+        ([("x" * 41, 1), ("c", 1)], (digest_of((b"x" * 41,)),)),
+    ],
+)
+def test_what_callers_state_of_prompts_is_bounded(stated, shared):
+    """Guards against records that are as long as callers want."""
+    assert_that(shared_parts(stated), Equals(shared))
+    many = [(f"{number}", 1) for number in range(100)]
+    assert_that(len(shared_parts(many)), Equals(24))
+
+
 class PartSimulation:
     """Servers of one region that crash under a part, and by themselves.
 
