Do not block a common part for two bad ones

The part had been written to the store as several suspects explained the crashes, and a run that cleared it half a second later was not written, so that hosts that started took it for a suspect without a run. And rivals were compared by a weight that includes crashes which a blocked suspect explains: the common part had three of these and two of its own, and passed the second bad part, which had two.

A run now replaces the record in the store, of requests as well. Rivals are compared by the crashes that nothing else explains, as they were for requests. Both tests failed before.

--- a/src/hyssopspring/entry/crashsharing.py
+++ b/src/hyssopspring/entry/crashsharing.py
@@ -49,7 +49,8 @@
         timeline: The `Timeline`.
         remote_contacts: Called for the hosts of other regions to notify; empty
             if this host does not place.
-        save: Called with a `Suspect` to write to the store.
+        save: Called with a `Suspect` to write to the store; one without
+            crashes replaces what was written of it.
     """
 
     def __init__(
@@ -134,7 +135,9 @@
         """Record that a request of a caller has succeeded on a server."""
         now = self.clock.seconds()
         if self.crashes.record_success(fingerprint, caller, now):
-            self.announce([self.crashes.suspects[fingerprint]], now)
+            suspect = self.crashes.suspects[fingerprint]
+            self.announce([suspect], now)
+            self.save(suspect)
 
     def record_part_runs(self, keys, server):
         """Record that a server has run parts of a prompt without a crash."""
@@ -154,6 +157,7 @@
             known_to_all = suspect.concerns_all
             if self.crashes.record_success(key, "", now):
                 cleared.append(suspect)
+                self.save(suspect)
                 if known_to_all:
                     self.note_cleared(suspect, server)
         if cleared:
@@ -268,6 +272,8 @@
         for suspect in changed:
             if suspect.blocked:
                 self.note_blocked(suspect)
+            if not suspect.crashes:
+                self.save(suspect)
         in_region = (
             sender is not None and sender.region == self.members.own.region
         )
--- a/src/hyssopspring/entry/crashstore.py
+++ b/src/hyssopspring/entry/crashstore.py
@@ -108,9 +108,12 @@
         """
         now = self.clock.seconds()
         remaining = RETENTION_SECONDS - (now - suspect.last_event_at)
-        if remaining < 1.0 or not suspect.crashes:
+        if remaining < 1.0:
             self.saved.pop(suspect.key, None)
             return True
+        # A record without crashes replaces one that a run has cleared.
+        if not suspect.crashes and suspect.key not in self.saved:
+            return True
         key = store_key(suspect)
         stored = StoredSuspect(
             int(self.wall_clock() * 1000), suspect_row(suspect, now)
@@ -126,7 +129,10 @@
         if not isinstance(result, Applied):
             self.note_unsaved(suspect, result)
             return False
-        self.saved[suspect.key] = suspect
+        if suspect.crashes:
+            self.saved[suspect.key] = suspect
+        else:
+            self.saved.pop(suspect.key, None)
         return True
 
     def note_unsaved(self, suspect, why):
--- a/src/hyssopspring/traffic/crashverdicts.py
+++ b/src/hyssopspring/traffic/crashverdicts.py
@@ -150,7 +150,7 @@
             return Verdict.DEFERRED
         if not self.is_evident(suspect):
             return Verdict.ISOLATED
-        rivals = self.rivals(suspect, weight)
+        rivals = self.rivals(suspect)
         return (
             Verdict.BLOCKED if rivals <= callers.keys() else Verdict.ISOLATED
         )
@@ -169,7 +169,7 @@
             return False
         if not self.is_evident(suspect):
             return False
-        return self.rivals(suspect, weight) <= suspect.parts
+        return self.rivals(suspect) <= suspect.parts
 
     def is_evident(self, suspect):
         """Whether a suspect may be blocked for its crashes.
@@ -183,22 +183,20 @@
 
     def weight(self, suspect):
         """Return how many crashes speak against a suspect."""
-        own = self.unexplained(suspect)
-        if not own:
-            return 0
-        weight = len(own)
-        if len(suspect.crashes) - weight >= CRASHES_TO_ISOLATE:
+        count = len(self.unexplained(suspect))
+        weight = self.weight_of(suspect, count)
+        if weight and len(suspect.crashes) - count >= CRASHES_TO_ISOLATE:
             weight += EXPLAINED_CRASH_WEIGHT
-        if suspect.is_part and suspect.cleared_at is not NOTHING:
-            return self.weight_after_run(suspect, weight)
         return weight
 
-    def weight_after_run(self, suspect, weight):
-        """Return how many crashes speak against a part that has run well."""
+    def weight_of(self, suspect, count):
+        """Return the weight of *count* crashes that nothing else explains."""
+        if not suspect.is_part or suspect.cleared_at is NOTHING:
+            return count
         times = [crash.at for crash in suspect.crashes.values()]
-        if max(times) - min(times) < MIN_SPREAD_AFTER_RUN_SECONDS:
+        if not times or max(times) - min(times) < MIN_SPREAD_AFTER_RUN_SECONDS:
             return 0
-        return max(0, weight - EXTRA_CRASHES_AFTER_RUN)
+        return max(0, count - EXTRA_CRASHES_AFTER_RUN)
 
     def unexplained(self, suspect):
         """Return the crashes of a suspect that no blocked suspect explains."""
@@ -221,20 +219,20 @@
             for one in map(self.suspects.get, self.blocked)
         )
 
-    def rivals(self, suspect, weight):
+    def rivals(self, suspect):
         """Return the keys of the suspects that may equally be the cause.
 
-        These have at least the same weight, and share two or more crashes
-        with the given one. A request that merely ran beside the cause has
-        less from the next crash on, as both run isolated by then.
-
-        Args:
-            suspect: The `Suspect`.
-            weight: Its weight.
+        Their crashes that nothing else explains weigh at least as much, and
+        two or more of them are shared with the given one. Explained crashes
+        do not count here: what is common to all requests has the most. A
+        request that merely ran beside the cause has less from the next crash
+        on, as both run isolated by then.
         """
+        servers = self.unexplained(suspect)
+        weight = self.weight_of(suspect, len(servers))
         shared = Counter(
             one
-            for server in self.unexplained(suspect)
+            for server in servers
             for one in self.by_server[server]
             if one != suspect.key
         )
@@ -242,9 +240,13 @@
             one
             for one, count in shared.items()
             if count >= CRASHES_TO_ISOLATE
-            and self.weight_of_key(one) >= weight
+            and self.own_weight(self.suspects[one]) >= weight
         }
 
+    def own_weight(self, suspect):
+        """Return the weight of the crashes that nothing else explains."""
+        return self.weight_of(suspect, len(self.unexplained(suspect)))
+
     def is_outdated(self, suspect):
         """Whether no server of a release that crashed is listed any more.
 
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -1,5 +1,7 @@
 """Parts of prompts that crash servers: what callers and servers observe."""
 
+import json
+from base64 import b64decode
 from dataclasses import dataclass, field
 
 import pytest
@@ -320,6 +322,36 @@
     assert_that(await load.send("h-alone", ("common",)), Equals(200))
 
 
+@pytest_twisted.ensureDeferred
+async def test_the_store_learns_that_a_part_is_sound(hosts):
+    """A part that has run is not suspected again after all hosts restart.
+
+    It was written as two equal parts explained the crashes.
+    """
+    load = PartLoad(hosts)
+    await load.renew()
+    for number in range(4):
+        parts = ("common", "bad")
+        await load.send(host_of(number), parts, "/review/a")
+        await load.renew()
+    await hosts.until(lambda: len(stored_parts(hosts)) == 2)
+    await task.deferLater(reactor, 0.4)
+    status = await load.send("h-north", ("common",), "/review/a")
+    assert_that(status, Equals(200))
+    await hosts.until(
+        lambda: [bool(row[1]) for row in stored_parts(hosts)].count(True) == 1
+    )
+
+
+def stored_parts(hosts):
+    """Return the rows of parts in the store."""
+    return [
+        json.loads(b64decode(item["value"]))["row"]
+        for key, item in hosts.store.items.items()
+        if key.startswith(PARTS_PREFIX)
+    ]
+
+
 def refusals_of(hosts, identifier):
     """Return the decoded lines on refusals of a request."""
     lines = hosts.decoded("not_run")
--- a/tests/test_crashverdicts.py
+++ b/tests/test_crashverdicts.py
@@ -165,6 +165,23 @@
     assert_that(records.verdict("new", "common"), Equals(Verdict.ALLOWED))
 
 
+def test_a_common_part_is_not_blocked_for_two_bad_ones(records):
+    """Guards against refusing all requests after hosts have started anew.
+
+    Nothing is known of runs any more. The common part was at crashes that the
+    first bad part explains, and is in each prompt with the second.
+    """
+    for name in ("r1", "r2", "r3"):
+        records.crash((name, "common", "bad"))
+    records.crash(("r4", "bad"))
+    assert_that(records.verdict("new", "bad"), Equals(Verdict.BLOCKED))
+    for name in ("r5", "r6"):
+        records.crash((name, "common", "worse"))
+    assert_that(records.verdict("new", "common"), Equals(Verdict.ISOLATED))
+    records.run("common")
+    assert_that(records.verdict("new", "common"), Equals(Verdict.ALLOWED))
+
+
 def test_two_bad_parts_of_one_prompt_are_both_blocked(records):
     """Guards against more than five crashes under the second of two parts."""
     for name in ("r1", "r2", "r3"):
