Track requests from their last byte, and log those a stop ends

Cause: nothing told what a request waited for as its host ended. The line 'stopped' had a number of exchanges; requests in the two queues, relays and responses that were being written were not counted.

Change: the listeners track each request that has been read, until its response is complete or its caller is gone; the parts that hold it record what it waits for. No logic of the stop is changed.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -12,6 +12,7 @@
 
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
+from ..net.inprogress import Wait
 from ..net.sinks import first_value
 from ..traffic.serverhealth import AttemptResult
 from .eventstreams import MAX_EVENT_BYTES, split_events
@@ -166,6 +167,7 @@
         read_head: Called with status and `Headers`; returns the
             `ResponseHead`.
         clock: The runtime's clock.
+        tracked: The `TrackedRequest` of the request, or `NOTHING`.
         on_stream: Called with a `BufferedResponse` without a body when a
             stream starts; returns the function that takes its complete events.
         on_first_data: Called when a complete response, or the first event of a
@@ -188,6 +190,7 @@
         read_head,
         clock,
         *,
+        tracked=NOTHING,
         on_stream,
         on_first_data,
         on_head=lambda head: None,
@@ -199,6 +202,7 @@
         self.outgoing = outgoing
         self.read_head = read_head
         self.clock = clock
+        self.tracked = tracked
         self.on_stream = on_stream
         self.on_first_data = on_first_data
         self.on_head = on_head
@@ -284,6 +288,7 @@
 
     async def carry_out(self):
         """Send the request and receive the response."""
+        self.note_wait(Wait.CONNECTION)
         self.connection = await self.connections.open(
             self.endpoint, reuse=self.outgoing.repeatable
         )
@@ -327,8 +332,14 @@
         )
         self.sent = True
         self.sent_at = self.clock.seconds()
+        self.note_wait(Wait.SERVER)
         return self.connection.request(request)
 
+    def note_wait(self, wait):
+        """Record what the request waits for."""
+        if self.tracked is not NOTHING:
+            self.tracked.waits_for = wait
+
     def check_echoed_id(self, head):
         """Check that the response belongs to this request.
 
--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -3,6 +3,7 @@
 from ..core.events import EventKind
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
+from ..net.inprogress import Wait
 from .admission import Denied, authorize
 from .exchanges import Exchange
 from .holding import HoldingQueue
@@ -87,7 +88,9 @@
         now = self.state.clock.seconds()
         if self.state.keeper.current is not NOTHING:
             self.serve(request, now)
-        elif self.has_key(request) or not self.startup_queue.enqueue(
+            return
+        request.tracked.waits_for = Wait.CONFIGURATION
+        if self.has_key(request) or not self.startup_queue.enqueue(
             request, now
         ):
             self.refuse_starting(request)
@@ -159,6 +162,7 @@
         verification_failing = (
             self.views.verifying_seconds >= MAX_VERIFICATION_SECONDS
         )
+        request.tracked.waits_for = Wait.VERIFICATION
         if verification_failing or not self.unverified_queue.enqueue(
             request, arrived
         ):
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -7,6 +7,7 @@
 from ..core.events import EventKind
 from ..core.outcomes import Answered, NotRun, Reason
 from ..core.sentinels import NOTHING
+from ..net.inprogress import Wait
 from ..net.sinks import AnswerSink
 from ..traffic.decisions import (
     Placed,
@@ -202,6 +203,7 @@
         """
         if not self.stream_version.is_resumed_by_caller:
             return NOTHING
+        self.request.tracked.waits_for = Wait.VERSION
         refusal = await self.stream_version.resolve()
         if refusal is NOTHING:
             self.service = self.stream_version.service
@@ -273,6 +275,7 @@
     async def get_placement(self):
         """Return the number and the decision for the next attempt."""
         if self.next_placement is NOTHING:
+            self.request.tracked.waits_for = Wait.PLACEMENT
             return await self.state.coordinator.place(self.ask())
         placement, self.next_placement = self.next_placement, NOTHING
         return placement
@@ -407,6 +410,7 @@
             self.outgoing(headers),
             self.state.codec.read_head,
             self.state.clock,
+            tracked=self.request.tracked,
             on_stream=self.open_stream,
             on_first_data=lambda: self.record_start(number, began),
             on_head=self.state.notices.head_handler(
@@ -420,6 +424,7 @@
         self.state.coordinator.record_attempt_end(
             number, self.attempt.result, self.gap_meter.gaps()
         )
+        self.request.tracked.waits_for = Wait.CRASH_CHECK
         await self.state.crash_detector.examine(
             self.attempt, self.request.peer_ip, placed.predicted
         )
@@ -477,6 +482,7 @@
                 self.state.codec, status, found
             ),
             self.state.clock,
+            tracked=self.request.tracked,
             on_stream=self.open_stream,
             on_first_data=self.record_relay_start,
             reject=self.reject_version,
@@ -762,6 +768,7 @@
 
     def conclude(self, outcome):
         """Deliver the final outcome."""
+        self.request.tracked.waits_for = Wait.DELIVERY
         if self.sink.finished or self.sink.disconnected:
             self.log_end("gone")
             return
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -14,6 +14,7 @@
 from ..core.events import EventKind, HybridClock, Timeline
 from ..core.exceptions import EXIT_BAD_SETTINGS, SettingsError
 from ..core.tokenlimits import Allowance, TokenLimits
+from ..net.inprogress import InProgress
 from ..platform import headers, layout
 from ..platform.directory import DirectoryHandler
 from ..platform.settings import read_settings
@@ -120,6 +121,7 @@
             listeners=[self.log_writer, self.metrics],
         )
         self.metrics_port = metrics_port
+        self.in_progress = InProgress(reactor)
         self.ports = []
         self.factories = []
         self.loops = []
@@ -381,6 +383,7 @@
         factory = WebFactory(
             handle,
             self.reactor,
+            self.in_progress,
             max_idle_seconds=lambda: idle or self.limits().idle_seconds,
             max_body_bytes=lambda: self.limits().body_bytes,
         )
@@ -428,6 +431,10 @@
         now = self.reactor.seconds()
         return {
             "requests_in_progress": len(self.callers.exchanges),
+            **{
+                f'requests_waiting{{for="{wait}"}}': count
+                for wait, count in self.in_progress.counts().items()
+            },
             "relayed_in_progress": len(self.relay.relayed),
             "questions_left_out_total": self.coordinator.queries_dropped,
             "requests_suspected": self.crashes.count(parts=False),
@@ -532,11 +539,28 @@
             if self.state.stopping_for >= end:
                 break
             idle = accepted == self.accepted_requests and not self.is_busy()
+        self.log_unanswered()
         self.timeline.note(
             EventKind.STOPPED, active=len(self.callers.exchanges)
         )
         self.log_writer.flush()
 
+    def log_unanswered(self):
+        """Log each request without a response as the process ends."""
+        now = self.reactor.seconds()
+        for tracked in self.in_progress.tracked.values():
+            headers = tracked.request.requestHeaders
+            metadata = self.state.codec.read_caller(headers)
+            self.timeline.note(
+                EventKind.ENDED_BY_STOP,
+                request=metadata.id.decode("latin-1"),
+                waits_for=tracked.waits_for,
+                waited_ms=int((now - tracked.began_at) * 1000),
+                stopping_ms=int(self.state.stopping_for * 1000),
+                last_of_region=self.callers.is_last_host(),
+                **self.state.provenance.details(),
+            )
+
     @property
     def accepted_requests(self):
         """Number of requests of callers and other hosts accepted so far."""
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -9,6 +9,7 @@
 from ..core.exceptions import ProtocolError
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
+from ..net.inprogress import Wait
 from ..net.sinks import AnswerSink, first_value
 from ..traffic.decisions import Placed, PlacementQuery
 from ..traffic.pauses import GapMeter, pause_details
@@ -269,6 +270,7 @@
             return
         if self.refuse_if_crashing():
             return
+        self.request.tracked.waits_for = Wait.PLACEMENT
         number, decision = await self.state.coordinator.place(
             self.ask(metadata)
         )
@@ -362,6 +364,7 @@
             ),
             self.state.codec.read_head,
             self.state.clock,
+            tracked=self.request.tracked,
             on_stream=self.open_stream,
             on_first_data=lambda: self.state.coordinator.record_response_start(
                 number, self.state.clock.seconds() - began
@@ -377,6 +380,7 @@
         self.state.coordinator.record_attempt_end(
             number, self.attempt.result, self.gap_meter.gaps()
         )
+        self.request.tracked.waits_for = Wait.CRASH_CHECK
         await self.state.crash_detector.examine(
             self.attempt,
             self.parameters.caller,
@@ -410,6 +414,7 @@
 
     def conclude(self, outcome):
         """End the response according to the outcome."""
+        self.request.tracked.waits_for = Wait.DELIVERY
         self.state.timeline.note(
             EventKind.RELAYED,
             request=self.id,
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -5,6 +5,8 @@
 import msgspec
 from twisted.web import http
 
+from ..core.sentinels import NOTHING
+
 __all__ = ["WebFactory", "WebRequest", "respond_refusal"]
 
 ABORT_AFTER_SECONDS = 2.0
@@ -13,10 +15,16 @@
 
 
 class WebRequest(http.Request):
-    """Request with a bounded body, which is handled once it is complete."""
+    """Request with a bounded body, which is handled once it is complete.
+
+    Attributes:
+        too_long: Whether its body exceeds the maximum.
+        tracked: Its `TrackedRequest`, or `NOTHING` while it is being read.
+    """
 
     _parsePOSTFormSubmission = False
     too_long = False
+    tracked = NOTHING
 
     def gotLength(self, length):
         """Record a body whose announced length exceeds the maximum."""
@@ -39,6 +47,7 @@
     def process(self):
         """Pass the complete request to the handler of the listener."""
         site = self.channel.site
+        self.tracked = site.in_progress.add(self)
         if site.closing:
             self.close_after()
         if self.too_long:
@@ -64,6 +73,7 @@
     Args:
         handle: Called with each `WebRequest`.
         reactor: The reactor.
+        in_progress: The `InProgress` that tracks the requests.
         max_idle_seconds: Returns the maximum number of seconds for which a
             connection may be idle.
         max_body_bytes: Returns the maximum size of a body in bytes.
@@ -71,9 +81,12 @@
 
     noisy = False
 
-    def __init__(self, handle, reactor, *, max_idle_seconds, max_body_bytes):
+    def __init__(
+        self, handle, reactor, in_progress, *, max_idle_seconds, max_body_bytes
+    ):
         super().__init__(reactor=reactor)
         self.handle = handle
+        self.in_progress = in_progress
         self.max_idle_seconds = max_idle_seconds
         self.max_body_bytes = max_body_bytes
         self.closing = False
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -118,7 +118,10 @@
     final = [
         record for record in records if record.event in ("answered", "unknown")
     ]
+    stopped = [record for record in records if record.event == "ended_by_stop"]
     if not final and not refused:
+        if stopped:
+            return "; ".join(describe_stop(one) for one in stopped)
         return "the request has not ended, or its last log line was dropped"
     last = (final or refused)[-1]
     parts = [f"{last.details.get('how', 'refused')} by {last.host}"]
@@ -132,8 +135,8 @@
             f"sent to {record.details['region']}, predicted "
             f"{record.details['predicted']} s"
         )
-    for record in refused:
-        parts.append(describe_refusal(record))
+    parts += [describe_refusal(record) for record in refused]
+    parts += [describe_stop(record) for record in stopped]
     parts += describe_lateness(last.details)
     placed = [record for record in records if record.event == "placed"]
     if placed and len(parts) > 1:
@@ -142,6 +145,16 @@
     return "; ".join(parts + describe_versions(records))
 
 
+def describe_stop(record):
+    """Return a text on a request that its stopping host ended."""
+    details = record.details
+    return (
+        f"ended by the stop of {record.host}, {details['stopping_ms']} ms "
+        f"after its signal, as the request had waited for "
+        f"{details['waits_for']} since {details['waited_ms']} ms"
+    )
+
+
 def describe_stream(records):
     """Return a text on the version that a stream had to go on with.
 
--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -6,6 +6,7 @@
 from io import BytesIO
 
 from twisted.internet import defer, reactor, task
+from twisted.internet.error import ConnectError
 from twisted.web.client import (
     Agent,
     FileBodyProducer,
@@ -106,7 +107,7 @@
         """Start an entry host; *changes* replace settings."""
         ip = f"127.0.0.{20 + number}"
         port = self.first_port
-        store = self.store_address
+        store = changes.pop("store", self.store_address)
         if self.proxied:
             self.proxies[name] = FaultProxy(reactor, "127.0.0.8", store)
             store = self.proxies[name].start()
@@ -223,13 +224,21 @@
 
     def begin(self, host, path, identifier, method, body, headers, agent=None):
         """Send a request; return the deferred head of its answer."""
+        front = self.processes[host].settings.front
+        return self.request(
+            front, path, identifier, method, body, headers, agent
+        )
+
+    def request(
+        self, front, path, identifier, method, body, headers, agent=None
+    ):
+        """Send a request to an address; return the deferred head."""
         sent = {
             b"host": [b"a.example"],
             b"x-request-attempt-id": [identifier.encode()],
         }
         for name, value in headers.items():
             sent[name.replace("_", "-").encode()] = [value.encode()]
-        front = self.processes[host].settings.front
         return (agent or self.agent).request(
             method,
             f"http://{front}{path}".encode(),
@@ -316,6 +325,31 @@
     }
 
 
+def cut_off_stores(hosts):
+    """Disconnect all hosts from the store."""
+    for proxy in hosts.proxies.values():
+        proxy.silence()
+        proxy.cut = True
+
+
+NO_RESPONSE = 0
+NOT_CONNECTED = -1
+"""What `status_of` returns without a response."""
+
+
+async def status_of(hosts, process, path, *, method=b"GET", **headers):
+    """Send a request to a process; return the status or what came instead."""
+    front = process.settings.front
+    try:
+        response = await hosts.request(front, path, "r1", method, b"", headers)
+        await read_body(response)
+    except ConnectError:
+        return NOT_CONNECTED
+    except BROKEN:
+        return NO_RESPONSE
+    return response.code
+
+
 BROKEN = (ResponseFailed, NoAnswerError)
 """What a caller sees of an answer that was cut."""
 
--- a/tests/test_denials.py
+++ b/tests/test_denials.py
@@ -3,7 +3,12 @@
 import time
 
 import pytest_twisted
-from entry_hosts import WORKSPACES, configuration, keyed_configuration
+from entry_hosts import (
+    WORKSPACES,
+    configuration,
+    cut_off_stores,
+    keyed_configuration,
+)
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 from twisted.internet import defer, reactor, task
@@ -16,13 +21,6 @@
 """A configuration with a route that the first one lacks."""
 
 
-def cut_off_store(hosts):
-    """Disconnect all hosts from the store."""
-    for proxy in hosts.proxies.values():
-        proxy.silence()
-        proxy.cut = True
-
-
 def pause(seconds):
     """Return a deferred that fires after *seconds*."""
     return task.deferLater(reactor, seconds)
@@ -50,7 +48,7 @@
     caller to retry at another host.
     """
     await pause(2.0)
-    cut_off_store(proxied_hosts)
+    cut_off_stores(proxied_hosts)
     proxied_hosts.store.put_json("op/config", CONFIGURATION_WITH_NEW_ROUTE)
     await pause(APPLY_SECONDS)
     asked_at = reactor.seconds()
@@ -66,7 +64,7 @@
 async def test_callers_wait_once_for_an_unverifiable_route(proxied_hosts):
     """Guards against a delay of a second for each caller in an outage."""
     await pause(2.0)
-    cut_off_store(proxied_hosts)
+    cut_off_stores(proxied_hosts)
     await pause(APPLY_SECONDS)
     waits = []
     for number in range(3):
@@ -86,7 +84,7 @@
     By its own clock, the store answered a moment ago.
     """
     await pause(2.0)
-    cut_off_store(proxied_hosts)
+    cut_off_stores(proxied_hosts)
     proxied_hosts.store.put_json("op/config", CONFIGURATION_WITH_NEW_ROUTE)
     for process in proxied_hosts.processes.values():
         process.state.view.clock = lambda: time.monotonic() + 30.0
@@ -110,7 +108,7 @@
     await proxied_hosts.until(
         lambda: second.keeper.version == 4 and second.state.view.is_fresh
     )
-    cut_off_store(proxied_hosts)
+    cut_off_stores(proxied_hosts)
     added = [{**WORKSPACES[0], "api_keys": ["new-key"]}]
     changed = keyed_configuration(5, added)
     proxied_hosts.store.put_json("op/config", changed)
@@ -151,7 +149,7 @@
     proxied_hosts.add_host("h-north-2", "north", 5)
     await proxied_hosts.settled()
     await pause(2.0)
-    cut_off_store(proxied_hosts)
+    cut_off_stores(proxied_hosts)
     await pause(APPLY_SECONDS)
     process = proxied_hosts.processes.pop("h-north")
     front = process.settings.front
