--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,7 +1,7 @@
 """Requests at a host that is told to stop."""
 
 import pytest_twisted
-from entry_hosts import USAGE, status_of
+from entry_hosts import NOT_CONNECTED, USAGE, cut_off_stores, status_of
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 from twisted.internet import defer, reactor, task
@@ -28,6 +28,50 @@
     return process, stopped
 
 
+@pytest_twisted.ensureDeferred
+async def test_an_unverified_route_is_refused_before_its_host_ends(
+    proxied_hosts,
+):
+    """Guards against a request that waits for verification past the end."""
+    await pause(2.0)
+    cut_off_stores(proxied_hosts)
+    await pause(APPLY_SECONDS)
+    process, stopped = begin_stop(proxied_hosts, "h-north")
+    await pause(LATE_SECONDS)
+    status = await status_of(proxied_hosts, process, "/nowhere/a")
+    assert_that(status, Equals(503))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_host_without_a_configuration_answers_until_it_ends(
+    proxied_hosts,
+):
+    """Guards against a request that waits for a configuration past the end."""
+    proxied_hosts.add_host("h-north-2", "north", 5, store="127.0.0.9:1")
+    process, stopped = begin_stop(proxied_hosts, "h-north-2")
+    statuses = []
+    while not stopped.called:
+        status = await status_of(proxied_hosts, process, "/lookup/a")
+        statuses.append(status)
+    assert set(statuses) <= {503, NOT_CONNECTED}, statuses
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_at_a_silent_server_is_answered_before_its_host_ends(
+    hosts,
+):
+    """Guards against a running request that is cut off without a response."""
+    hosts.backends["engine-north"].mood = "silent"
+    process, stopped = begin_stop(hosts, "h-north")
+    asked = defer.ensureDeferred(
+        status_of(hosts, process, "/review/a", method=b"POST", **USAGE)
+    )
+    await stopped
+    status = await asked
+    assert_that([502, 504], Contains(status))
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_line_names_what_a_request_waited_for_as_its_host_ended(hosts):
     """Guards against a request that ends with its host without a trace."""
