End every request with a true response before its host ends

What callers saw: a request that came 7 s after SIGTERM had its connection closed 0.45 s later without a response.

Cause: the time of a stop bounded how long the process waited, not how long a request waits in it. After 'end' the process stopped waiting, whatever was left: requests held for a configuration (up to 0.6 s) or for verification (up to 1 s), running at a server, relayed. New ones for an unknown route were held until the last moment, as only known routes were checked against the time that is left. Class: a deadline of the whole that is not passed on to its parts.

Change: the list of requests in progress also knows how to end each. As the time is over the process refuses new requests and ends all on the list: not run if no server was sent it, unknown otherwise, a stream that has begun is broken off; a response that is there is delivered. The time left of an exchange, and of a relayed request, is bounded by the end of the host, so that no placement or attempt is allowed more. What a stopping host accepts is decided in one place for callers, queues and relays; a relay that is refused as its host stops is sent to another host of that region. A host without a configuration does not stay up as the last one of its region. At a deadline, a request that waits between two attempts is answered at once as well.

--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -7,6 +7,7 @@
 from .admission import Denied, authorize
 from .exchanges import Exchange
 from .holding import HoldingQueue
+from .stopping import STOPPING_RETRY_SECONDS
 from .web import respond_refusal
 
 __all__ = ["CallerApi"]
@@ -19,22 +20,6 @@
 """Retry-After of a host that cannot read the configuration from the store.
 After a shorter time, most callers would be refused a second time."""
 
-STOPPING_RETRY_SECONDS = 0.05
-"""Retry-After of a host that is stopping. Another host can serve the request
-at once."""
-
-DRAIN_ACCEPT_SECONDS = 1.3
-"""Seconds for which a stopping host accepts all requests: the time for which
-callers cache a directory response, plus one heartbeat interval."""
-
-LAST_HOST_STREAM_SECONDS = 2.8
-"""Seconds for which the last host of a region still accepts streams while it
-is stopping. A stream that starts later may not end in time."""
-
-STOP_MARGIN_SECONDS = 0.8
-"""The process ends this many seconds before the time allowed for stopping is
-over, which leaves time for its own shutdown and for a late timer."""
-
 MAX_STARTUP_WAIT_SECONDS = 0.6
 """Maximum number of seconds for which a request waits for the first
 configuration. A host far from the store reads it within 0.4 s of its start.
@@ -89,6 +74,9 @@
         if self.state.keeper.current is not NOTHING:
             self.serve(request, now)
             return
+        if not self.accepts(MAX_STARTUP_WAIT_SECONDS):
+            self.refuse_stopping(request)
+            return
         request.tracked.waits_for = Wait.CONFIGURATION
         if self.has_key(request) or not self.startup_queue.enqueue(
             request, now
@@ -114,10 +102,8 @@
             if self.is_verified(request, arrived):
                 self.refuse_unknown(request)
             return
-        if self.stops_too_soon(route):
-            self.refuse(
-                request, "this host is stopping", STOPPING_RETRY_SECONDS
-            )
+        if not self.accepts(route.timeout, stream=route.stream):
+            self.refuse_stopping(request)
             return
         metadata = self.state.codec.read_caller(request.requestHeaders)
         permissions = authorize(
@@ -154,11 +140,15 @@
         """Return whether an unknown route or key is known not to exist.
 
         If that is not certain, the request is queued until it is. It is
-        refused at once if the queue is full, or if verification has been
-        failing for as long as a request may wait.
+        refused at once if the queue is full, if verification has been
+        failing for as long as a request may wait, or if this host stops
+        sooner.
         """
         if self.state.view.can_deny:
             return True
+        if not self.accepts(MAX_VERIFICATION_SECONDS):
+            self.refuse_stopping(request)
+            return False
         verification_failing = (
             self.views.verifying_seconds >= MAX_VERIFICATION_SECONDS
         )
@@ -188,36 +178,33 @@
         reason = str(denied.reason)
         respond_refusal(request, denied.status, reason, headers)
 
-    def stops_too_soon(self, route):
-        """Return whether this host stops before the request could finish."""
-        seconds = self.state.stopping_for
-        if seconds <= DRAIN_ACCEPT_SECONDS:
-            return False
-        if not self.must_stay_up():
-            return True
-        if route.stream:
-            return (
-                seconds > LAST_HOST_STREAM_SECONDS or not self.is_last_host()
-            )
-        end = self.state.settings.stop_seconds - STOP_MARGIN_SECONDS
-        return seconds + route.timeout > end
+    def accepts(self, timeout, *, stream=False):
+        """Return whether a request may be accepted, as this host may stop.
 
-    def must_stay_up(self):
-        """Return whether this host has to stay up for more than new requests.
+        Args:
+            timeout: Seconds that the request may take.
+            stream: Whether its response is a stream.
+        """
+        return self.state.stopping.accepts(
+            timeout, stream=stream, busy=self.has_streams()
+        )
+
+    def has_streams(self):
+        """Return whether streams are in progress.
 
-        While it waits for a stream to end, it may serve short requests as
-        well. Without a stream, serving them would only delay the host that
-        replaces it.
+        While a stopping host waits for a stream to end, it may serve short
+        requests as well. Without a stream, serving them would only delay the
+        host that replaces it.
         """
-        streams = any(one.route.stream for one in self.exchanges)
-        return streams or self.is_last_host()
+        return any(one.route.stream for one in self.exchanges)
 
-    def is_last_host(self):
-        """Return whether no other host of the region accepts requests."""
-        now = self.state.clock.seconds()
-        region = self.state.settings.region
-        live = self.state.members.live(now, region=region)
-        return not any(member.version for member in live)
+    def must_stay_up(self):
+        """Return whether a stopping host has to stay up for callers."""
+        return self.has_streams() or self.state.stopping.is_last_host()
+
+    def refuse_stopping(self, request):
+        """Refuse a request because this host stops."""
+        self.refuse(request, "this host is stopping", STOPPING_RETRY_SECONDS)
 
     def refuse(self, request, text, retry_after):
         """Respond that the request was not run."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from ..core.events import EventKind
-from ..core.outcomes import Answered, NotRun, Reason
+from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..net.inprogress import Wait
 from ..net.sinks import AnswerSink
@@ -30,6 +30,7 @@
     read_relay_head,
 )
 from .serverstarts import start_confirmation
+from .stopping import STOPPING_RETRY_SECONDS
 from .streamversion import StreamVersion
 from .web import respond_refusal
 
@@ -62,6 +63,7 @@
 
 FINAL_REASONS = (
     Reason.DEADLINE,
+    Reason.LEAVING,
     Reason.CALLER_GONE,
     Reason.RESPONSE_TOO_LARGE,
 )
@@ -111,6 +113,7 @@
         self.stream_server = ""
         self.sent_attempts = 0
         self.executions = 0
+        self.outcome = NOTHING
         self.tries = 0
         self.may_leave = True
         self.avoided = []
@@ -140,6 +143,7 @@
         """Start processing; it ends with the response."""
         disconnected = self.request.notifyFinish()
         disconnected.addErrback(self.handle_disconnect)
+        self.request.tracked.end = self.end_with_host
         work = defer.ensureDeferred(self.run())
         work.addErrback(self.handle_error)
 
@@ -176,8 +180,9 @@
 
     @property
     def time_left(self):
-        """Seconds until the request reaches its deadline."""
-        return self.deadline_at - self.state.clock.seconds()
+        """Seconds until the request reaches its deadline or its host ends."""
+        ends_at = min(self.deadline_at, self.state.stopping.ends_at)
+        return ends_at - self.state.clock.seconds()
 
     async def run(self):
         """Make attempts until there is a final outcome, and deliver it."""
@@ -226,7 +231,8 @@
         if refusal is not NOTHING:
             return refusal
         number, decision = await self.get_placement()
-        if self.sink.disconnected or self.time_left < MIN_ATTEMPT_SECONDS:
+        over = self.closed or self.sink.disconnected
+        if over or self.time_left < MIN_ATTEMPT_SECONDS:
             self.state.coordinator.record_attempt_end(
                 number, AttemptResult.UNUSED
             )
@@ -494,7 +500,7 @@
         server_id = self.relayed_server()
         if server_id:
             self.excluded.append(server_id)
-        if isinstance(outcome, NotRun):
+        if isinstance(outcome, NotRun) and outcome.reason != Reason.LEAVING:
             self.avoid_region(away.region)
         if self.attempt.result is AttemptResult.UNREACHED:
             self.state.connections.close_idle(member.name)
@@ -591,7 +597,8 @@
         self.attempt_began = self.state.clock.seconds()
         self.last_data = self.attempt_began
         self.gap_meter = GapMeter()
-        outcome = await self.attempt.run()
+        self.outcome = NOTHING
+        outcome = self.outcome = await self.attempt.run()
         if self.attempt.sent:
             self.sent_attempts += 1
         if not isinstance(outcome, NotRun):
@@ -699,7 +706,7 @@
         if self.closed:
             return
         if now >= self.deadline_at:
-            self.expire()
+            self.end(Reason.DEADLINE)
             return
         if self.attempt is NOTHING or self.attempt.abandon_reason:
             return
@@ -754,20 +761,35 @@
             return STREAM_SILENCE_SECONDS
         return silence_limit(self.predicted)
 
-    def expire(self):
-        """End the request when its deadline or route timeout is over."""
-        attempt = self.attempt
-        if attempt is not NOTHING and (attempt.sent or attempt.in_progress):
-            attempt.abandon(Reason.DEADLINE)
+    def end_with_host(self):
+        """End the request as its host ends."""
+        self.end(Reason.LEAVING, STOPPING_RETRY_SECONDS)
+
+    def end(self, reason, retry_after=CONNECT_RETRY_SECONDS):
+        """End the request at once, whatever it waits for.
+
+        Args:
+            reason: The `Reason`.
+            retry_after: Seconds after which to retry if it was not run.
+        """
+        sent = False
+        if self.attempt is not NOTHING and self.attempt.in_progress:
+            sent = self.attempt.sent
+            self.attempt.abandon(reason)
+        if self.closed or self.sink.finished or self.sink.disconnected:
             return
-        if not self.sink.started and not self.sink.finished:
-            self.respond_failure(
-                NotRun(Reason.DEADLINE, CONNECT_RETRY_SECONDS)
-            )
-            self.close()
+        if isinstance(self.outcome, Answered):
+            self.conclude(self.outcome)
+        elif sent or self.executions:
+            self.conclude(Unknown(reason))
+        else:
+            self.conclude(NotRun(reason, retry_after))
+        self.close()
 
     def conclude(self, outcome):
-        """Deliver the final outcome."""
+        """Deliver the final outcome, unless the request has ended."""
+        if self.closed:
+            return
         self.request.tracked.waits_for = Wait.DELIVERY
         if self.sink.finished or self.sink.disconnected:
             self.log_end("gone")
--- a/src/hyssopspring/entry/holding.py
+++ b/src/hyssopspring/entry/holding.py
@@ -18,17 +18,17 @@
         request: The `WebRequest`.
         arrived: Time of its arrival.
         queued_at: Time at which it was queued.
-        disconnected: Whether its caller has disconnected.
+        done: Whether it has its response, or its caller has disconnected.
     """
 
     request: object
     arrived: float
     queued_at: float
-    disconnected: bool = False
+    done: bool = False
 
-    def mark_disconnected(self, reason):
-        """Record that the caller has disconnected."""
-        self.disconnected = True
+    def mark_done(self, reason):
+        """Record that the request needs no response any more."""
+        self.done = True
 
 
 class HoldingQueue:
@@ -59,7 +59,7 @@
         if len(self.waiting) >= MAX_QUEUED_REQUESTS:
             return False
         queued = QueuedRequest(request, arrived, self.clock.seconds())
-        request.notifyFinish().addErrback(queued.mark_disconnected)
+        request.notifyFinish().addBoth(queued.mark_done)
         self.waiting.append(queued)
         return True
 
@@ -67,7 +67,7 @@
         """Serve all requests that wait."""
         waiting, self.waiting = self.waiting, deque()
         for queued in waiting:
-            if not queued.disconnected:
+            if not queued.done:
                 self.serve(queued.request, queued.arrived)
 
     def refuse_expired(self, now):
@@ -76,5 +76,5 @@
             self.waiting and now - self.waiting[0].queued_at >= self.max_wait
         ):
             queued = self.waiting.popleft()
-            if not queued.disconnected:
+            if not queued.done:
                 self.refuse(queued.request)
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -29,7 +29,7 @@
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
 from ..traffic.serverlimits import ServerLimits
 from ..traffic.servers import Registry
-from .callers import DRAIN_ACCEPT_SECONDS, STOP_MARGIN_SECONDS, CallerApi
+from .callers import CallerApi
 from .connections import Connections
 from .coordinator import PlacementCoordinator
 from .crashdetection import CrashDetector
@@ -53,6 +53,7 @@
 from .relaying import RelayApi
 from .remotehosts import RemoteHosts
 from .state import EntryState
+from .stopping import Stopping
 from .storesync import StoreSync
 from .streamorigins import StreamOrigins
 from .views import ConfirmedView, ViewVerifier
@@ -72,10 +73,9 @@
 """Idle timeout of connections from other hosts. The other side stops using an
 idle connection much sooner."""
 
-SOCKET_FLUSH_SECONDS = 0.25
-"""Delay between the end of the last request and the end of the process. The
-end of a response is still in the buffer of its connection then; a process that
-exited at once would truncate a complete response."""
+IDLE_SECONDS = 0.25
+"""Seconds for which a stopping host has to be idle before it ends, and for
+which it delivers responses if its time is over already."""
 
 LISTEN_BACKLOG = 512
 
@@ -121,7 +121,9 @@
             listeners=[self.log_writer, self.metrics],
         )
         self.metrics_port = metrics_port
-        self.in_progress = InProgress(reactor)
+        self.in_progress = InProgress(
+            reactor, lambda request: self.callers.refuse_stopping(request)
+        )
         self.ports = []
         self.factories = []
         self.loops = []
@@ -255,6 +257,12 @@
                 ),
             ),
             codec=headers,
+            stopping=Stopping(
+                self.reactor,
+                settings.stop_seconds,
+                self.members,
+                self.keeper,
+            ),
         )
 
     def build_services(self):
@@ -519,7 +527,7 @@
         """
         if self.members.own.leaving:
             return
-        self.state.stopping_since = self.reactor.seconds()
+        self.state.stopping.begin()
         self.members.own.leaving = True
         self.timeline.note(
             EventKind.STOPPING, active=len(self.callers.exchanges)
@@ -529,59 +537,70 @@
         self.store_sync.spawn(self.store_sync.leave())
         for factory in self.factories:
             factory.closing = True
-        await self.sleep(DRAIN_ACCEPT_SECONDS)
-        end = self.settings.stop_seconds - STOP_MARGIN_SECONDS
-        idle = False
-        while not idle:
-            await self.wait_until_idle(end)
+        await self.sleep(self.state.stopping.drain_seconds)
+        await self.wait_until_idle()
+        await self.end_requests()
+
+    async def wait_until_idle(self):
+        """Wait until the host has been idle for a while, or its time is over.
+
+        Another host may stop meanwhile, so that this one has to serve again.
+        """
+        stopping = self.state.stopping
+        while stopping.has_time(0.0):
+            if self.is_busy():
+                self.factories[0].close_idle()
+                await self.sleep(CHECK_INTERVAL_SECONDS)
+                continue
             accepted = self.accepted_requests
-            await self.sleep(SOCKET_FLUSH_SECONDS)
-            if self.state.stopping_for >= end:
-                break
-            idle = accepted == self.accepted_requests and not self.is_busy()
-        self.log_unanswered()
+            await self.sleep(IDLE_SECONDS)
+            if accepted == self.accepted_requests and not self.is_busy():
+                return
+
+    async def end_requests(self):
+        """End what is still in progress, and deliver the responses."""
+        stopping = self.state.stopping
+        stopping.refusing = True
+        active = len(self.in_progress)
+        self.end_all()
+        await self.sleep(IDLE_SECONDS)
         self.timeline.note(
-            EventKind.STOPPED, active=len(self.callers.exchanges)
+            EventKind.STOPPED,
+            active=active,
+            unanswered=len(self.in_progress),
         )
         self.log_writer.flush()
 
-    def log_unanswered(self):
-        """Log each request without a response as the process ends."""
-        now = self.reactor.seconds()
-        for tracked in self.in_progress.tracked.values():
-            headers = tracked.request.requestHeaders
-            metadata = self.state.codec.read_caller(headers)
-            self.timeline.note(
-                EventKind.ENDED_BY_STOP,
-                request=metadata.id.decode("latin-1"),
-                waits_for=tracked.waits_for,
-                waited_ms=int((now - tracked.began_at) * 1000),
-                stopping_ms=int(self.state.stopping_for * 1000),
-                last_of_region=self.callers.is_last_host(),
-                **self.state.provenance.details(),
-            )
+    def end_all(self):
+        """End and log each request in progress."""
+        for tracked in self.in_progress.tracked_requests():
+            self.log_ended_by_stop(tracked)
+            self.run_guarded(tracked.end)
+
+    def log_ended_by_stop(self, tracked):
+        """Log a request without a complete response as the process ends."""
+        headers = tracked.request.requestHeaders
+        metadata = self.state.codec.read_caller(headers)
+        stopping = self.state.stopping
+        waited = self.reactor.seconds() - tracked.began_at
+        self.timeline.note(
+            EventKind.ENDED_BY_STOP,
+            request=metadata.id.decode("latin-1"),
+            waits_for=tracked.waits_for,
+            waited_ms=int(waited * 1000),
+            stopping_ms=int(stopping.seconds * 1000),
+            last_of_region=stopping.is_last_host(),
+            **self.state.provenance.details(),
+        )
 
     @property
     def accepted_requests(self):
         """Number of requests of callers and other hosts accepted so far."""
         return self.callers.accepted + self.relay.accepted
 
-    async def wait_until_idle(self, end):
-        """Wait until the host is not busy, or has been stopping for *end*."""
-        while self.state.stopping_for < end and self.is_busy():
-            self.factories[0].close_idle()
-            await self.sleep(CHECK_INTERVAL_SECONDS)
-
     def is_busy(self):
         """Return whether requests are in progress or no host can take over."""
-        if self.callers.exchanges or self.relay.relayed:
-            return True
-        if (
-            self.callers.startup_queue.waiting
-            or self.callers.unverified_queue.waiting
-        ):
-            return True
-        return self.callers.must_stay_up()
+        return len(self.in_progress) > 0 or self.callers.must_stay_up()
 
     async def close(self):
         """Close all sockets and end all periodic work."""
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -20,6 +20,7 @@
 from .crashchecks import SUSPECTED_RETRY_SECONDS, CrashCheck
 from .notices import notice_details
 from .serverstarts import start_confirmation
+from .stopping import STOPPING_RETRY_SECONDS
 from .web import respond_refusal
 
 __all__ = ["RELAY_HEADER", "RelayApi", "RelayParameters", "encode_parameters"]
@@ -167,7 +168,21 @@
         except ProtocolError as problem:
             respond_refusal(request, 400, str(problem))
             return
-        Relay(self, request, parameters).start()
+        relay = Relay(self, request, parameters)
+        if self.accepts(parameters):
+            relay.start()
+        else:
+            relay.refuse_stopping()
+
+    def accepts(self, parameters):
+        """Return whether a request may be accepted, as this host may stop.
+
+        Args:
+            parameters: Its `RelayParameters`.
+        """
+        return self.state.stopping.accepts(
+            parameters.time_left, stream=parameters.stream, busy=False
+        )
 
     def handle_page(self, request):
         """Respond with this host's snapshot of the store."""
@@ -227,7 +242,7 @@
         self.arrived = self.state.clock.seconds()
         self.server_id = ""
         self.version = ""
-        self.id = ""
+        self.id = self.metadata.id.decode("latin-1")
         self.began = self.arrived
         self.predicted = 0.0
         self.gap_meter = GapMeter()
@@ -236,6 +251,7 @@
         """Start processing; it ends with the response."""
         disconnected = self.request.notifyFinish()
         disconnected.addErrback(self.handle_disconnect)
+        self.request.tracked.end = self.end_with_host
         self.api.relayed.add(self)
         self.api.accepted += 1
         work = defer.ensureDeferred(self.run())
@@ -263,7 +279,6 @@
     async def run(self):
         """Place the request, make one attempt and forward its response."""
         metadata = self.metadata
-        self.id = metadata.id.decode("latin-1")
         denial_reason = self.api.denial_reason(self.parameters)
         if denial_reason is not NOTHING:
             self.refuse(NotRun(denial_reason, DENIED_RETRY_SECONDS))
@@ -274,6 +289,11 @@
         number, decision = await self.state.coordinator.place(
             self.ask(metadata)
         )
+        if self.sink.finished:
+            self.state.coordinator.record_attempt_end(
+                number, AttemptResult.UNUSED
+            )
+            return
         if not isinstance(decision, Placed):
             outcome = NotRun(Reason.OVERLOADED, decision.retry_after)
             details = notice_details(decision)
@@ -341,7 +361,8 @@
         self.version = self.state.coordinator.version_of(placed)
         self.predicted = placed.predicted
         began = self.began = self.state.clock.seconds()
-        left = self.parameters.time_left - (began - self.arrived)
+        left = self.arrived + self.parameters.time_left - began
+        left = min(left, self.state.stopping.ends_at - began)
         headers = self.state.codec.server_headers(
             self.request.requestHeaders,
             time_left=left,
@@ -412,8 +433,25 @@
             (VERSION, self.version.encode()),
         ]
 
+    def end_with_host(self):
+        """End the request at once as this host ends."""
+        if self.attempt is not NOTHING and self.attempt.in_progress:
+            self.attempt.abandon(Reason.LEAVING)
+        if self.sink.finished or self.sink.disconnected:
+            return
+        if self.attempt is not NOTHING and self.attempt.sent:
+            self.conclude(Unknown(Reason.LEAVING))
+        else:
+            self.refuse_stopping()
+
+    def refuse_stopping(self):
+        """Refuse the request because this host stops."""
+        self.refuse(NotRun(Reason.LEAVING, STOPPING_RETRY_SECONDS))
+
     def conclude(self, outcome):
-        """End the response according to the outcome."""
+        """End the response according to the outcome, unless it has ended."""
+        if self.sink.finished:
+            return
         self.request.tracked.waits_for = Wait.DELIVERY
         self.state.timeline.note(
             EventKind.RELAYED,
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-from ..core.sentinels import NOTHING
-
 __all__ = ["EntryState"]
 
 
@@ -31,7 +29,7 @@
         notices: The `ServerNotices` that servers send in their responses.
         stream_origins: The `StreamOrigins`.
         codec: Reads and writes the headers of callers and servers.
-        stopping_since: Time of the stop signal, or `NOTHING`.
+        stopping: The `Stopping` of this process.
     """
 
     settings: object
@@ -53,11 +51,4 @@
     notices: object
     stream_origins: object
     codec: object
-    stopping_since: object = NOTHING
-
-    @property
-    def stopping_for(self):
-        """Seconds since the stop signal, or 0."""
-        if self.stopping_since is NOTHING:
-            return 0.0
-        return self.clock.seconds() - self.stopping_since
+    stopping: object
--- a/src/hyssopspring/net/inprogress.py
+++ b/src/hyssopspring/net/inprogress.py
@@ -31,11 +31,14 @@
     Attributes:
         request: The `twisted.web` request.
         began_at: Time at which it was read completely.
+        end: Called without arguments to respond at once, whatever the request
+            waits for.
         waits_for: The `Wait` it is in.
     """
 
     request: object
     began_at: float
+    end: object
     waits_for: Wait = Wait.START
 
 
@@ -47,10 +50,13 @@
 
     Args:
         clock: The runtime's clock.
+        refuse: Called with a request to respond that it was not run, unless
+            the part that holds the request has set how to end it.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, refuse):
         self.clock = clock
+        self.refuse = refuse
         self.tracked = {}
 
     def __len__(self):
@@ -58,13 +64,19 @@
 
     def add(self, request):
         """Track *request*; return its `TrackedRequest`."""
-        tracked = TrackedRequest(request, self.clock.seconds())
+        tracked = TrackedRequest(
+            request, self.clock.seconds(), lambda: self.refuse(request)
+        )
         self.tracked[request] = tracked
         request.notifyFinish().addBoth(
             lambda _: self.tracked.pop(request, None)
         )
         return tracked
 
+    def tracked_requests(self):
+        """Return the `TrackedRequest` of each request in progress."""
+        return list(self.tracked.values())
+
     def counts(self):
         """Return the number of requests by `Wait`, for each of them."""
         counts = Counter(one.waits_for for one in self.tracked.values())
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,13 +11,13 @@
 from twisted.internet import defer, protocol, reactor, task
 from twisted.web.http_headers import Headers
 
-from hyssopspring.entry.callers import DRAIN_ACCEPT_SECONDS
 from hyssopspring.entry.messages import StoreChange, StoredItem
 from hyssopspring.entry.relaying import (
     RELAY_HEADER,
     RelayParameters,
     encode_parameters,
 )
+from hyssopspring.entry.stopping import DRAIN_ACCEPT_SECONDS
 
 USAGE = {"x_token_usage": "100,20", "x_prompt_prefix": "ab:60,cd:40"}
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(4))
@@ -355,7 +355,7 @@
     await task.deferLater(reactor, DRAIN_ACCEPT_SECONDS + 0.05)
     hosts.processes["h-north-2"].members.own.leaving = True
     hosts.processes["h-north-2"].membership.send_heartbeats()
-    await hosts.until(north.callers.is_last_host)
+    await hosts.until(north.state.stopping.is_last_host)
     assert not stopped.called
     answer = defer.ensureDeferred(
         hosts.send(
