Close connections of a stopping host without losing what they carry

What callers saw: of a response of 3 MB the last part is missing if they read on a second later; a request that arrives while the host is suspended, the first one of a new connection, or one behind another has its connection closed without a response; a request whose head or body is still arriving too, so that its caller cannot tell whether it may repeat it.

Cause: connections were no part of what a stop asks. The process ended a quarter of a second after the last request, whatever was still to be sent. Idle connections were closed in a timer, which may run before the sockets are read, and closing one that then reads a request drops it. The response to a request behind which another was read already announced the close. Class: the state of a connection judged by its last handled request.

Change: net/channels.py, shared by all listeners. A connection is closed only if nothing is unread in it, and not in its first quarter second without a request. While the process stops, the sending side is closed after the response, and the other side once the caller has closed its own, so that no reset discards what the caller has not read. The ports are closed after the connections that wait were accepted and what has arrived was read; requests that are not complete are refused. Responses that begin after the signal announce the close, also for requests read before it.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -19,7 +19,7 @@
 
     STARTED = (100, "process started")
     STOPPING = (101, "planned shutdown began")
-    STOPPED = (102, "planned shutdown completed, no request was aborted")
+    STOPPED = (102, "planned shutdown completed")
     LOOP_STALL = (103, "event loop was blocked")
     RELOADED = (107, "settings file changed")
     UNEXPECTED = (106, "unexpected error, a defect in hyssopspring")
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -13,7 +13,9 @@
 from ..core.addresses import split_address
 from ..core.events import EventKind, HybridClock, Timeline
 from ..core.exceptions import EXIT_BAD_SETTINGS, SettingsError
+from ..core.sentinels import NOTHING
 from ..core.tokenlimits import Allowance, TokenLimits
+from ..net.channels import Listeners
 from ..net.inprogress import InProgress
 from ..platform import headers, layout
 from ..platform.directory import DirectoryHandler
@@ -124,8 +126,8 @@
         self.in_progress = InProgress(
             reactor, lambda request: self.callers.refuse_stopping(request)
         )
-        self.ports = []
-        self.factories = []
+        self.listeners = Listeners(reactor)
+        self.udp_port = NOTHING
         self.loops = []
         self.build_state(boot_clock, wall)
         self.build_services()
@@ -362,13 +364,11 @@
             address = f"{settings.address}:{self.metrics_port}"
             self.listen(address, self.metrics.handle)
         ip, port = split_address(own.control)
-        self.ports.append(
-            self.reactor.listenUDP(
-                port,
-                self.datagrams,
-                interface=ip,
-                maxPacketSize=MAX_DATAGRAM_BYTES,
-            )
+        self.udp_port = self.reactor.listenUDP(
+            port,
+            self.datagrams,
+            interface=ip,
+            maxPacketSize=MAX_DATAGRAM_BYTES,
         )
         self.store_sync.start()
         self.repeat(HEARTBEAT_INTERVAL_SECONDS, self.on_heartbeat_interval)
@@ -396,12 +396,10 @@
             max_body_bytes=lambda: self.limits().body_bytes,
         )
         ip, port = split_address(address)
-        self.factories.append(factory)
-        self.ports.append(
-            self.reactor.listenTCP(
-                port, factory, backlog=LISTEN_BACKLOG, interface=ip
-            )
+        listening = self.reactor.listenTCP(
+            port, factory, backlog=LISTEN_BACKLOG, interface=ip
         )
+        self.listeners.add(listening, factory)
 
     def repeat(self, interval, work):
         """Call *work* now and then every *interval* seconds."""
@@ -535,8 +533,7 @@
         self.membership.send_heartbeats()
         self.state.stream_origins.hand_over()
         self.store_sync.spawn(self.store_sync.leave())
-        for factory in self.factories:
-            factory.closing = True
+        self.listeners.announce()
         await self.sleep(self.state.stopping.drain_seconds)
         await self.wait_until_idle()
         await self.end_requests()
@@ -549,7 +546,7 @@
         stopping = self.state.stopping
         while stopping.has_time(0.0):
             if self.is_busy():
-                self.factories[0].close_idle()
+                self.listeners.close_idle()
                 await self.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             accepted = self.accepted_requests
@@ -563,11 +560,13 @@
         stopping.refusing = True
         active = len(self.in_progress)
         self.end_all()
-        await self.sleep(IDLE_SECONDS)
+        now = self.reactor.seconds()
+        await self.listeners.close(max(stopping.exits_at, now + IDLE_SECONDS))
         self.timeline.note(
             EventKind.STOPPED,
             active=active,
             unanswered=len(self.in_progress),
+            unsent_bytes=self.listeners.unsent_bytes,
         )
         self.log_writer.flush()
 
@@ -608,10 +607,9 @@
             if loop.running:
                 loop.stop()
         self.store_sync.stop()
-        for port in self.ports:
-            await port.stopListening()
-        for factory in self.factories:
-            factory.close_all()
+        self.listeners.stop_listening()
+        self.listeners.abort()
+        await self.udp_port.stopListening()
         self.state.connections.close()
 
     def sleep(self, seconds):
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -1,11 +1,11 @@
 """HTTP service on `twisted.web`: listeners, requests and responses."""
 
-import weakref
-
 import msgspec
 from twisted.web import http
 
 from ..core.sentinels import NOTHING
+from ..net.channels import ClosingRequest, ClosingSite
+from .stopping import STOPPING_RETRY_SECONDS
 
 __all__ = ["WebFactory", "WebRequest", "respond_refusal"]
 
@@ -14,7 +14,19 @@
 it is aborted."""
 
 
-class WebRequest(http.Request):
+INCOMPLETE_BODY = b'{"error":"this host is stopping"}'
+INCOMPLETE_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"retry-after: %.3f\r\n"
+    b"connection: close\r\n"
+    b"content-type: application/json\r\n"
+    b"content-length: %d\r\n\r\n%s"
+    % (STOPPING_RETRY_SECONDS, len(INCOMPLETE_BODY), INCOMPLETE_BODY)
+)
+"""Response of a stopping host to a request that it has not read completely."""
+
+
+class WebRequest(ClosingRequest):
     """Request with a bounded body, which is handled once it is complete.
 
     Attributes:
@@ -48,26 +60,19 @@
         """Pass the complete request to the handler of the listener."""
         site = self.channel.site
         self.tracked = site.in_progress.add(self)
-        if site.closing:
-            self.close_after()
         if self.too_long:
             self.close_after()
             respond_refusal(self, 413, "the request body is too long")
             return
         site.handle(self)
 
-    def close_after(self):
-        """Close the connection after this response, and announce it."""
-        self.responseHeaders.setRawHeaders(b"connection", [b"close"])
-        self.channel.persistent = False
-
     @property
     def peer_ip(self):
         """IP address of the other side."""
         return self.getClientAddress().host
 
 
-class WebFactory(http.HTTPFactory):
+class WebFactory(ClosingSite, http.HTTPFactory):
     """Serve one listener.
 
     Args:
@@ -89,18 +94,18 @@
         self.in_progress = in_progress
         self.max_idle_seconds = max_idle_seconds
         self.max_body_bytes = max_body_bytes
-        self.closing = False
-        self.channels = weakref.WeakSet()
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection."""
         self.timeOut = self.max_idle_seconds()
-        wrapper = super().buildProtocol(addr)
-        wrapper.requestFactory = WebRequest
-        wrapper.site = self
-        wrapper._channel.abortTimeout = ABORT_AFTER_SECONDS
-        self.channels.add(wrapper._channel)
-        return wrapper
+        channel = super().buildProtocol(addr)
+        channel.requestFactory = WebRequest
+        channel.abortTimeout = ABORT_AFTER_SECONDS
+        return channel
+
+    def incomplete_refusal(self):
+        """Return the response to a request that is not read completely."""
+        return INCOMPLETE_REFUSAL
 
     def startFactory(self):
         """Open no access log; the event log contains the relevant events."""
@@ -111,18 +116,6 @@
     def log(self, request):
         """Write no access log."""
 
-    def close_idle(self):
-        """Close the connections that carry no request at present."""
-        for channel in list(self.channels):
-            if not channel.requests and channel.transport is not None:
-                channel.transport.loseConnection()
-
-    def close_all(self):
-        """Close all connections."""
-        for channel in list(self.channels):
-            if channel.transport is not None:
-                channel.transport.abortConnection()
-
 
 def respond_refusal(request, status, text, headers=()):
     """Respond with a status of this host and a text that states the reason."""
--- /dev/null
+++ b/src/hyssopspring/net/channels.py
@@ -0,0 +1,252 @@
+"""Listeners whose connections close without losing a request or response."""
+
+import socket
+
+from twisted.internet import error, task
+from twisted.python.failure import Failure
+from twisted.web import http
+
+from ..core.sentinels import NOTHING
+
+__all__ = ["Channel", "ClosingRequest", "ClosingSite", "Listeners"]
+
+FIRST_REQUEST_SECONDS = 0.25
+"""Seconds for which a new connection without a request is not closed. The
+request of a caller that has just connected is still on its way."""
+
+LINGER_SECONDS = 1.0
+"""Seconds for which a caller that has been sent everything may leave the
+connection open after the other side was closed."""
+
+CLOSE_INTERVAL_SECONDS = 0.02
+"""Interval between checks whether connections have closed."""
+
+
+class Channel(http.HTTPChannel):
+    """HTTP connection that a stopping process can close safely.
+
+    Attributes:
+        made_at: Time at which it was accepted.
+        has_requested: Whether it has carried a complete request.
+        half_closed_at: Time at which the sending side was closed, or
+            `NOTHING`.
+    """
+
+    half_closed_at = NOTHING
+
+    def connectionMade(self):
+        """Register the connection with its site."""
+        super().connectionMade()
+        self.made_at = self.site.reactor.seconds()
+        self.has_requested = False
+        self.site.channels.add(self)
+
+    def connectionLost(self, reason):
+        """Remove the connection from its site."""
+        self.site.channels.discard(self)
+        super().connectionLost(reason)
+
+    @property
+    def has_buffered_input(self):
+        """Whether data was read that belongs to no request in progress."""
+        return bool(self._buffer or self._dataBuffer)
+
+    @property
+    def is_receiving(self):
+        """Whether a part of a request was read, and not all of it."""
+        if self.half_closed_at is not NOTHING:
+            return False
+        if self.requests:
+            return not self._handlingRequest
+        return bool(self._buffer)
+
+    @property
+    def unsent_bytes(self):
+        """Number of bytes that the process still holds for the caller."""
+        transport = self.transport
+        written = len(transport.dataBuffer) - transport.offset
+        return written + transport._tempDataLen
+
+    def has_unread_input(self):
+        """Return whether data waits in the socket."""
+        try:
+            return bool(self.transport.getHandle().recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def may_close(self, now):
+        """Return whether the connection carries no request at present."""
+        if self.half_closed_at is not NOTHING:
+            return False
+        if self.requests or self._buffer or self.has_unread_input():
+            return False
+        age = now - self.made_at
+        return self.has_requested or age >= FIRST_REQUEST_SECONDS
+
+    def allContentReceived(self):
+        """Handle a request that has been read completely."""
+        self.has_requested = True
+        super().allContentReceived()
+
+    def loseConnection(self):
+        """Close the connection after the data that was written.
+
+        While the process stops, only the sending side is closed at first, and
+        the other side is closed once the caller has closed its own. A close
+        with unread data would reset the connection, and a reset can discard
+        the end of a response that the caller has not read yet.
+        """
+        if not self.site.closing:
+            super().loseConnection()
+            return
+        if self.half_closed_at is not NOTHING:
+            return
+        self.half_closed_at = self.site.reactor.seconds()
+        self.setTimeout(None)
+        self.dataReceived = lambda data: None
+        self._networkProducer.unregisterProducer()
+        self.transport.resumeProducing()
+        self.transport.loseWriteConnection()
+
+    def end_lingering(self, now):
+        """Close the connection of a caller that does not close its own."""
+        if self.half_closed_at is NOTHING or self.unsent_bytes:
+            return
+        if now - self.half_closed_at >= LINGER_SECONDS:
+            self.transport.loseConnection()
+
+    def refuse_incomplete(self):
+        """Refuse a request of which only a part has been read."""
+        self.transport.write(self.site.incomplete_refusal())
+        self.loseConnection()
+
+
+class ClosingRequest(http.Request):
+    """Request whose response announces that a stopping host closes."""
+
+    def write(self, data):
+        """Write a part of the body, after the head.
+
+        A request behind this one has been read already, and its response
+        follows on the same connection.
+        """
+        if not self.startedWriting and not self._disconnected:
+            site = self.channel.site
+            if site.closing and not self.channel.has_buffered_input:
+                self.close_after()
+        super().write(data)
+
+    def close_after(self):
+        """Close the connection after this response, and announce it."""
+        self.responseHeaders.setRawHeaders(b"connection", [b"close"])
+        self.channel.persistent = False
+
+
+class ClosingSite:
+    """Part of an HTTP factory that can close its connections.
+
+    Attributes:
+        closing: Whether connections are closed after their responses.
+        channels: The open connections.
+    """
+
+    protocol = Channel
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.closing = False
+        self.channels = set()
+
+    def buildProtocol(self, addr):
+        """Return the protocol of a new connection."""
+        channel = super().buildProtocol(addr)
+        channel.site = self
+        return channel
+
+    def close_idle(self):
+        """Close the connections that carry no request at present."""
+        now = self.reactor.seconds()
+        for channel in list(self.channels):
+            if channel.may_close(now):
+                channel.loseConnection()
+
+
+class Listeners:
+    """All listeners of a process, which stop together.
+
+    Args:
+        reactor: The reactor.
+    """
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.ports = []
+        self.sites = []
+
+    def add(self, port, site):
+        """Add a listening port and the `ClosingSite` it serves."""
+        self.ports.append((port, site))
+        self.sites.append(site)
+
+    def announce(self):
+        """Let responses announce that their connections are closed."""
+        for site in self.sites:
+            site.closing = True
+
+    def close_idle(self):
+        """Close the connections that carry no request at present."""
+        for site in self.sites:
+            site.close_idle()
+
+    @property
+    def channels(self):
+        """The open connections of all listeners."""
+        return [one for site in self.sites for one in site.channels]
+
+    @property
+    def unsent_bytes(self):
+        """Number of bytes that the process still holds for callers."""
+        return sum(channel.unsent_bytes for channel in self.channels)
+
+    def stop_listening(self):
+        """Accept the connections that wait, and close the ports at once.
+
+        Connections that come before a delayed close would be reset.
+        """
+        for port, site in self.ports:
+            accept_waiting(port, site)
+            port.connectionLost(Failure(error.ConnectionDone()))
+        self.ports = []
+
+    async def close(self, until):
+        """Close the ports, then all connections.
+
+        What has arrived by then is read and handled first.
+
+        Args:
+            until: Time at which the remaining connections are given up.
+        """
+        self.stop_listening()
+        # One pass of the event loop reads what waits in the sockets.
+        await task.deferLater(self.reactor, 0)
+        while self.channels and self.reactor.seconds() < until:
+            now = self.reactor.seconds()
+            for channel in self.channels:
+                if channel.is_receiving:
+                    channel.refuse_incomplete()
+                channel.end_lingering(now)
+            self.close_idle()
+            await task.deferLater(self.reactor, CLOSE_INTERVAL_SECONDS)
+
+    def abort(self):
+        """Abort all connections."""
+        for channel in self.channels:
+            channel.transport.abortConnection()
+
+
+def accept_waiting(port, site):
+    """Accept the connections that wait at a port."""
+    accepted = -1
+    while accepted != len(site.channels):
+        accepted = len(site.channels)
+        port.doRead()
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -444,7 +444,7 @@
         versions.processes[name].relay.handle = relay_ignoring_version(
             versions.processes[name].relay
         )
-        for factory in versions.processes[name].factories:
+        for factory in versions.processes[name].listeners.sites:
             factory.handle = versions.processes[name].relay.handle
     await all_of(caller.call("h-north") for caller in callers)
     assert_that(sum(caller.is_mixed for caller in callers), Equals(0))
