Ignore further stop signals, and take signals before listening

What callers saw: a second SIGTERM, or a SIGINT, half a second after the first ended the process at once and cut every response in progress.

Cause: each stop signal ran a stop of its own and ended the process as that was done; the second one returned at once, as the host was leaving already. An error in a stop ended the process in the same way and left no line. Signals that came after the ports were opened and before the event loop ran ended the process without a stop.

Change: only the first stop signal counts; a further one is logged (stop_repeated). The handlers are installed before the process listens, and Twisted installs none of its own. An error in a stop is logged.

Result: a stream of 1.8 s is whole with SIGTERM and a second SIGTERM, SIGINT or SIGHUP 0.5 s later; the first two failed before (connection closed).

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -516,6 +516,23 @@
         ]
         return frozenset.intersection(*bound) if bound else frozenset()
 
+    def begin_stop(self, done):
+        """Stop gracefully and call *done*; only the first call counts."""
+        stopping = self.state.stopping
+        if stopping.since is not NOTHING:
+            self.timeline.note(
+                EventKind.STOP_REPEATED,
+                stopping_ms=int(stopping.seconds * 1000),
+            )
+            return
+        work = defer.ensureDeferred(self.stop())
+        work.addErrback(self.log_failure)
+        work.addBoth(lambda _: done())
+
+    def log_failure(self, failure):
+        """Log an unexpected error."""
+        self.timeline.note(EventKind.UNEXPECTED, error=failure.getTraceback())
+
     async def stop(self):
         """Stop gracefully, without aborting requests in progress.
 
@@ -523,8 +540,6 @@
         callers that still have its address, then refuses new requests and ends
         as soon as none is in progress, so that its successor can start early.
         """
-        if self.members.own.leaving:
-            return
         self.state.stopping.begin()
         self.members.own.leaving = True
         self.timeline.note(
@@ -666,22 +681,18 @@
         write=write_standard_output,
         metrics_port=metrics_port,
     )
-    process.start()
 
     def stop(number, frame):
-        reactor.callFromThread(begin_stop)
-
-    def begin_stop():
-        work = defer.ensureDeferred(process.stop())
-        work.addBoth(lambda _: reactor.stop())
+        reactor.callFromThread(process.begin_stop, reactor.stop)
 
     def reload(number, frame):
         reactor.callFromThread(process.reload)
 
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGINT, stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
-    reactor.run()
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    signal.signal(signal.SIGHUP, reload)
+    process.start()
+    reactor.run(installSignalHandlers=False)
 
 
 def run_command(path, metrics_port, without, check):
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,6 +1,7 @@
 """Requests at a host that is told to stop."""
 
 import contextlib
+import signal
 import socket
 import time
 
@@ -10,9 +11,14 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan
 from twisted.internet import defer, reactor, task
+from twisted.internet.error import ConnectError
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
 
 from hyssopspring.core.addresses import split_address
+from hyssopspring.net.clients import read_body
 from hyssopspring.records import cause_of, read_records
+from hyssopspring_fakes.soakfleet import SoakFleet
 
 APPLY_SECONDS = 4.0
 """Seconds in which every host must apply a change."""
@@ -244,3 +250,40 @@
     received = await caller.receive(3.0)
     assert_that(received, Contains(b"HTTP/1.1 503"))
     await stopped
+
+
+@pytest_twisted.async_yield_fixture
+async def fleet_of_one(tmp_path):
+    """Yield a host in a process of its own, before a server of streams."""
+    made = SoakFleet(reactor, tmp_path, 1)
+    made.start()
+    backend = made.add_stream_backend("slow", "north", "v1")
+    backend.events, backend.gap = 9, 0.2
+    yield made
+    await made.stop()
+
+
+@pytest.mark.parametrize(
+    "number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP]
+)
+@pytest_twisted.ensureDeferred
+async def test_a_further_signal_cuts_no_response(fleet_of_one, number):
+    """Guards against a second stop signal that ends the process at once."""
+    (host,) = fleet_of_one.hosts.values()
+    agent = Agent(reactor, pool=HTTPConnectionPool(reactor, persistent=False))
+    headers = {"host": "a.example", "x-request-attempt-id": "r1", **USAGE}
+    sent = Headers({k.replace("_", "-"): [v] for k, v in headers.items()})
+    url = f"http://{host.front}/streaming/x".encode()
+    end = reactor.seconds() + 15
+    status = 0
+    while status != 200 and reactor.seconds() < end:
+        await pause(0.1)
+        with contextlib.suppress(ConnectError):
+            response = await agent.request(b"POST", url, sent)
+            status = response.code
+    stopped = host.stop()
+    await pause(0.5)
+    host.send_signal(number)
+    body = await read_body(response)
+    assert_that(body.count(b"data: "), Equals(9))
+    await stopped
