Announce the close after requests with a body, spare those of hosts

Cause: the check for input behind a request took an empty rest of a body for input, so the response to a request with a body did not announce the close, and the connection was closed as idle. Connections of other regions' hosts were closed as idle in the same way, and a request over a link of 80 ms crossed the close.

Change: only bytes count as input. While a stopping host is busy, only connections of callers are closed as idle.

Result: the test of a request with a body failed before.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -127,6 +127,7 @@
             reactor, lambda request: self.callers.refuse_stopping(request)
         )
         self.listeners = Listeners(reactor)
+        self.caller_site = NOTHING
         self.udp_port = NOTHING
         self.loops = []
         self.build_state(boot_clock, wall)
@@ -354,7 +355,7 @@
         """Open all ports and start the periodic work."""
         settings = self.settings
         own = self.members.own
-        self.listen(settings.front, self.callers.handle)
+        self.caller_site = self.listen(settings.front, self.callers.handle)
         for address in {settings.ready, settings.directory} - {""}:
             self.listen(address, self.pages.handle)
         self.listen(own.relay, self.relay.handle, idle=PEER_IDLE_SECONDS)
@@ -387,7 +388,7 @@
         )
 
     def listen(self, address, handle, *, idle=0.0):
-        """Serve *handle* at *address*."""
+        """Serve *handle* at *address*; return the `WebFactory`."""
         factory = WebFactory(
             handle,
             self.reactor,
@@ -400,6 +401,7 @@
             port, factory, backlog=LISTEN_BACKLOG, interface=ip
         )
         self.listeners.add(listening, factory)
+        return factory
 
     def repeat(self, interval, work):
         """Call *work* now and then every *interval* seconds."""
@@ -557,11 +559,13 @@
         """Wait until the host has been idle for a while, or its time is over.
 
         Another host may stop meanwhile, so that this one has to serve again.
+        Idle connections of callers are closed. Those of other hosts are not,
+        as a request over a long link would cross the close.
         """
         stopping = self.state.stopping
         while stopping.has_time(0.0):
             if self.is_busy():
-                self.listeners.close_idle()
+                self.caller_site.close_idle()
                 await self.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             accepted = self.accepted_requests
--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -49,7 +49,7 @@
     @property
     def has_buffered_input(self):
         """Whether data was read that belongs to no request in progress."""
-        return bool(self._buffer or self._dataBuffer)
+        return bool(self._buffer) or any(self._dataBuffer)
 
     @property
     def is_receiving(self):
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -209,6 +209,20 @@
     await stopped
 
 
+@pytest.mark.parametrize("body", [b"", b"a body"])
+@pytest_twisted.ensureDeferred
+async def test_responses_of_a_stopping_host_announce_the_close(hosts, body):
+    """Guards against a close that a caller learns of with its next request."""
+    process, stopped = begin_stop(hosts, "h-north")
+    caller = RawCaller(process)
+    await caller.connect()
+    caller.send("/lookup/a", body=body)
+    received = await caller.receive(1.0)
+    assert_that(received, Contains(b"HTTP/1.1 200"))
+    assert_that(received.lower(), Contains(b"connection: close"))
+    await stopped
+
+
 @pytest_twisted.ensureDeferred
 async def test_requests_behind_one_in_progress_are_answered(hosts):
     """Guards against a close that drops requests which were read already."""
