Let streams of a stopping host go on to the end it had before

Cause: since every request is ended with its host, streams were cut 0.25 s earlier than before, as the time to deliver responses came on top of that to end requests. Servers were told the end of the host as the deadline of the request, stopped at it, and looked as if they had failed ('cut: truncated_answer' in a trial of rolling restarts).

Servers and other hosts are told the deadline of the request; what this host decides goes by the earlier of the two.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -178,6 +178,15 @@
         silent = waited > self.silence_limit()
         self.attempt.abandon(Reason.CALLER_GONE, silent=silent)
 
+    @property
+    def deadline_left(self):
+        """Seconds until the request reaches its deadline.
+
+        Servers and other hosts get this time also if this host ends sooner. A
+        server that stops at an earlier deadline would look as if it failed.
+        """
+        return self.deadline_at - self.state.clock.seconds()
+
     @property
     def time_left(self):
         """Seconds until the request reaches its deadline or its host ends."""
@@ -401,7 +410,7 @@
         )
         headers = self.state.codec.server_headers(
             self.request.requestHeaders,
-            time_left=self.time_left,
+            time_left=self.deadline_left,
             server_id=placed.server_id,
             urgency=self.urgency(placed),
             last_event=self.last_event,
@@ -560,7 +569,7 @@
             self.service,
             self.route.stream,
             self.route.repeatable,
-            round(self.time_left, 4),
+            round(self.deadline_left, 4),
             round(ask.time_left, 4),
             round(ask.patience, 4),
             self.permissions.priority,
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -361,8 +361,7 @@
         self.version = self.state.coordinator.version_of(placed)
         self.predicted = placed.predicted
         began = self.began = self.state.clock.seconds()
-        left = self.arrived + self.parameters.time_left - began
-        left = min(left, self.state.stopping.ends_at - began)
+        left = self.parameters.time_left - (began - self.arrived)
         headers = self.state.codec.server_headers(
             self.request.requestHeaders,
             time_left=left,
--- a/src/hyssopspring/entry/stopping.py
+++ b/src/hyssopspring/entry/stopping.py
@@ -14,7 +14,7 @@
 """Seconds for which the last host of a region still accepts streams while it
 is stopping. A stream that starts later may not end in time."""
 
-STOP_MARGIN_SECONDS = 0.8
+STOP_MARGIN_SECONDS = 0.55
 """Every request has ended this many seconds before the time allowed for
 stopping is over, which leaves time to deliver the responses."""
 
