--- /dev/null
+++ b/src/hyssopspring_fakes/soakfaults.py
@@ -0,0 +1,129 @@
+"""What a soak does to hosts, by kind of fault."""
+
+import signal
+
+from .soakplan import Fault
+
+__all__ = ["FAULTS"]
+
+REWRITE_WITHIN = 1.8
+"""Most seconds after a restore in which what was lost is written again."""
+
+FAULTS = {}
+"""Coroutine function that does a fault to a host, by `Fault`."""
+
+
+def fault(kind):
+    """Register what does *kind* to a host and undoes it.
+
+    It is called with the `Soak`, the `HostProcess` and the seconds.
+    """
+
+    def register(function):
+        FAULTS[kind] = function
+        return function
+
+    return register
+
+
+@fault(Fault.KILL)
+async def kill(soak, host, seconds):
+    """Kill a process and start it again."""
+    if host.running:
+        await host.kill()
+        await soak.sleep(seconds)
+        soak.restart(host)
+
+
+@fault(Fault.STOP)
+async def stop(soak, host, seconds):
+    """Tell a process to stop, and start it again once it has ended."""
+    if host.running:
+        await host.stop()
+        soak.restart(host)
+
+
+@fault(Fault.FREEZE)
+async def freeze(soak, host, seconds):
+    """Suspend a process."""
+    life = host.life
+    host.send_signal(signal.SIGSTOP)
+    await soak.sleep(seconds)
+    if host.life == life:
+        host.send_signal(signal.SIGCONT)
+
+
+@fault(Fault.RELOAD)
+async def reload(soak, host, seconds):
+    """Tell a process that its settings file has changed."""
+    host.send_signal(signal.SIGHUP)
+
+
+@fault(Fault.SILENCE)
+async def silence(soak, host, seconds):
+    """Let the open connections to the store pass nothing any more."""
+    host.proxy.silence()
+
+
+@fault(Fault.SILENCE_SOME)
+async def silence_some(soak, host, seconds):
+    """Let half of the open connections pass nothing any more."""
+    host.proxy.silence(lambda asked: soak.rng.random() < 0.5)
+
+
+@fault(Fault.MUTE)
+async def mute(soak, host, seconds):
+    """Lose the next answers of the store on each open connection."""
+    host.proxy.mute()
+
+
+@fault(Fault.CUT)
+async def cut(soak, host, seconds):
+    """Cut the way to the store; open connections stay silent."""
+    host.proxy.silence()
+    host.proxy.cut = True
+    await soak.sleep(seconds)
+    host.proxy.cut = False
+
+
+@fault(Fault.RESET)
+async def reset(soak, host, seconds):
+    """Reset the connections to the store."""
+    host.proxy.reset()
+
+
+@fault(Fault.SLOW)
+async def slow(soak, host, seconds):
+    """Delay what passes between host and store."""
+    host.proxy.delay = 0.1
+    await soak.sleep(seconds)
+    host.proxy.delay = 0.0
+
+
+@fault(Fault.STORE_DOWN)
+async def store_down(soak, host, seconds):
+    """Let the store answer nothing."""
+    soak.fleet.store.down = True
+    await soak.sleep(seconds)
+    soak.fleet.store.down = False
+
+
+@fault(Fault.FORGET)
+async def forget(soak, host, seconds):
+    """Let watches hear nothing, then drop the history."""
+    soak.fleet.store.deaf = True
+    await soak.sleep(seconds)
+    soak.fleet.store.deaf = False
+    soak.fleet.store.forget()
+
+
+@fault(Fault.RESTORE)
+async def restore(soak, host, seconds):
+    """Let the store come back from an older copy; write again what is lost."""
+    store = soak.fleet.store
+    store.down = True
+    await soak.sleep(seconds)
+    store.restore(soak.rng.choice(soak.copies))
+    store.down = False
+    await soak.sleep(soak.rng.uniform(0.0, REWRITE_WITHIN))
+    store.write_again(("op/", "servers/"))
