Check what a stopping host owes to each request

Cause: the soak judges a request that a stop has cut only if a server ran it (LOST). A request that a host accepted and never answered, a response that is cut, and a process that ends late pass unseen.

Change: `Life` notes for each process the first stop signal, suspensions, a kill and the end. `check_stops` finds requests without a response (NO-RESPONSE), cut responses (CUT), refusals of requests that ran (REFUSED), requests behind an announced end of their connection that ran all the same (LOST) and processes that end late (ENDED-LATE). The end of a process is the time of the driver's last turn but one before it was noted, so that a late driver blames no host. The statuses that mean "not run" stand once.

Result: 15 histories that must fail and 11 that must pass, as tests; the checks run on no soak yet.

--- a/src/hyssopspring_fakes/soakchecks.py
+++ b/src/hyssopspring_fakes/soakchecks.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "APPLY_SECONDS",
+    "NOT_RUN",
     "Bounds",
     "Disturbance",
     "History",
@@ -23,6 +24,10 @@
 """Services that the moved route passes through, one with each version."""
 
 
+NOT_RUN = (408, 421, 429, 503)
+"""Statuses that tell that no server has run the request."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """What is promised.
@@ -277,7 +282,7 @@
     return [
         Violation("REFUSED", probe, f"{probe.status}, and a server ran it")
         for probe in history.probes
-        if probe.status in (408, 421, 429, 503) and probe.id in ran
+        if probe.status in NOT_RUN and probe.id in ran
     ]
 
 
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -4,20 +4,23 @@
 import pathlib
 import signal
 import sys
+from collections import deque
 
-from twisted.internet import defer, protocol
+from twisted.internet import defer, protocol, task
 
 from .backends import FakeBackend
 from .metadata import FakeMetadata
 from .ports import free_ports
 from .proxies import FaultProxy
 from .soakchecks import KEPT_ROUTES, ROTATION, service_of
+from .soakstops import Life
 
 __all__ = [
     "NOTICE_SERVICE",
     "PROMPT_SERVICE",
     "REGIONS",
     "SETTINGS",
+    "STOP_SECONDS",
     "STREAM_SERVICE",
     "HostProcess",
     "SoakFleet",
@@ -31,6 +34,10 @@
 between hosts."""
 
 STOP_SECONDS = 5
+TICK_SECONDS = 0.02
+"""Interval at which the driver notes the time, to bound the end of a process
+from below when the event loop is late."""
+
 NOTICE_SERVICE = "noticing"
 """Service and route of the servers that say things of themselves."""
 
@@ -144,6 +151,7 @@
 
     Attributes:
         life: Number of its process; each start is a new one.
+        current: `Life` of its latest process.
         planned: Whether an end is expected.
         ends: Text of each end that was not.
     """
@@ -156,6 +164,7 @@
         self.proxy = FaultProxy(fleet.reactor, ip, fleet.store_address)
         self.process = None
         self.life = 0
+        self.current = Life(name, 0)
         self.planned = False
         self.ends = []
         self.gone = defer.succeed(None)
@@ -198,6 +207,8 @@
     def start(self):
         """Start a process."""
         self.life += 1
+        self.current = Life(self.name, self.life)
+        self.fleet.lives.append(self.current)
         self.planned = False
         self.gone = defer.Deferred()
         log = os.open(
@@ -223,6 +234,7 @@
     def ended(self, reason):
         """Note the end of the process."""
         self.process = None
+        self.current.ended = self.fleet.ticks[0]
         if not self.planned:
             self.ends.append(f"life {self.life}: {reason.value}")
             self.fleet.reactor.callLater(RESTART_SECONDS, self.revive)
@@ -236,6 +248,7 @@
     def send_signal(self, number):
         """Send a signal to the process, if it runs."""
         if self.process is not None:
+            self.current.note_signal(number, self.fleet.reactor.seconds())
             os.kill(self.process.pid, number)
 
     def kill(self):
@@ -265,6 +278,10 @@
         reactor: The reactor.
         folder: Folder for settings and logs.
         hosts: How many hosts, spread over the regions.
+
+    Attributes:
+        lives: `Life` of each process.
+        ticks: Times at which the driver's loop ran last.
     """
 
     def __init__(self, reactor, folder, hosts):
@@ -278,6 +295,9 @@
         self.count = hosts
         self.hosts = {}
         self.backends = {}
+        self.lives = []
+        self.ticks = deque([reactor.seconds()] * 2, maxlen=2)
+        self.ticker = task.LoopingCall(self.tick)
         self.stopping = False
 
     def seeds(self):
@@ -286,6 +306,7 @@
 
     def start(self):
         """Start the stand-ins, then all hosts together."""
+        self.ticker.start(TICK_SECONDS)
         self.store_address = self.store.start()
         self.store.put_json("op/config", configuration(1))
         for region in REGIONS:
@@ -300,6 +321,10 @@
         for host in self.hosts.values():
             host.start()
 
+    def tick(self):
+        """Note the time."""
+        self.ticks.append(self.reactor.seconds())
+
     def add_backend(self, name, region, number):
         """Start a plain server and register it."""
         self.register(name, region, service_of(number))
@@ -360,6 +385,8 @@
         for backend in self.backends.values():
             await backend.stop()
         await self.store.stop()
+        if self.ticker.running:
+            self.ticker.stop()
 
 
 def ip_of(number):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's plan and checks: histories that must fail, and one that holds."""
 
+import math
 import os
 import pathlib
 import signal
@@ -29,6 +30,7 @@
     check_parts,
 )
 from hyssopspring_fakes.soakplan import Fault, draw_plan
+from hyssopspring_fakes.soakstops import Asked, Life, check_stops
 
 
 @pytest.fixture
@@ -172,6 +174,82 @@
     assert_that([one.rule for one in found], Equals(["LOST"]))
 
 
+def stop_rules(status=0, whole=False, ran=(), life=None, **asked):
+    """Return the rules that one request breaks; the stop begins at 10 s."""
+    made = Life(
+        "north-0", 1, **{"stopped": 10.0, "ended": 14.0, **(life or {})}
+    )
+    values = {"sent": 13.0, "ended": 14.0, **asked}
+    one = Asked(
+        "fresh", "r0", "/x", made, status=status, whole=whole, **values
+    )
+    return [found.rule for found in check_stops([made], [one], ran, 5.0)]
+
+
+ON = {"stopped": math.inf, "ended": math.inf}
+OK = {"status": 200, "whole": True}
+
+
+@pytest.mark.parametrize(
+    ("rule", "case"),
+    [
+        ("NO-RESPONSE", {}),
+        ("NO-RESPONSE", {"sent": 13.8}),
+        ("NO-RESPONSE", {"ended": 13.01}),
+        ("NO-RESPONSE", {"life": {"killed": 13.9}, "ended": 13.5}),
+        ("NO-RESPONSE", {"life": {"suspensions": [[13.2, 13.9]]}}),
+        ("NO-RESPONSE", {"life": ON, "ended": math.inf}),
+        ("NO-RESPONSE", {"life": ON}),
+        ("CUT", {"status": 200}),
+        ("CUT", {"status": 200, "after_close": True}),
+        ("CUT", {"status": 200, "life": ON, "ended": math.inf}),
+        ("REFUSED", {"status": 503, "whole": True, "ran": {"r0"}}),
+        ("REFUSED", {"status": 429, "whole": True, "ran": {"r0"}}),
+        ("LOST", {"after_close": True, "ran": {"r0"}}),
+        ("ENDED-LATE", {**OK, "life": {"ended": 15.6}}),
+        (
+            "ENDED-LATE",
+            {**OK, "life": {"ended": 16.7, "suspensions": [[14.0, 16.0]]}},
+        ),
+        ("", {**OK, "ran": {"r0"}}),
+        ("", {"status": 503, "whole": True}),
+        ("", {"sent": 13.95}),
+        ("", {"sent": math.inf}),
+        ("", {"life": {"killed": 13.9, "ended": 13.9}}),
+        ("", {"life": {"suspensions": [[12.5, 13.5]]}}),
+        ("", {"life": {"suspensions": [[13.05, 13.5]]}}),
+        (
+            "",
+            {
+                "life": {"ended": 16.4, "suspensions": [[14.0, 16.0]]},
+                "ended": 16.1,
+            },
+        ),
+        ("", {"after_close": True}),
+        ("", {"status": 200, "ended": 14.6, "life": {"ended": 14.6}}),
+        ("", {**OK, "life": {"ended": 15.4}}),
+    ],
+)
+def test_what_a_stop_may_not_do_is_found(rule, case):
+    """Guards against a soak that is blind, or finds what no host can help."""
+    assert_that(stop_rules(**case), Equals([rule] if rule else []))
+
+
+def test_a_further_stop_signal_allows_no_more_time():
+    """Guards against a stop that is measured from its last signal."""
+    life = Life("north-0", 1)
+    for number, now in (
+        (signal.SIGINT, 10.0),
+        (signal.SIGSTOP, 11.0),
+        (signal.SIGCONT, 12.0),
+        (signal.SIGTERM, 13.0),
+    ):
+        life.note_signal(number, now)
+    assert_that(
+        (life.stopped, life.suspensions), Equals((10.0, [[11.0, 12.0]]))
+    )
+
+
 def test_a_plan_is_the_same_for_the_same_seed():
     """Guards against a finding that its seed does not show again."""
     hosts = ("a", "b", "c")
@@ -286,7 +364,9 @@
 
     Who waits for its end starts the next one at once.
     """
-    fleet = SimpleNamespace(reactor=task.Clock(), store_address="127.0.0.1:1")
+    fleet = SimpleNamespace(
+        reactor=task.Clock(), store_address="127.0.0.1:1", ticks=(0.0, 0.0)
+    )
     host = HostProcess(fleet, "north-0", "north", "127.0.0.1")
     host.planned = True
     host.gone = defer.Deferred()
