Stop the hosts of a soak in ten ways

Cause: the soak stops a host with one SIGTERM. A further signal, a signal while the process starts, a stop of a whole region or without the store does not occur.

Change: nine faults beside STOP: a second SIGTERM; SIGINT, SIGHUP or a suspension during the stop; SIGINT alone; SIGTERM up to 0.6 s after the start; a stop while the store is cut off; all hosts of a region one right after the other; a change of the configuration beside the stop. They are planned work, drawn like the others, and start their host again. The short run takes seed 642 and 24 s, in which each of them occurs; a test holds that.

Result: the plans of all seeds change, as with each new fault.

--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -209,12 +209,16 @@
     async def change(self):
         """Write a new version now and then, often several in a row."""
         while self.changing:
-            version = len(self.history.acknowledged) + 1
-            self.fleet.store.put_json("op/config", configuration(version))
-            self.history.acknowledged.append(self.now())
+            self.write_version()
             pause = self.rng.uniform(FEWEST_CHANGES, MOST_CHANGES)
             await self.sleep(pause)
 
+    def write_version(self):
+        """Write the next version of the configuration."""
+        version = len(self.history.acknowledged) + 1
+        self.fleet.store.put_json("op/config", configuration(version))
+        self.history.acknowledged.append(self.now())
+
     async def keep_copies(self):
         """Copy the store now and then."""
         while self.changing:
--- a/src/hyssopspring_fakes/soakfaults.py
+++ b/src/hyssopspring_fakes/soakfaults.py
@@ -1,7 +1,11 @@
 """What a soak does to hosts, by kind of fault."""
 
 import signal
+from functools import partial
 
+from twisted.internet import defer
+
+from .soakfleet import STOP_SECONDS
 from .soakplan import Fault
 
 __all__ = ["FAULTS"]
@@ -43,6 +47,73 @@
         soak.restart(host)
 
 
+async def stop_then(number, soak, host, seconds):
+    """Stop a process, and send it a signal unless it has ended before."""
+    life, ended = host.current, defer.ensureDeferred(stop(soak, host, 0.0))
+    await soak.sleep(seconds)
+    if host.current is life:
+        host.send_signal(number)
+    await ended
+
+
+FAULTS[Fault.STOP_TWICE] = partial(stop_then, signal.SIGTERM)
+FAULTS[Fault.STOP_INTERRUPT] = partial(stop_then, signal.SIGINT)
+FAULTS[Fault.STOP_RELOAD] = partial(stop_then, signal.SIGHUP)
+
+
+@fault(Fault.INTERRUPT)
+async def interrupt(soak, host, seconds):
+    """Interrupt a process, and start it again once it has ended."""
+    if host.running:
+        await host.end(signal.SIGINT)
+        soak.restart(host)
+
+
+@fault(Fault.STOP_FREEZE)
+async def stop_freeze(soak, host, seconds):
+    """Suspend a process that stops."""
+    life, ended = host.current, defer.ensureDeferred(stop(soak, host, 0.0))
+    # Most processes end early in the time allowed.
+    await soak.sleep(soak.rng.random() ** 2 * STOP_SECONDS)
+    if host.current is life:
+        await freeze(soak, host, seconds)
+    await ended
+
+
+@fault(Fault.STOP_STARTING)
+async def stop_starting(soak, host, seconds):
+    """Stop a process, and the next one while it starts."""
+    await stop(soak, host, 0.0)
+    await soak.sleep(seconds)
+    await stop(soak, host, 0.0)
+
+
+@fault(Fault.STOP_CUT)
+async def stop_cut(soak, host, seconds):
+    """Stop a process whose way to the store is cut."""
+    host.proxy.silence()
+    host.proxy.cut = True
+    await soak.sleep(seconds)
+    await stop(soak, host, 0.0)
+    host.proxy.cut = False
+
+
+@fault(Fault.STOP_REGION)
+async def stop_region(soak, host, seconds):
+    """Stop the hosts of a region, one right after the other."""
+    await soak.sleep(seconds * int(host.name.rpartition("-")[2]))
+    await stop(soak, host, 0.0)
+
+
+@fault(Fault.STOP_CHANGE)
+async def stop_change(soak, host, seconds):
+    """Change the configuration beside a stop."""
+    ended = defer.ensureDeferred(stop(soak, host, 0.0))
+    await soak.sleep(seconds)
+    soak.write_version()
+    await ended
+
+
 @fault(Fault.FREEZE)
 async def freeze(soak, host, seconds):
     """Suspend a process."""
--- a/src/hyssopspring_fakes/soakplan.py
+++ b/src/hyssopspring_fakes/soakplan.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["Fault", "Step", "draw_plan"]
+__all__ = ["STOPS", "Fault", "Step", "draw_plan"]
 
 SETTLING = 4.0
 """Seconds without faults at the start."""
@@ -24,6 +24,15 @@
 
     KILL = ("kill", 0.1, 2.0)
     STOP = ("stop", 0.0, 0.0)
+    STOP_TWICE = ("stop twice", 0.2, 3.0)
+    STOP_INTERRUPT = ("stop and interrupt", 0.2, 3.0)
+    INTERRUPT = ("interrupt", 0.0, 0.0)
+    STOP_RELOAD = ("stop and reload", 0.0, 1.0)
+    STOP_FREEZE = ("stop and freeze", 0.3, 1.2)
+    STOP_STARTING = ("stop while starting", 0.0, 0.6)
+    STOP_CUT = ("stop while cut", 1.0, 5.0)
+    STOP_REGION = ("stop region", 0.05, 0.6)
+    STOP_CHANGE = ("stop and change", 0.0, 0.5)
     FREEZE = ("freeze", 0.3, 5.0)
     RELOAD = ("reload", 0.0, 0.0)
     SILENCE = ("silence", 0.0, 0.0)
@@ -49,7 +58,7 @@
     @property
     def planned(self):
         """Whether it is planned work, which must lose nothing."""
-        return self in (Fault.STOP, Fault.RELOAD)
+        return self is Fault.RELOAD or self in STOPS
 
     @property
     def at_store(self):
@@ -57,6 +66,12 @@
         return self in (Fault.STORE_DOWN, Fault.FORGET, Fault.RESTORE)
 
 
+STOPS = frozenset(
+    one for one in Fault if one is Fault.INTERRUPT or "STOP" in one.name
+)
+"""Kinds of fault that tell hosts to stop."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """One fault.
@@ -95,7 +110,10 @@
     """Return one step at the time *now*."""
     fault = rng.choice(faults)
     draw = rng.random()
-    if fault.at_store or draw < EVERYWHERE:
+    if fault is Fault.STOP_REGION:
+        region = region_of(rng.choice(hosts))
+        struck = tuple(one for one in hosts if region_of(one) == region)
+    elif fault.at_store or draw < EVERYWHERE:
         struck = tuple(hosts)
     elif draw < EVERYWHERE + SERIES:
         struck = tuple(rng.sample(hosts, rng.randint(1, len(hosts))))
@@ -103,3 +121,8 @@
         struck = (rng.choice(hosts),)
     seconds = rng.uniform(fault.shortest, fault.longest)
     return Step(round(now, 2), fault, struck, round(seconds, 2))
+
+
+def region_of(host):
+    """Return the region of a host by its name."""
+    return host.rpartition("-")[0]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,9 +29,12 @@
     PromptSeen,
     check_parts,
 )
-from hyssopspring_fakes.soakplan import Fault, draw_plan
+from hyssopspring_fakes.soakplan import STOPS, Fault, draw_plan
 from hyssopspring_fakes.soakstops import Asked, Life, check_stops
 
+SHORT_SEED, SHORT_SECONDS = 642, 24.0
+"""Run of CI, in which hosts are stopped in all ways."""
+
 
 @pytest.fixture
 def history():
@@ -250,6 +253,15 @@
     )
 
 
+def test_the_short_soak_stops_hosts_in_all_ways():
+    """Guards against a run of CI that draws some stops never."""
+    hosts = [f"{region}-{n}" for n in range(2) for region in REGIONS]
+    steps = draw_plan(SHORT_SEED, SHORT_SECONDS, hosts)
+    assert {step.fault for step in steps} >= STOPS
+    struck = [s.hosts for s in steps if s.fault is Fault.STOP_REGION]
+    assert all(len({h[:-2] for h in hosts}) == 1 for hosts in struck)
+
+
 def test_a_plan_is_the_same_for_the_same_seed():
     """Guards against a finding that its seed does not show again."""
     hosts = ("a", "b", "c")
@@ -266,13 +278,15 @@
 
 def test_a_short_soak_breaks_no_promise(tmp_path):
     """Guards against what shows only with real processes and sockets."""
-    words = ("--seed", "100", "--seconds", "14", "--hosts", "6")
+    words = ("--seed", str(SHORT_SEED), "--seconds", str(SHORT_SECONDS))
     done = subprocess.run(
         [
             sys.executable,
             "-m",
             "hyssopspring_fakes.soak",
             *words,
+            "--hosts",
+            "6",
             "--logs",
             str(tmp_path),
         ],
