Call hosts over plain connections until they are gone

Cause: the callers of the soak use a client that opens a connection again and waits for each response. What a host owes at its stop shows on connections that are kept until it closes them, and on requests sent in its last moments.

Change: ten callers for each host, on connections without a client: kept ones that heed "Connection: close" or do not, a new one for each request, unknown routes, readers that pause 1 to 1.5 s in a response of 7 MB, bodies in five pieces, two pipelined requests. They send every 0.5 s, and every 0.06 s while the host stops. A response of 3 MB is delivered by the system after the end of its process (send buffers of up to 4 MB), so that size found nothing.

--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -9,6 +9,10 @@
 
 __all__ = ["FakeBackend", "Said"]
 
+LARGE_BODY_BYTES = 7_000_000
+"""Size of a plain answer at a path that ends with ``/large``: more than the
+system buffers for a connection, so that a part stays in the host's process."""
+
 
 @dataclass(frozen=True, slots=True)
 class Said:
@@ -200,7 +204,10 @@
             first = int(headers.get(b"last-event-id", b"-1")) + 1
             self.stream(request, stamp, first)
         else:
-            self.answer(request, 200, b"whole " + request.uri, stamp)
+            body = b"whole " + request.uri
+            if request.path.endswith(b"/large"):
+                body = body.ljust(LARGE_BODY_BYTES)
+            self.answer(request, 200, body, stamp)
 
     def stream(self, request, stamp, first):
         """Send the events of a stream, one by one."""
--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -6,7 +6,7 @@
 import random
 import sys
 import tempfile
-from collections import deque
+from collections import Counter, deque
 
 import click
 from twisted.internet import defer, task
@@ -15,6 +15,7 @@
 
 from hyssopspring.net.clients import read_body
 
+from .soakcallers import RawCallers
 from .soakchecks import (
     Bounds,
     History,
@@ -25,10 +26,11 @@
     check_history,
 )
 from .soakfaults import FAULTS
-from .soakfleet import REGIONS, SoakFleet, configuration
+from .soakfleet import REGIONS, STOP_SECONDS, SoakFleet, configuration
 from .soaknotices import NOTICE_SERVERS, Notifier, check_notices
 from .soakparts import PartCaller, PartHistory, PartServers, check_parts
 from .soakplan import Fault, draw_plan
+from .soakstops import check_stops
 from .soakstreams import Release, StreamCaller, check_streams
 
 __all__ = ["FAULTS", "Soak", "main", "run_soak"]
@@ -90,6 +92,7 @@
         self.stream_callers = []
         self.part_callers = []
         self.parts = PartHistory()
+        self.raw_callers = RawCallers(self, random.Random(seed + 3))
         self.copies = deque(maxlen=KEPT_COPIES)
         self.began = 0.0
         self.changing = True
@@ -128,7 +131,11 @@
         ]
         work += [
             defer.ensureDeferred(one.run(lambda: not self.probing))
-            for one in (*self.stream_callers, *self.part_callers)
+            for one in (
+                *self.stream_callers,
+                *self.part_callers,
+                self.raw_callers,
+            )
         ]
         await self.sleep(self.seconds)
         self.changing = False
@@ -142,6 +149,7 @@
         found = check_history(self.history) + self.check_notices()
         found += check_streams(self.streams(), self.history, Bounds().stable)
         found += check_parts(self.parts, self.history)
+        found += self.check_stops()
         return found + [
             Violation("ENDED", None, f"{host.name}, {end}")
             for host in self.fleet.hosts.values()
@@ -193,6 +201,16 @@
         backends = self.fleet.backends.values()
         return check_notices(backends, spans, names, self.history, self.began)
 
+    def check_stops(self):
+        """Return each `Violation` of what is owed to requests at stops."""
+        return check_stops(
+            self.fleet.lives,
+            self.raw_callers.requests,
+            {seen.request for seen in self.history.ran},
+            STOP_SECONDS,
+            self.began,
+        )
+
     async def until_ready(self):
         """Wait until each host serves.
 
@@ -380,6 +398,15 @@
         yield "  faults: " + ", ".join(
             f"{name} {count}" for name, count in sorted(counts.items())
         )
+        asked = self.raw_callers.requests
+        ignored = sum(one.after_close and not one.status for one in asked)
+        yield (
+            f"  plain connections: {self.raw_callers.refused} not accepted, "
+            f"requests {dict(Counter(one.status for one in asked))}, "
+            f"{ignored} ignored after an announced end"
+        )
+        rules = Counter(one.rule for one in violations)
+        yield f"  violations: {dict(rules)}"
         for one in violations[:20]:
             if one.probe is None:
                 yield f"  {one.rule} {one.text}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import defer, task
+from twisted.internet.testing import StringTransport
 
+from hyssopspring_fakes.soakcallers import RawConnection
 from hyssopspring_fakes.soakchecks import (
     Bounds,
     History,
@@ -253,6 +255,23 @@
     )
 
 
+def test_a_plain_connection_tells_what_became_of_each_request():
+    """Guards against a response that is taken for another, or for whole."""
+    connection = RawConnection(task.Clock(), Life("north-0", 1))
+    connection.makeConnection(StringTransport())
+    asked = [Asked("kept", f"r{n}", "/moved/x", None) for n in range(3)]
+    for one in asked:
+        connection.expect(one)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Attempt-Id: "
+    connection.dataReceived(head + b"r0\r\n\r\nbody" + head)
+    connection.dataReceived(b"r1\r\nConnection: close\r\n\r\nbo")
+    connection.connectionLost(None)
+    assert_that(
+        [(one.status, one.whole, one.after_close) for one in asked],
+        Equals([(200, True, False), (200, False, False), (0, False, True)]),
+    )
+
+
 def test_the_short_soak_stops_hosts_in_all_ways():
     """Guards against a run of CI that draws some stops never."""
     hosts = [f"{region}-{n}" for n in range(2) for region in REGIONS]
