Show violations of each rule in the report of a soak

Cause: the report shows the first 20 violations.

Change: up to ten of each rule are shown. `Habit` is called `CallerKind`.

--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -63,6 +63,8 @@
 uses one of these."""
 
 START_WITHIN = 15.0
+MOST_SHOWN = 10
+"""Violations of each rule that a report shows."""
 
 
 class Soak:
@@ -407,7 +409,12 @@
         )
         rules = Counter(one.rule for one in violations)
         yield f"  violations: {dict(rules)}"
-        for one in violations[:20]:
+        shown = [
+            one
+            for rule in rules
+            for one in [v for v in violations if v.rule == rule][:MOST_SHOWN]
+        ]
+        for one in shown:
             if one.probe is None:
                 yield f"  {one.rule} {one.text}"
                 continue
--- a/src/hyssopspring_fakes/soakcallers.py
+++ b/src/hyssopspring_fakes/soakcallers.py
@@ -13,7 +13,7 @@
 
 from .soakstops import Asked
 
-__all__ = ["Habit", "RawCallers", "RawConnection"]
+__all__ = ["CallerKind", "RawCallers", "RawConnection"]
 
 CALM_EVERY, STOPPING_EVERY = 0.5, 0.06
 """Seconds between two requests to a host, and to one that stops."""
@@ -35,8 +35,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Habit:
-    """What a caller does.
+class CallerKind:
+    """What the callers of one kind do.
 
     Attributes:
         name: Its name.
@@ -58,16 +58,16 @@
     heeds: bool = True
 
 
-HABITS = (
-    Habit("kept", keeps=True),
-    Habit("heedless", keeps=True, heeds=False),
-    *[Habit("fresh")] * 2,
-    *[Habit("unknown", path="/nowhere/x")] * 3,
-    Habit("slow", path="/moved/large", slow=True),
-    Habit("pieces", pieces=5),
-    Habit("pipelined", at_once=2),
+CALLER_KINDS = (
+    CallerKind("kept", keeps=True),
+    CallerKind("heedless", keeps=True, heeds=False),
+    *[CallerKind("fresh")] * 2,
+    *[CallerKind("unknown", path="/nowhere/x")] * 3,
+    CallerKind("slow", path="/moved/large", slow=True),
+    CallerKind("pieces", pieces=5),
+    CallerKind("pipelined", at_once=2),
 )
-"""Habit of each caller of a host."""
+"""Kind of each caller of a host."""
 
 
 class RawConnection(protocol.Protocol):
@@ -177,7 +177,7 @@
 
 
 class RawCallers:
-    """Send requests of all habits to each host.
+    """Send requests of all kinds to each host.
 
     Args:
         soak: The `Soak`.
@@ -198,9 +198,9 @@
     async def run(self, until):
         """Call all hosts until *until* returns true."""
         work = [
-            defer.ensureDeferred(self.call(host, habit, until))
+            defer.ensureDeferred(self.call(host, kind, until))
             for host in self.soak.fleet.hosts.values()
-            for habit in HABITS
+            for kind in CALLER_KINDS
         ]
         while not until():
             await self.soak.sleep(CALM_EVERY)
@@ -211,12 +211,12 @@
             connection.abandon()
         await defer.gatherResults(work)
 
-    async def call(self, host, habit, until):
+    async def call(self, host, kind, until):
         """Use one connection after the other."""
         while not until():
-            connection = await self.connect(host, habit)
+            connection = await self.connect(host, kind)
             self.connections.add(connection)
-            await self.use(connection, host, habit, until)
+            await self.use(connection, host, kind, until)
             connection.abandon()
             self.connections.discard(connection)
             await self.pause(host)
@@ -227,10 +227,10 @@
         every = STOPPING_EVERY if stops else CALM_EVERY
         return self.soak.sleep(self.rng.uniform(0.5, 1.5) * every)
 
-    async def connect(self, host, habit):
+    async def connect(self, host, kind):
         """Return a new connection, which is not open if it was refused."""
         reactor, life = self.soak.reactor, host.current
-        pause = self.rng.uniform(SHORTEST_PAUSE, LONGEST_PAUSE) * habit.slow
+        pause = self.rng.uniform(SHORTEST_PAUSE, LONGEST_PAUSE) * kind.slow
         connection = RawConnection(reactor, life, pause)
         ip, port = split_address(host.front)
         endpoint = TCP4ClientEndpoint(reactor, ip, port, CONNECT_WITHIN)
@@ -243,30 +243,30 @@
             connection.abandon()
         return connection
 
-    async def use(self, connection, host, habit, until):
+    async def use(self, connection, host, kind, until):
         """Send requests on a connection."""
         while connection.open:
-            await self.ask(connection, habit)
-            if habit.heeds:
+            await self.ask(connection, kind)
+            if kind.heeds:
                 await connection.until_answered()
-            heeded = habit.heeds and connection.closes
-            if heeded or not habit.keeps or until():
+            heeded = kind.heeds and connection.closes
+            if heeded or not kind.keeps or until():
                 break
             await self.pause(host)
         await connection.until_answered()
 
-    async def ask(self, connection, habit):
+    async def ask(self, connection, kind):
         """Send requests at once, and a body in parts."""
         asked = []
-        for _ in range(habit.at_once):
+        for _ in range(kind.at_once):
             number = f"raw-{self.soak.seed}-{len(self.requests)}"
-            one = Asked(habit.name, number, habit.path, connection.life)
+            one = Asked(kind.name, number, kind.path, connection.life)
             connection.expect(one)
             asked.append(one)
             self.requests.append(one)
-        heads = b"".join(encode(one, habit.pieces) for one in asked)
-        connection.send(heads, () if habit.pieces else asked)
-        for left in reversed(range(habit.pieces)):
+        heads = b"".join(encode(one, kind.pieces) for one in asked)
+        connection.send(heads, () if kind.pieces else asked)
+        for left in reversed(range(kind.pieces)):
             await self.soak.sleep(PIECE_EVERY)
             connection.send(b"x", () if left else asked)
 
