--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -4,10 +4,9 @@
 import math
 import pathlib
 import random
-import signal
 import sys
 import tempfile
-from collections import deque
+from collections import Counter, deque
 
 import click
 from twisted.internet import defer, task
@@ -16,6 +15,7 @@
 
 from hyssopspring.net.clients import read_body
 
+from .soakcallers import RawCallers
 from .soakchecks import (
     Bounds,
     History,
@@ -25,10 +25,12 @@
     Violation,
     check_history,
 )
-from .soakfleet import REGIONS, SoakFleet, configuration
+from .soakfaults import FAULTS
+from .soakfleet import REGIONS, STOP_SECONDS, SoakFleet, configuration
 from .soaknotices import NOTICE_SERVERS, Notifier, check_notices
 from .soakparts import PartCaller, PartHistory, PartServers, check_parts
 from .soakplan import Fault, draw_plan
+from .soakstops import check_stops
 from .soakstreams import Release, StreamCaller, check_streams
 
 __all__ = ["FAULTS", "Soak", "main", "run_soak"]
@@ -60,131 +62,9 @@
 """Seconds between two copies of the store, and copies that are kept. A restore
 uses one of these."""
 
-REWRITE_WITHIN = 1.8
-"""Most seconds after a restore in which what was lost is written again."""
-
 START_WITHIN = 15.0
-LATE = 0.2
-"""Seconds by which the driver's own loop may be late without a note."""
-
-FAULTS = {}
-"""Coroutine function that does a fault to a host, by `Fault`."""
-
-
-def fault(kind):
-    """Register what does *kind* to a host and undoes it.
-
-    It is called with the `Soak`, the `HostProcess` and the seconds.
-    """
-
-    def register(function):
-        FAULTS[kind] = function
-        return function
-
-    return register
-
-
-@fault(Fault.KILL)
-async def kill(soak, host, seconds):
-    """Kill a process and start it again."""
-    if host.running:
-        await host.kill()
-        await soak.sleep(seconds)
-        soak.restart(host)
-
-
-@fault(Fault.STOP)
-async def stop(soak, host, seconds):
-    """Tell a process to stop, and start it again once it has ended."""
-    if host.running:
-        await host.stop()
-        soak.restart(host)
-
-
-@fault(Fault.FREEZE)
-async def freeze(soak, host, seconds):
-    """Suspend a process."""
-    life = host.life
-    host.send_signal(signal.SIGSTOP)
-    await soak.sleep(seconds)
-    if host.life == life:
-        host.send_signal(signal.SIGCONT)
-
-
-@fault(Fault.RELOAD)
-async def reload(soak, host, seconds):
-    """Tell a process that its settings file has changed."""
-    host.send_signal(signal.SIGHUP)
-
-
-@fault(Fault.SILENCE)
-async def silence(soak, host, seconds):
-    """Let the open connections to the store pass nothing any more."""
-    host.proxy.silence()
-
-
-@fault(Fault.SILENCE_SOME)
-async def silence_some(soak, host, seconds):
-    """Let half of the open connections pass nothing any more."""
-    host.proxy.silence(lambda asked: soak.rng.random() < 0.5)
-
-
-@fault(Fault.MUTE)
-async def mute(soak, host, seconds):
-    """Lose the next answers of the store on each open connection."""
-    host.proxy.mute()
-
-
-@fault(Fault.CUT)
-async def cut(soak, host, seconds):
-    """Cut the way to the store; open connections stay silent."""
-    host.proxy.silence()
-    host.proxy.cut = True
-    await soak.sleep(seconds)
-    host.proxy.cut = False
-
-
-@fault(Fault.RESET)
-async def reset(soak, host, seconds):
-    """Reset the connections to the store."""
-    host.proxy.reset()
-
-
-@fault(Fault.SLOW)
-async def slow(soak, host, seconds):
-    """Delay what passes between host and store."""
-    host.proxy.delay = 0.1
-    await soak.sleep(seconds)
-    host.proxy.delay = 0.0
-
-
-@fault(Fault.STORE_DOWN)
-async def store_down(soak, host, seconds):
-    """Let the store answer nothing."""
-    soak.fleet.store.down = True
-    await soak.sleep(seconds)
-    soak.fleet.store.down = False
-
-
-@fault(Fault.FORGET)
-async def forget(soak, host, seconds):
-    """Let watches hear nothing, then drop the history."""
-    soak.fleet.store.deaf = True
-    await soak.sleep(seconds)
-    soak.fleet.store.deaf = False
-    soak.fleet.store.forget()
-
-
-@fault(Fault.RESTORE)
-async def restore(soak, host, seconds):
-    """Let the store come back from an older copy; write again what is lost."""
-    store = soak.fleet.store
-    store.down = True
-    await soak.sleep(seconds)
-    store.restore(soak.rng.choice(soak.copies))
-    store.down = False
-    await soak.sleep(soak.rng.uniform(0.0, REWRITE_WITHIN))
-    store.write_again(("op/", "servers/"))
+MOST_SHOWN = 10
+"""Violations of each rule that a report shows."""
 
 
 class Soak:
@@ -214,11 +94,11 @@
         self.stream_callers = []
         self.part_callers = []
         self.parts = PartHistory()
+        self.raw_callers = RawCallers(self, random.Random(seed + 3))
         self.copies = deque(maxlen=KEPT_COPIES)
         self.began = 0.0
         self.changing = True
         self.probing = True
-        self.latest_tick = 0.0
         self.lateness = 0.0
 
     def now(self):
@@ -253,7 +133,11 @@
         ]
         work += [
             defer.ensureDeferred(one.run(lambda: not self.probing))
-            for one in (*self.stream_callers, *self.part_callers)
+            for one in (
+                *self.stream_callers,
+                *self.part_callers,
+                self.raw_callers,
+            )
         ]
         await self.sleep(self.seconds)
         self.changing = False
@@ -267,6 +151,7 @@
         found = check_history(self.history) + self.check_notices()
         found += check_streams(self.streams(), self.history, Bounds().stable)
         found += check_parts(self.parts, self.history)
+        found += self.check_stops()
         return found + [
             Violation("ENDED", None, f"{host.name}, {end}")
             for host in self.fleet.hosts.values()
@@ -318,6 +203,16 @@
         backends = self.fleet.backends.values()
         return check_notices(backends, spans, names, self.history, self.began)
 
+    def check_stops(self):
+        """Return each `Violation` of what is owed to requests at stops."""
+        return check_stops(
+            self.fleet.lives,
+            self.raw_callers.requests,
+            {seen.request for seen in self.history.ran},
+            STOP_SECONDS,
+            self.began,
+        )
+
     async def until_ready(self):
         """Wait until each host serves.
 
@@ -334,12 +229,16 @@
     async def change(self):
         """Write a new version now and then, often several in a row."""
         while self.changing:
-            version = len(self.history.acknowledged) + 1
-            self.fleet.store.put_json("op/config", configuration(version))
-            self.history.acknowledged.append(self.now())
+            self.write_version()
             pause = self.rng.uniform(FEWEST_CHANGES, MOST_CHANGES)
             await self.sleep(pause)
 
+    def write_version(self):
+        """Write the next version of the configuration."""
+        version = len(self.history.acknowledged) + 1
+        self.fleet.store.put_json("op/config", configuration(version))
+        self.history.acknowledged.append(self.now())
+
     async def keep_copies(self):
         """Copy the store now and then."""
         while self.changing:
@@ -501,7 +400,21 @@
         yield "  faults: " + ", ".join(
             f"{name} {count}" for name, count in sorted(counts.items())
         )
-        for one in violations[:20]:
+        asked = self.raw_callers.requests
+        ignored = sum(one.after_close and not one.status for one in asked)
+        yield (
+            f"  plain connections: {self.raw_callers.refused} not accepted, "
+            f"requests {dict(Counter(one.status for one in asked))}, "
+            f"{ignored} ignored after an announced end"
+        )
+        rules = Counter(one.rule for one in violations)
+        yield f"  violations: {dict(rules)}"
+        shown = [
+            one
+            for rule in rules
+            for one in [v for v in violations if v.rule == rule][:MOST_SHOWN]
+        ]
+        for one in shown:
             if one.probe is None:
                 yield f"  {one.rule} {one.text}"
                 continue
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The soak's plan and checks: histories that must fail, and one that holds."""
 
+import math
 import os
 import pathlib
 import signal
@@ -12,7 +13,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import defer, task
+from twisted.internet.testing import StringTransport
 
+from hyssopspring_fakes.soakcallers import RawConnection
 from hyssopspring_fakes.soakchecks import (
     Bounds,
     History,
@@ -28,7 +31,11 @@
     PromptSeen,
     check_parts,
 )
-from hyssopspring_fakes.soakplan import Fault, draw_plan
+from hyssopspring_fakes.soakplan import STOPS, Fault, draw_plan
+from hyssopspring_fakes.soakstops import Asked, Life, check_stops
+
+SHORT_SEED, SHORT_SECONDS = 642, 24.0
+"""Run of CI, in which hosts are stopped in all ways."""
 
 
 @pytest.fixture
@@ -172,6 +179,108 @@
     assert_that([one.rule for one in found], Equals(["LOST"]))
 
 
+def stop_rules(status=0, whole=False, ran=(), life=None, **asked):
+    """Return the rules that one request breaks; the stop begins at 10 s."""
+    made = Life(
+        "north-0", 1, **{"stopped": 10.0, "ended": 14.0, **(life or {})}
+    )
+    values = {"sent": 13.0, "ended": 14.0, **asked}
+    one = Asked(
+        "fresh", "r0", "/x", made, status=status, whole=whole, **values
+    )
+    return [found.rule for found in check_stops([made], [one], ran, 5.0)]
+
+
+ON = {"stopped": math.inf, "ended": math.inf}
+OK = {"status": 200, "whole": True}
+
+
+@pytest.mark.parametrize(
+    ("rule", "case"),
+    [
+        ("NO-RESPONSE", {}),
+        ("NO-RESPONSE", {"sent": 13.8}),
+        ("NO-RESPONSE", {"ended": 13.01}),
+        ("NO-RESPONSE", {"life": {"killed": 13.9}, "ended": 13.5}),
+        ("NO-RESPONSE", {"life": {"suspensions": [[13.2, 13.9]]}}),
+        ("NO-RESPONSE", {"life": ON, "ended": math.inf}),
+        ("NO-RESPONSE", {"life": ON}),
+        ("CUT", {"status": 200}),
+        ("CUT", {"status": 200, "after_close": True}),
+        ("CUT", {"status": 200, "life": ON, "ended": math.inf}),
+        ("REFUSED", {"status": 503, "whole": True, "ran": {"r0"}}),
+        ("REFUSED", {"status": 429, "whole": True, "ran": {"r0"}}),
+        ("LOST", {"after_close": True, "ran": {"r0"}}),
+        ("ENDED-LATE", {**OK, "life": {"ended": 15.6}}),
+        (
+            "ENDED-LATE",
+            {**OK, "life": {"ended": 16.7, "suspensions": [[14.0, 16.0]]}},
+        ),
+        ("", {**OK, "ran": {"r0"}}),
+        ("", {"status": 503, "whole": True}),
+        ("", {"sent": 13.95}),
+        ("", {"sent": math.inf}),
+        ("", {"life": {"killed": 13.9, "ended": 13.9}}),
+        ("", {"life": {"suspensions": [[12.5, 13.5]]}}),
+        ("", {"life": {"suspensions": [[13.05, 13.5]]}}),
+        (
+            "",
+            {
+                "life": {"ended": 16.4, "suspensions": [[14.0, 16.0]]},
+                "ended": 16.1,
+            },
+        ),
+        ("", {"after_close": True}),
+        ("", {"status": 200, "ended": 14.6, "life": {"ended": 14.6}}),
+        ("", {**OK, "life": {"ended": 15.4}}),
+    ],
+)
+def test_what_a_stop_may_not_do_is_found(rule, case):
+    """Guards against a soak that is blind, or finds what no host can help."""
+    assert_that(stop_rules(**case), Equals([rule] if rule else []))
+
+
+def test_a_further_stop_signal_allows_no_more_time():
+    """Guards against a stop that is measured from its last signal."""
+    life = Life("north-0", 1)
+    for number, now in (
+        (signal.SIGINT, 10.0),
+        (signal.SIGSTOP, 11.0),
+        (signal.SIGCONT, 12.0),
+        (signal.SIGTERM, 13.0),
+    ):
+        life.note_signal(number, now)
+    assert_that(
+        (life.stopped, life.suspensions), Equals((10.0, [[11.0, 12.0]]))
+    )
+
+
+def test_a_plain_connection_tells_what_became_of_each_request():
+    """Guards against a response that is taken for another, or for whole."""
+    connection = RawConnection(task.Clock(), Life("north-0", 1))
+    connection.makeConnection(StringTransport())
+    asked = [Asked("kept", f"r{n}", "/moved/x", None) for n in range(3)]
+    for one in asked:
+        connection.expect(one)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-Request-Attempt-Id: "
+    connection.dataReceived(head + b"r0\r\n\r\nbody" + head)
+    connection.dataReceived(b"r1\r\nConnection: close\r\n\r\nbo")
+    connection.connectionLost(None)
+    assert_that(
+        [(one.status, one.whole, one.after_close) for one in asked],
+        Equals([(200, True, False), (200, False, False), (0, False, True)]),
+    )
+
+
+def test_the_short_soak_stops_hosts_in_all_ways():
+    """Guards against a run of CI that draws some stops never."""
+    hosts = [f"{region}-{n}" for n in range(2) for region in REGIONS]
+    steps = draw_plan(SHORT_SEED, SHORT_SECONDS, hosts)
+    assert {step.fault for step in steps} >= STOPS
+    struck = [s.hosts for s in steps if s.fault is Fault.STOP_REGION]
+    assert all(len({h[:-2] for h in hosts}) == 1 for hosts in struck)
+
+
 def test_a_plan_is_the_same_for_the_same_seed():
     """Guards against a finding that its seed does not show again."""
     hosts = ("a", "b", "c")
@@ -188,13 +297,15 @@
 
 def test_a_short_soak_breaks_no_promise(tmp_path):
     """Guards against what shows only with real processes and sockets."""
-    words = ("--seed", "100", "--seconds", "14", "--hosts", "6")
+    words = ("--seed", str(SHORT_SEED), "--seconds", str(SHORT_SECONDS))
     done = subprocess.run(
         [
             sys.executable,
             "-m",
             "hyssopspring_fakes.soak",
             *words,
+            "--hosts",
+            "6",
             "--logs",
             str(tmp_path),
         ],
@@ -286,7 +397,9 @@
 
     Who waits for its end starts the next one at once.
     """
-    fleet = SimpleNamespace(reactor=task.Clock(), store_address="127.0.0.1:1")
+    fleet = SimpleNamespace(
+        reactor=task.Clock(), store_address="127.0.0.1:1", ticks=(0.0, 0.0)
+    )
     host = HostProcess(fleet, "north-0", "north", "127.0.0.1")
     host.planned = True
     host.gone = defer.Deferred()
