Date a cut in the soak by the time at which the end was noticed

The trace shows that the case is allowed: the host's line 'stopped' (3,985,476 unsent bytes) stands 4.74 s after the signal, 0.14 s past the point from which a process may give up responses, and the caller had paused until then. The check used the lower bound of the process's end, which was 0.4 s too early as the driver was late by 0.43 s.

The excuse now goes by the upper bound, the time at which the end was noticed; everything else keeps the lower one. A history that must fail and one that holds are added.

--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -235,6 +235,7 @@
         """Note the end of the process."""
         self.process = None
         self.current.ended = self.fleet.ticks[0]
+        self.current.noticed = self.fleet.reactor.seconds()
         if not self.planned:
             self.ends.append(f"life {self.life}: {reason.value}")
             self.fleet.reactor.callLater(RESTART_SECONDS, self.revive)
--- a/src/hyssopspring_fakes/soakstops.py
+++ b/src/hyssopspring_fakes/soakstops.py
@@ -29,6 +29,7 @@
         stopped: Time of the first stop signal.
         killed: Time at which it was killed.
         ended: Time of its end, or a little earlier.
+        noticed: Time at which its end was noticed.
         suspensions: Start and end of each time in which it was suspended.
     """
 
@@ -37,6 +38,7 @@
     stopped: float = math.inf
     killed: float = math.inf
     ended: float = math.inf
+    noticed: float = math.inf
     suspensions: list = field(default_factory=list)
 
     def note_signal(self, number, now):
@@ -143,7 +145,7 @@
         return True
     if life.suspended(end, end) and one.ended >= end:
         return True
-    lost = min(one.ended, life.ended)
+    lost = min(one.ended, life.noticed)
     return bool(one.status) and end - DELIVERY_MARGIN <= lost < math.inf
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,6 +207,7 @@
         ("NO-RESPONSE", {"life": ON}),
         ("CUT", {"status": 200}),
         ("CUT", {"status": 200, "after_close": True}),
+        ("CUT", {"status": 200, "ended": 14.9, "life": {"noticed": 14.4}}),
         ("CUT", {"status": 200, "life": ON, "ended": math.inf}),
         ("REFUSED", {"status": 503, "whole": True, "ran": {"r0"}}),
         ("REFUSED", {"status": 429, "whole": True, "ran": {"r0"}}),
@@ -232,6 +233,7 @@
         ),
         ("", {"after_close": True}),
         ("", {"status": 200, "ended": 14.6, "life": {"ended": 14.6}}),
+        ("", {"status": 200, "ended": 14.9, "life": {"ended": 14.3}}),
         ("", {**OK, "life": {"ended": 15.4}}),
     ],
 )
