Test that a relayed request survives the stop of the relaying host

On the code before the mend the stopping host accepts the request until its end and no line says that it was refused; the test waits for that line in vain. Now it refuses as not run, and the sender goes on to another host of that region. No code changes.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -153,6 +153,37 @@
     assert_that(cause_of(ended), Contains("had waited for server since"))
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_relayed_request_goes_on_to_another_host_of_its_region(hosts):
+    """Guards against a relayed request that ends with the relaying host.
+
+    The host in the south stays up for a stream, and the one in the north still
+    sends requests to it.
+    """
+    hosts.add_host("h-south-4", "south", 4)
+    await hosts.settled()
+    hosts.backends["engine-south"].gap = 0.5
+    hosts.backends["engine-south"].events = 5
+    leaving, north = hosts.processes["h-south"], hosts.processes["h-north"]
+    streaming = defer.ensureDeferred(
+        status_of(hosts, leaving, "/quote/a", method=b"POST", **USAGE)
+    )
+    await hosts.until(lambda: hosts.backends["engine-south"].ran)
+    member = north.members.others["h-south"]
+    choose = north.state.remote_hosts.choose
+    north.state.remote_hosts.choose = lambda region, tried: (
+        choose(region, tried) if "h-south" in tried else member
+    )
+    _, stopped = begin_stop(hosts, "h-south")
+    await pause(1.6)
+    status, _, _ = await hosts.send("h-north", "/bound/a", identifier="r2")
+    assert_that(status, Equals(200))
+    refused = await hosts.logged("forward_refused")
+    assert_that(refused["reason"], Equals("host_leaving"))
+    await streaming
+    await stopped
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_response_is_delivered_to_a_slow_reader(hosts):
     """Guards against a response whose rest is lost as its host ends."""
