Answer every request of a gateway before its process ends

What callers saw: a gateway that is told to stop waits for its last request without a bound. If a server or another host is silent, or a limit or a claim of a key cannot be written, the process stays until it is killed, and every request it holds loses its connection without a response.

Cause: the end of the process depended on a counter that only knew how many calls were left, not how to end one, and no time was set for the whole.

Change: `stop_seconds` (30) bounds the time from the signal to the end. The sites enter each request into `InProgress`, which replaces the counter, and a `Call` says how to end it: the attempt is cancelled and its outcome answered; without an attempt no server was sent it, so it was not run; during a crash check it is unknown. Deadlines are shortened to the end of the host at each step of a plan, so no attempt, forwarded ones included, is allowed more. A stream of which nothing was sent yet is refused, where its connection was closed. A line `ended_by_stop` names each request. The times of a stop are shared with entry hosts (net/stoptimes.py).

A gateway without requests ends as soon as before.

--- a/src/hyssopspring/entry/stopping.py
+++ b/src/hyssopspring/entry/stopping.py
@@ -1,8 +1,7 @@
 """What a host that has been told to stop still accepts, and until when."""
 
-import math
-
 from ..core.sentinels import NOTHING
+from ..net.stoptimes import StopTimes
 
 __all__ = ["DRAIN_ACCEPT_SECONDS", "STOPPING_RETRY_SECONDS", "Stopping"]
 
@@ -14,21 +13,12 @@
 """Seconds for which the last host of a region still accepts streams while it
 is stopping. A stream that starts later may not end in time."""
 
-STOP_MARGIN_SECONDS = 0.8
-"""Every request has ended this many seconds before the time allowed for
-stopping is over, which leaves time to deliver the responses."""
-
-EXIT_MARGIN_SECONDS = 0.4
-"""The process ends this many seconds before that time is over, which leaves
-time for its own shutdown and for a late timer."""
-
-
 STOPPING_RETRY_SECONDS = 0.05
 """Retry-After of a host that is stopping. Another host can serve the request
 at once."""
 
 
-class Stopping:
+class Stopping(StopTimes):
     """The planned stop of one process.
 
     Args:
@@ -39,43 +29,15 @@
         keeper: The `ConfigurationKeeper`.
 
     Attributes:
-        since: Time of the stop signal, or `NOTHING`.
         refusing: Whether no request is accepted any more.
     """
 
     def __init__(self, clock, allowed, members, keeper):
-        self.clock = clock
-        self.allowed = allowed
+        super().__init__(clock, allowed)
         self.members = members
         self.keeper = keeper
-        self.since = NOTHING
         self.refusing = False
 
-    def begin(self):
-        """Record the stop signal."""
-        self.since = self.clock.seconds()
-
-    @property
-    def seconds(self):
-        """Seconds since the stop signal, or 0."""
-        if self.since is NOTHING:
-            return 0.0
-        return self.clock.seconds() - self.since
-
-    @property
-    def ends_at(self):
-        """Time by which every request has ended; infinite without a stop."""
-        if self.since is NOTHING:
-            return math.inf
-        return self.since + max(0.0, self.allowed - STOP_MARGIN_SECONDS)
-
-    @property
-    def exits_at(self):
-        """Time by which the process ends; infinite without a stop."""
-        if self.since is NOTHING:
-            return math.inf
-        return self.since + max(0.0, self.allowed - EXIT_MARGIN_SECONDS)
-
     @property
     def drain_seconds(self):
         """Seconds for which all requests are accepted."""
@@ -83,10 +45,6 @@
             return DRAIN_ACCEPT_SECONDS
         return min(DRAIN_ACCEPT_SECONDS, self.ends_at - self.since)
 
-    def has_time(self, seconds):
-        """Return whether *seconds* remain until every request has ended."""
-        return self.clock.seconds() + seconds <= self.ends_at
-
     def accepts(self, timeout, *, stream, busy):
         """Return whether a request may still be accepted.
 
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -10,11 +10,13 @@
 from .core.events import EventKind
 from .core.exceptions import PlatformError
 from .core.membership import HEARTBEAT_INTERVAL_SECONDS, PeerEntry, PeerTable
+from .core.outcomes import NotRun, Reason
 from .core.placement import CentreTable
 from .core.sentinels import NOTHING
 from .core.servers import ServerTable
 from .core.trust import Trust, TrustLevel
 from .logs import start_logging
+from .net.answers import respond_outcome
 from .net.backends import BackendClient
 from .net.bus import Bus
 from .net.callers import CallerApi
@@ -25,6 +27,7 @@
 from .net.dispatching import Dispatcher, HostState
 from .net.draining import Drain
 from .net.forwarding import ForwardedApi
+from .net.inprogress import InProgress
 from .net.interceptors import Interceptors
 from .net.limiting import WorkspaceLimiter
 from .net.membership import Membership
@@ -80,7 +83,10 @@
         self.wall = wall
         self.incarnation = uuid.uuid4().hex[:12]
         self.timeline = make_timeline(settings, wall)
-        self.drain = Drain()
+        self.in_progress = InProgress(reactor, refuse_leaving)
+        self.drain = Drain(
+            reactor, settings.stop_seconds, self.in_progress, self.timeline
+        )
         self.signer = Signer(settings.peer_secret)
         self.pooled_agent = make_agent(reactor)
         self.unpooled_agent = make_agent(reactor, persistent=False)
@@ -118,6 +124,7 @@
                 self.timeline,
                 lambda message: self.bus.publish(CRASH_TOPIC, message),
             ),
+            drain=self.drain,
         )
 
     def create_platform_clients(self):
@@ -233,7 +240,11 @@
         router = Router(self.report_failure)
         for api in apis:
             api.add_routes(router)
-        site = LimitedSite(router.resource(), reactor=self.reactor)
+        site = LimitedSite(
+            router.resource(),
+            reactor=self.reactor,
+            in_progress=self.in_progress,
+        )
         host, port = split_address(address)
         self.ports.append(
             self.reactor.listenTCP(port, site, interface=host, backlog=512)
@@ -392,22 +403,38 @@
         The host first announces the shutdown to the other hosts and
         withdraws its directory entry. It continues to serve for
         `drain_seconds`, since callers may still have its address cached.
-        Then it rejects new requests and waits for those in progress.
+        Then it rejects new requests, waits for those in progress, and
+        ends those that are left as `stop_seconds` are nearly over.
         """
         if self.drain.leaving:
             return
         self.timeline.note(EventKind.STOPPING, active=self.drain.active)
-        self.drain.leaving = True
+        self.drain.begin()
         self.membership.send_heartbeat()
         withdrawn = defer.ensureDeferred(
             self.hosts.withdraw(self.settings.host)
         )
         withdrawn.addErrback(lambda reason: reason.trap(PlatformError))
-        await task.deferLater(self.reactor, self.settings.drain_seconds)
+        accepting = min(
+            self.settings.drain_seconds,
+            self.drain.ends_at - self.reactor.seconds(),
+        )
+        await task.deferLater(self.reactor, accepting)
         self.drain.refusing = True
         await self.drain.wait_until_idle()
+        await self.end_requests()
         await self.close()
-        self.timeline.note(EventKind.STOPPED)
+
+    async def end_requests(self):
+        """End what is still in progress, and deliver the responses."""
+        ended = self.drain.begin_ending()
+        for tracked in ended:
+            self.call_safely(tracked.end)
+        self.timeline.note(
+            EventKind.STOPPED,
+            active=len(ended),
+            unanswered=len(self.in_progress),
+        )
 
     async def close(self):
         """Close all sockets and stop all periodic work."""
@@ -415,13 +442,19 @@
             if loop.running:
                 loop.stop()
         self.config_sync.stop()
-        for port in self.ports:
+        ports, self.ports = self.ports, []
+        for port in ports:
             await port.stopListening()
         self.bus.stop()
         await self.pooled_agent.pool.closeCachedConnections()
         await self.unpooled_agent.pool.closeCachedConnections()
 
 
+def refuse_leaving(request):
+    """Respond that *request* was not run, since the host ends."""
+    respond_outcome(request, NotRun(Reason.LEAVING))
+
+
 def seed_entry(peer):
     """Return the `PeerEntry` of a peer from the settings."""
     return PeerEntry(
--- a/src/hyssopspring/net/answers.py
+++ b/src/hyssopspring/net/answers.py
@@ -81,15 +81,24 @@
             self.first_body_at = self.clock.seconds()
         super().write(data)
 
+    def note_wait(self, wait):
+        """Record what the request waits for.
+
+        Args:
+            wait: The `Wait`.
+        """
+        self.request.tracked.waits_for = wait
+
     def fail(self, outcome):
         """Respond with a failed outcome.
 
-        A response that has been started can only be aborted: if it were
-        ended properly, the caller would take a part of it for the whole.
+        A response of which a part was sent can only be aborted: if it were
+        ended properly, the caller would take the part for the whole.
         """
-        if self.started:
+        if self.request.startedWriting:
             self.abort()
             return
+        self.clear_producer()
         self.finished = True
         for name, value in self.headers:
             self.request.setHeader(name, value)
--- a/src/hyssopspring/net/callers.py
+++ b/src/hyssopspring/net/callers.py
@@ -12,6 +12,7 @@
 from ..core.sentinels import NOTHING
 from .answers import Sink, respond_outcome
 from .backends import CallerMessage
+from .calls import Call
 from .serving import header, respond_json
 
 PREFIX_BYTES = 256
@@ -57,7 +58,7 @@
     Args:
         state: The `HostState`.
         dispatcher: The `Dispatcher`.
-        drain: The `Drain` that counts requests in progress.
+        drain: The `Drain`, the planned stop of this host.
         interceptors: `Interceptors` that run before the first attempt.
         entry_hosts: Returns the list of hosts that callers should use.
     """
@@ -146,13 +147,13 @@
         except RequestRejected as rejection:
             sink.fail(rejection.outcome)
             return
-        disconnected = http_request.notifyFinish()
-        disconnected.addErrback(
-            lambda _: self.dispatcher.cancel_request(identifier)
+        call = Call(
+            self.dispatcher,
+            request,
+            sink,
+            lambda outcome: self.log_outcome(request, outcome, sink),
         )
-        with self.drain.track_request():
-            outcome = await self.execute(request, message, sink)
-            self.finish_response(request, outcome, sink)
+        await call.run(lambda: self.execute(request, message, sink))
 
     async def execute(self, request, message, sink):
         """Run a parsed request through the interceptors to its outcome."""
@@ -163,17 +164,17 @@
             target=request.target.name,
         )
         return await self.interceptors.intercept(
-            request, lambda: self.dispatcher.run(request, message, sink)
+            request,
+            lambda: self.dispatcher.run(request, message, sink),
+            sink.note_wait,
         )
 
-    def finish_response(self, request, outcome, sink):
-        """Finish the response, or send the reason why there is none."""
+    def log_outcome(self, request, outcome, sink):
+        """Log the outcome that the caller was sent."""
         if isinstance(outcome, Answered):
-            sink.finish()
             kind = EventKind.ANSWERED
             details = {"status": outcome.status, "bytes": sink.bytes}
         else:
-            sink.fail(outcome)
             kind = EventKind.UNKNOWN
             if isinstance(outcome, NotRun):
                 kind = EventKind.NOT_RUN
--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -26,6 +26,7 @@
 from ..stores.claimlogs import CLAIMS_PREFIX, OUTCOME_TIMEOUT_SECONDS, ClaimLog
 from .clients import fetch
 from .control import SIGNATURE_HEADER
+from .inprogress import Wait
 from .serving import header, respond, respond_error
 
 CLAIM_PATH = "/claims"
@@ -111,6 +112,8 @@
         health: `Health` of the key-value service, shared by all logs.
     """
 
+    wait = Wait.CLAIM
+
     def __init__(self, state, peers, store, agent, signer, wall):
         self.state = state
         self.peers = peers
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -14,6 +14,7 @@
 from .backends import build_backend_request
 from .crashdetection import AttemptTiming
 from .forwarding import build_forward_request
+from .inprogress import Wait
 
 SERVER_FAILURE_REASONS = (
     Reason.CONNECT,
@@ -66,6 +67,7 @@
             out of date.
         crash_detector: `CallCrashDetector` that blocks requests under which
             servers crash.
+        drain: The `Drain`, the planned stop of this host.
     """
 
     host: str
@@ -81,6 +83,7 @@
     policy: str
     trust: object
     crash_detector: object
+    drain: object
 
 
 class Dispatcher:
@@ -90,6 +93,11 @@
         state: The `HostState`.
         client: `BackendClient` for backend servers and other hosts.
         signer: `Signer` for forwarded requests.
+
+    Attributes:
+        active: Attempt in progress, by identifier of the request.
+        attempted: Identifiers of the requests in progress of which an
+            attempt was made.
     """
 
     def __init__(self, state, client, signer):
@@ -97,6 +105,7 @@
         self.client = client
         self.signer = signer
         self.active = {}
+        self.attempted = set()
 
     async def run(self, request, message, sink):
         """Execute one request.
@@ -122,8 +131,10 @@
             policy=state.policy,
         )
         try:
-            return await self.run_plan(plan, message, sink)
+            outcome = await self.run_plan(plan, message, sink)
+            return state.drain.explain(request, outcome)
         finally:
+            self.attempted.discard(request.id)
             state.crash_detector.request_finished(request)
 
     async def run_plan(self, plan, message, sink):
@@ -131,6 +142,8 @@
         state = self.state
         request = plan.request
         while True:
+            if state.drain.ending:
+                return state.drain.outcome_of(plan.outcomes)
             self.refresh_permissions(plan)
             refusal = state.crash_detector.refusal(request, message)
             if refusal is not NOTHING:
@@ -141,9 +154,10 @@
             outcome = await self.attempt(plan.request, message, sink, step)
             if not isinstance(outcome, Answered):
                 self.log_failure(request, step, outcome)
-            if sink.started and not isinstance(outcome, Answered):
-                return Unknown(outcome.reason)
             plan.record(outcome)
+            is_cut = sink.started and not isinstance(outcome, Answered)
+            if is_cut and not state.drain.ending:
+                return Unknown(outcome.reason)
 
     def refresh_permissions(self, plan):
         """Update the plan to the permissions that are in force now.
@@ -164,13 +178,14 @@
         if residency is NOTHING:
             residency = frozenset()
         plan.configuration = state.keeper.enforced
-        plan.request = replace(request, residency=residency)
+        plan.request = state.drain.bound(replace(request, residency=residency))
 
     async def attempt(self, request, message, sink, step):
         """Execute one step of the plan and return its outcome."""
         ensure(
             not sink.started, "attempt started after the response was started"
         )
+        self.attempted.add(request.id)
         if isinstance(step, Serve):
             return await self.serve(request, message, sink, step)
         return await self.forward(request, message, sink, step)
@@ -187,6 +202,7 @@
             EventKind.ATTEMPT, request=request.id, server=entry.name
         )
         state.table.record_attempt(entry.name)
+        sink.note_wait(Wait.SERVER)
         started_at = state.clock.seconds()
         outcome = NOTHING
         try:
@@ -205,6 +221,7 @@
             head_received=sink.started,
             now=state.clock.seconds(),
         )
+        sink.note_wait(Wait.CRASH_CHECK)
         await state.crash_detector.check_attempt(
             request,
             message,
@@ -274,6 +291,7 @@
             self.apply_data_centre_load(step, data)
 
         state.centres.record_forward(step.summary.data_centre)
+        sink.note_wait(Wait.OTHER_HOST)
         return await self.send(request, outgoing, sink, on_load)
 
     def apply_load_report(self, server, data):
@@ -300,7 +318,10 @@
         )
 
     def cancel_request(self, identifier):
-        """Cancel a request whose caller has disconnected."""
+        """Cancel the attempt in progress of a request.
+
+        Its caller has disconnected, or the host ends.
+        """
         work = self.active.pop(identifier, NOTHING)
         if work is not NOTHING:
             work.cancel()
--- a/src/hyssopspring/net/forwarding.py
+++ b/src/hyssopspring/net/forwarding.py
@@ -8,11 +8,12 @@
 from ..core.events import EventKind
 from ..core.exceptions import ProtocolError
 from ..core.forwarding import refuse_forwarded
-from ..core.outcomes import Answered, NotRun, Reason
+from ..core.outcomes import NotRun, Reason
 from ..core.requests import Priority, Request, Target, TargetKind
 from ..core.sentinels import NOTHING
 from .answers import Sink, parse_outcome, respond_outcome
 from .backends import CallerMessage, OutgoingRequest
+from .calls import Call
 from .messages import ENCODER, ForwardedRequestHead, decode_head
 from .serving import header
 
@@ -80,7 +81,7 @@
         state: The `HostState`.
         dispatcher: The `Dispatcher`.
         signer: The `Signer`.
-        drain: The `Drain` that counts requests in progress.
+        drain: The `Drain`, the planned stop of this host.
     """
 
     def __init__(self, state, dispatcher, signer, drain):
@@ -126,7 +127,8 @@
             header(http_request, "content-type").encode(),
             body,
         )
-        await self.execute(http_request, request, message, sink)
+        call = Call(self.dispatcher, request, sink, lambda outcome: None)
+        await call.run(lambda: self.dispatcher.run(request, message, sink))
 
     def encode_load(self, head):
         """Return the slots, load and wait of the target, encoded as JSON."""
@@ -134,19 +136,6 @@
         totals = self.state.table.summarize(self.state.clock.seconds())
         return msgspec.json.encode(totals.get(target, (0, 0.0, 0.0)))
 
-    async def execute(self, http_request, request, message, sink):
-        """Dispatch the request and respond with its outcome."""
-        disconnected = http_request.notifyFinish()
-        disconnected.addErrback(
-            lambda _: self.dispatcher.cancel_request(request.id)
-        )
-        with self.drain.track_request():
-            outcome = await self.dispatcher.run(request, message, sink)
-            if isinstance(outcome, Answered):
-                sink.finish()
-            else:
-                sink.fail(outcome)
-
     def authenticate(self, http_request):
         """Check the signature and return the head and the body.
 
--- a/src/hyssopspring/net/inprogress.py
+++ b/src/hyssopspring/net/inprogress.py
@@ -20,6 +20,9 @@
     PLACEMENT = "placement"
     CONNECTION = "connection"
     SERVER = "server"
+    OTHER_HOST = "other_host"
+    LIMIT = "limit"
+    CLAIM = "claim"
     CRASH_CHECK = "crash_check"
     DELIVERY = "delivery"
 
@@ -34,12 +37,14 @@
         end: Called without arguments to respond at once, whatever the request
             waits for.
         waits_for: The `Wait` it is in.
+        id: Identifier in the event log, or an empty string.
     """
 
     request: object
     began_at: float
     end: object
     waits_for: Wait = Wait.START
+    id: str = ""
 
 
 class InProgress:
--- a/src/hyssopspring/net/limiting.py
+++ b/src/hyssopspring/net/limiting.py
@@ -25,6 +25,7 @@
     ledger_of,
 )
 from ..stores.keyvalues import Applied
+from .inprogress import Wait
 
 SHARES_PREFIX = "/hyssop/shares/"
 FLEET_WRITES_PER_SECOND = 100.0
@@ -75,6 +76,8 @@
         pacer: `TokenBucket` that limits the ledger writes of this host.
     """
 
+    wait = Wait.LIMIT
+
     def __init__(self, state, peers, store, wall, *, on_failure):
         self.state = state
         self.peers = peers
--- a/src/hyssopspring/net/serving.py
+++ b/src/hyssopspring/net/serving.py
@@ -7,6 +7,7 @@
 
 from ..core.exceptions import HyssopError, ProtocolError
 from ..core.outcomes import Reason
+from ..core.sentinels import NOTHING
 
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
 """Default limit of the size of a request body."""
@@ -20,9 +21,15 @@
 
     Without the limit, a single unbounded body exhausts the memory that
     all other requests on the host need.
+
+    Attributes:
+        refused: Whether its body exceeds the limit.
+        tracked: Its `TrackedRequest`, or `NOTHING` if its site tracks none
+            or it is being read.
     """
 
     refused = False
+    tracked = NOTHING
 
     def gotLength(self, length):
         """Refuse a body whose Content-Length exceeds the limit."""
@@ -48,6 +55,13 @@
         if not self.refused:
             super().requestReceived(command, path, version)
 
+    def process(self):
+        """Track the complete request and pass it to its handler."""
+        in_progress = self.channel.site.in_progress
+        if in_progress is not NOTHING:
+            self.tracked = in_progress.add(self)
+        super().process()
+
     def refuse(self):
         """Respond with status 413 and close the connection."""
         if self.refused:
@@ -72,14 +86,21 @@
         root: The root resource.
         max_request_bytes: Largest body of a request.
         reactor: The reactor.
+        in_progress: `InProgress` that tracks the requests, or `NOTHING`.
     """
 
     def __init__(
-        self, root, *, max_request_bytes=MAX_REQUEST_BYTES, reactor=None
+        self,
+        root,
+        *,
+        max_request_bytes=MAX_REQUEST_BYTES,
+        reactor=None,
+        in_progress=NOTHING,
     ):
         super().__init__(root, timeout=IDLE_TIMEOUT_SECONDS, reactor=reactor)
         self.requestFactory = LimitedRequest
         self.max_request_bytes = max_request_bytes
+        self.in_progress = in_progress
         self.too_large_body = msgspec.json.encode(
             {
                 "error": {
--- a/src/hyssopspring/settings.py
+++ b/src/hyssopspring/settings.py
@@ -70,6 +70,8 @@
             data centre.
         drain_seconds: Time for which the gateway continues to serve after
             a stop signal.
+        stop_seconds: Time from the first stop signal to the end of the
+            process, within which every request is answered.
         trusted_callers: Whether a header may name the workspace in place
             of a key; only for closed networks and tests.
     """
@@ -80,6 +82,7 @@
     peers: list[PeerSettings] = []
     policy: str = "affinity"
     drain_seconds: float = 3.0
+    stop_seconds: float = 30.0
     trusted_callers: bool = False
 
 
--- a/src/hyssopspring_fakes/fleet.py
+++ b/src/hyssopspring_fakes/fleet.py
@@ -42,6 +42,7 @@
         model: Name of the model that the engines serve.
         engine_model: `EngineModel` of all engines.
         drain_seconds: Time that a leaving gateway goes on serving.
+        stop_seconds: Time in which a leaving gateway must have ended.
     """
 
     regions: tuple = ("dar", "arusha")
@@ -51,6 +52,7 @@
     model: str = "quick-draft"
     engine_model: EngineModel = field(default_factory=EngineModel)
     drain_seconds: float = 0.2
+    stop_seconds: float = 30.0
     log: str = "ERROR"
 
 
@@ -153,6 +155,7 @@
             control=row["control"],
             log=self.shape.log,
             drain_seconds=self.shape.drain_seconds,
+            stop_seconds=self.shape.stop_seconds,
         )
         gateway = Gateway(settings, self.reactor, wall=time.time, seed=1)
         gateway.start()
--- /dev/null
+++ b/tests/test_gatewaystop.py
@@ -0,0 +1,131 @@
+"""Requests at a gateway that is told to stop."""
+
+from types import SimpleNamespace
+
+import pytest
+import pytest_twisted
+from test_failures import list_runs, outcome_of, set_faults
+from testtools.assertions import assert_that
+from testtools.matchers import (
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+)
+from twisted.internet import defer, reactor
+
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.core.shares import ledger_of
+from hyssopspring_fakes.fleet import Shape
+
+STOP_SECONDS = 2.5
+ONCE = {"hyssop_repeatable": "no", "idempotency_key": "k1"}
+
+
+@pytest.fixture
+def shape():
+    """Return a fleet whose gateways end soon after a stop signal."""
+    return Shape(engines=1, stop_seconds=STOP_SECONDS)
+
+
+def begin_stop(fleet, name):
+    """Tell a gateway to stop; return it and a deferred of its end."""
+    gateway = fleet.gateways[name]
+    stopped = defer.ensureDeferred(gateway.stop())
+    # A gateway that does not end fails its test, and holds up no other.
+    stopped.addTimeout(STOP_SECONDS + 2.0, reactor)
+    return gateway, stopped
+
+
+def events(gateway, name):
+    """Return the details of the events of a gateway by name."""
+    recent = gateway.timeline.recent_events
+    return [event.details for event in recent if event.name == name]
+
+
+async def remove_engine(fleet, region):
+    """Remove the engine of a region from the host list."""
+    name = f"{region}-engine-0"
+    del fleet.platform.hosts[name]
+    await fleet.until(
+        lambda: (
+            not any(
+                name in gateway.state.table.servers
+                for gateway in fleet.gateways.values()
+            )
+        )
+    )
+
+
+def hold_ledger(gateway, store):
+    """Let the next update of a limit wait without an end."""
+    gateway.limits.waiting_by_ledger[ledger_of("quotes")] = []
+    gateway.limits.limits = lambda workspace: SimpleNamespace(
+        concurrent=0, requests_per_second=0.0
+    )
+
+
+def hold_claim(gateway, store):
+    """Let the next claim of a key wait without an end."""
+    gateway.claims.owner = lambda shard: NOTHING
+    gateway.claims.submit = lambda record, within: defer.Deferred()
+
+
+HOLDERS = {
+    "server": ("dar-0", b"unknown", 1, lambda gateway, store: None),
+    "other_host": ("dar-0", b"unknown", 1, lambda gateway, store: None),
+    "limit": ("dar-0", b"not-run", 0, hold_ledger),
+    "claim": ("dar-0", b"not-run", 0, hold_claim),
+}
+
+
+@pytest.mark.parametrize("wait", HOLDERS)
+@pytest_twisted.ensureDeferred
+async def test_a_request_is_answered_before_its_gateway_ends(
+    fleet, caller, wait
+):
+    """Guards against a request that waits without a bound as a host ends."""
+    host, outcome, runs, hold = HOLDERS[wait]
+    hold(fleet.gateways[host], fleet.platform)
+    for engine in fleet.engines.values():
+        engine.faults.hang = True
+    if wait == "other_host":
+        await remove_engine(fleet, "dar")
+    asked = defer.ensureDeferred(caller.complete(host, headers=ONCE))
+    await fleet.pause(0.3)
+    gateway, stopped = begin_stop(fleet, host)
+    await stopped
+    status, headers, _ = await asked
+    assert_that(outcome_of(headers), Equals(outcome))
+    reason = headers.getRawHeaders(b"hyssop-reason")
+    assert_that(reason, Equals([b"host_leaving"]))
+    assert_that(list_runs(fleet), HasLength(runs))
+    (ended,) = events(gateway, "ended_by_stop")
+    assert_that(ended["waits_for"], Equals(wait))
+    assert_that(int(ended["waited_ms"]), GreaterThan(300))
+    (end,) = events(gateway, "stopped")
+    assert_that((end["active"], end["unanswered"]), Equals(("1", "0")))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_forwarded_request_ends_with_the_host_that_runs_it(
+    fleet, caller
+):
+    """Guards against a sender that is told nothing, or of a run as not run."""
+    set_faults(fleet, "arusha", hang=True)
+    await remove_engine(fleet, "dar")
+    asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
+    await fleet.pause(0.3)
+    _, stopped = begin_stop(fleet, "arusha-0")
+    await stopped
+    _, headers, _ = await asked
+    assert_that(outcome_of(headers), Equals(b"unknown"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_gateway_without_requests_ends_at_once(fleet):
+    """Guards against a rolling restart that waits for nothing."""
+    began_at = reactor.seconds()
+    _, stopped = begin_stop(fleet, "dar-0")
+    await stopped
+    assert_that(reactor.seconds() - began_at, LessThan(1.5))
