Close connections of a stopping gateway without losing what they carry

What callers saw: of a response of 12 MB the last part is missing if they read on a second later; the connection of a request that is still arriving is closed without a response; a caller that has just connected is reset; no response announces that its connection will be closed.

Cause: the process ended once no call was in progress, whatever was still to be sent or to be read. Class: as with entry hosts, the state of a connection was no part of what a stop asks.

Change: `LimitedSite` and `LimitedRequest` are a `ClosingSite` and a `ClosingRequest`, and `Listeners` closes the ports and connections, as on entry hosts. A request that is not complete is refused as not run, with the reason. `stopped` tells how many requests were not answered and how many bytes were not taken. `close` aborts the connections that are left, as the end of the process would.

`RawCaller` moves to a file of its own.

--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -20,6 +20,7 @@
 from .net.backends import BackendClient
 from .net.bus import Bus
 from .net.callers import CallerApi
+from .net.channels import Listeners
 from .net.claiming import Claims
 from .net.clients import make_agent
 from .net.control import ControlApi, ControlClient, HostStatus
@@ -46,6 +47,10 @@
 STALL_THRESHOLD_SECONDS = 0.25
 """Delay of the event loop beyond which a stall is logged."""
 
+MIN_CLOSE_SECONDS = 0.25
+"""Least time in which a stopping host closes its connections, also if it was
+suspended past the time allowed."""
+
 HOSTS_TTL_SECONDS = 5
 """Time for which callers may cache the list of entry hosts; also the interval
 at which this host renews its directory entry."""
@@ -67,7 +72,7 @@
         incarnation: Identifier of this run of the process.
         pooled_agent: HTTP agent that reuses connections.
         unpooled_agent: HTTP agent that opens a connection per request.
-        ports: Listening ports.
+        listeners: The `Listeners` for callers and other hosts.
         loops: Periodic calls in progress.
         longest_stall: Longest recent delay of the event loop in seconds;
             it decays with each measurement.
@@ -95,7 +100,7 @@
         self.create_platform_clients()
         self.create_apis()
         self.create_membership()
-        self.ports = []
+        self.listeners = Listeners(reactor)
         self.loops = []
         self.longest_stall = 0.0
         self.trust_level = TrustLevel.FULL
@@ -246,9 +251,15 @@
             in_progress=self.in_progress,
         )
         host, port = split_address(address)
-        self.ports.append(
-            self.reactor.listenTCP(port, site, interface=host, backlog=512)
+        listening = self.reactor.listenTCP(
+            port, site, interface=host, backlog=512
         )
+        self.listeners.add(listening, site)
+
+    @property
+    def ports(self):
+        """The listening ports, which are empty once they are closed."""
+        return self.listeners.ports
 
     def report_failure(self, reason):
         """Log the traceback of a handler that raised.
@@ -415,13 +426,14 @@
             self.hosts.withdraw(self.settings.host)
         )
         withdrawn.addErrback(lambda reason: reason.trap(PlatformError))
+        self.listeners.announce()
         accepting = min(
             self.settings.drain_seconds,
             self.drain.ends_at - self.reactor.seconds(),
         )
         await task.deferLater(self.reactor, accepting)
         self.drain.refusing = True
-        await self.drain.wait_until_idle()
+        await self.drain.wait_until_idle(self.listeners)
         await self.end_requests()
         await self.close()
 
@@ -430,10 +442,15 @@
         ended = self.drain.begin_ending()
         for tracked in ended:
             self.call_safely(tracked.end)
+        until = max(
+            self.drain.exits_at, self.reactor.seconds() + MIN_CLOSE_SECONDS
+        )
+        await self.listeners.close(until)
         self.timeline.note(
             EventKind.STOPPED,
             active=len(ended),
             unanswered=len(self.in_progress),
+            unsent_bytes=self.listeners.unsent_bytes,
         )
 
     async def close(self):
@@ -442,9 +459,8 @@
             if loop.running:
                 loop.stop()
         self.config_sync.stop()
-        ports, self.ports = self.ports, []
-        for port in ports:
-            await port.stopListening()
+        self.listeners.stop_listening()
+        self.listeners.abort()
         self.bus.stop()
         await self.pooled_agent.pool.closeCachedConnections()
         await self.unpooled_agent.pool.closeCachedConnections()
--- a/src/hyssopspring/net/answers.py
+++ b/src/hyssopspring/net/answers.py
@@ -5,7 +5,7 @@
 from ..core.exceptions import ensure
 from ..core.outcomes import NotRun, Reason, Repeated, Unknown
 from ..core.sentinels import NOTHING
-from .serving import respond_error
+from .serving import LEAVING_MESSAGE, respond_error
 from .sinks import AnswerSink, first_value
 
 STATUS_BY_REASON = {
@@ -40,7 +40,7 @@
     Reason.NO_SERVER: "no backend server can take the request now",
     Reason.RATE_LIMIT: "the workspace's rate limit is reached",
     Reason.CONCURRENCY_LIMIT: "the workspace's concurrency limit is reached",
-    Reason.LEAVING: "this host is shutting down; use another host",
+    Reason.LEAVING: LEAVING_MESSAGE,
     Reason.NO_CONFIGURATION: "this host has no configuration yet",
     Reason.UNVERIFIED: "this host may be out of date; use another host",
     Reason.CLAIMS_UNAVAILABLE: "the idempotency key cannot be recorded now",
--- a/src/hyssopspring/net/draining.py
+++ b/src/hyssopspring/net/draining.py
@@ -83,13 +83,17 @@
             return combined
         return type(combined)(Reason.LEAVING)
 
-    async def wait_until_idle(self):
+    async def wait_until_idle(self, listeners):
         """Wait until no request is in progress, or their time is over.
 
         It is over one interval early, so that each request is ended as one
         that is in progress, and not by the shortened deadline of an attempt.
+
+        Args:
+            listeners: The `Listeners`, whose idle connections are closed.
         """
         while len(self.in_progress) and self.has_time(CHECK_INTERVAL_SECONDS):
+            listeners.close_idle()
             await task.deferLater(self.clock, CHECK_INTERVAL_SECONDS)
 
     def begin_ending(self):
--- a/src/hyssopspring/net/serving.py
+++ b/src/hyssopspring/net/serving.py
@@ -8,15 +8,54 @@
 from ..core.exceptions import HyssopError, ProtocolError
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
+from .channels import ClosingRequest, ClosingSite
 
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
 """Default limit of the size of a request body."""
 
+LEAVING_MESSAGE = "this host is shutting down; use another host"
+
 IDLE_TIMEOUT_SECONDS = 30.0
 """Time without data after which a connection is closed."""
 
 
-class LimitedRequest(server.Request):
+def encode_refusal(status, reason, message, headers=b""):
+    """Return a whole response to a request that is not read completely.
+
+    Args:
+        status: Status line without the protocol version, as bytes.
+        reason: The `Reason`.
+        message: Text for the caller.
+        headers: Further header lines.
+    """
+    error = {"message": message, "type": "not_run", "code": reason}
+    body = msgspec.json.encode({"error": error})
+    return (
+        b"HTTP/1.1 %s\r\n"
+        b"Content-Type: application/json\r\n"
+        b"Hyssop-Outcome: not-run\r\n"
+        b"%s"
+        b"Connection: close\r\n"
+        b"Content-Length: %d\r\n\r\n%s" % (status, headers, len(body), body)
+    )
+
+
+TOO_LARGE_REFUSAL = encode_refusal(
+    b"413 Payload Too Large",
+    Reason.BODY_TOO_LARGE,
+    "the request body is too large",
+)
+
+LEAVING_REFUSAL = encode_refusal(
+    b"503 Service Unavailable",
+    Reason.LEAVING,
+    LEAVING_MESSAGE,
+    b"Hyssop-Reason: %s\r\nRetry-After: 1\r\n" % Reason.LEAVING.encode(),
+)
+"""Response of a stopping host to a request that it has not read completely."""
+
+
+class LimitedRequest(ClosingRequest, server.Request):
     """A request whose body is bounded by the limit of its site.
 
     Without the limit, a single unbounded body exhausts the memory that
@@ -67,19 +106,11 @@
         if self.refused:
             return
         self.refused = True
-        body = self.channel.site.too_large_body
-        head = (
-            b"HTTP/1.1 413 Payload Too Large\r\n"
-            b"Content-Type: application/json\r\n"
-            b"Hyssop-Outcome: not-run\r\n"
-            b"Connection: close\r\n"
-            b"Content-Length: %d\r\n\r\n" % len(body)
-        )
-        self.channel.transport.write(head + body)
+        self.channel.transport.write(TOO_LARGE_REFUSAL)
         self.channel.loseConnection()
 
 
-class LimitedSite(server.Site):
+class LimitedSite(ClosingSite, server.Site):
     """A site that limits the body size and the idle time.
 
     Args:
@@ -101,17 +132,12 @@
         self.requestFactory = LimitedRequest
         self.max_request_bytes = max_request_bytes
         self.in_progress = in_progress
-        self.too_large_body = msgspec.json.encode(
-            {
-                "error": {
-                    "message": "the request body is too large",
-                    "type": "not_run",
-                    "code": Reason.BODY_TOO_LARGE,
-                }
-            }
-        )
         self.displayTracebacks = False
 
+    def incomplete_refusal(self):
+        """Return the response to a request that is not read completely."""
+        return LEAVING_REFUSAL
+
     def log(self, request):
         """Write no access log; requests are recorded in the event log."""
 
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -2,23 +2,31 @@
 
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 import pytest_twisted
+from conftest import KEY
+from raw_callers import RawCaller, pause
 from test_failures import list_runs, outcome_of, set_faults
 from testtools.assertions import assert_that
 from testtools.matchers import (
+    Contains,
     Equals,
     GreaterThan,
     HasLength,
     LessThan,
 )
 from twisted.internet import defer, reactor
+from twisted.internet.tcp import Server
 
+from hyssopspring.core.addresses import split_address
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.core.shares import ledger_of
 from hyssopspring_fakes.fleet import Shape
+from hyssopspring_fakes.service import FakeService
 
 STOP_SECONDS = 2.5
+HEADERS = f"authorization: Bearer {KEY}\r\n"
 ONCE = {"hyssop_repeatable": "no", "idempotency_key": "k1"}
 
 
@@ -34,9 +42,22 @@
     stopped = defer.ensureDeferred(gateway.stop())
     # A gateway that does not end fails its test, and holds up no other.
     stopped.addTimeout(STOP_SECONDS + 2.0, reactor)
+    stopped.addCallback(lambda _: end_process(gateway))
     return gateway, stopped
 
 
+def end_process(gateway):
+    """Reset the connections of a gateway, as the end of its process does."""
+    settings = gateway.settings
+    ports = {
+        split_address(address)[1]
+        for address in (settings.listen, settings.forward)
+    }
+    for one in {*reactor.getReaders(), *reactor.getWriters()}:
+        if isinstance(one, Server) and one.getHost().port in ports:
+            one.abortConnection()
+
+
 def events(gateway, name):
     """Return the details of the events of a gateway by name."""
     recent = gateway.timeline.recent_events
@@ -92,7 +113,7 @@
     if wait == "other_host":
         await remove_engine(fleet, "dar")
     asked = defer.ensureDeferred(caller.complete(host, headers=ONCE))
-    await fleet.pause(0.3)
+    await pause(0.3)
     gateway, stopped = begin_stop(fleet, host)
     await stopped
     status, headers, _ = await asked
@@ -104,7 +125,10 @@
     assert_that(ended["waits_for"], Equals(wait))
     assert_that(int(ended["waited_ms"]), GreaterThan(300))
     (end,) = events(gateway, "stopped")
-    assert_that((end["active"], end["unanswered"]), Equals(("1", "0")))
+    assert_that(
+        (end["active"], end["unanswered"], end["unsent_bytes"]),
+        Equals(("1", "0", "0")),
+    )
 
 
 @pytest_twisted.ensureDeferred
@@ -115,13 +139,89 @@
     set_faults(fleet, "arusha", hang=True)
     await remove_engine(fleet, "dar")
     asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
-    await fleet.pause(0.3)
+    await pause(0.3)
     _, stopped = begin_stop(fleet, "arusha-0")
     await stopped
     _, headers, _ = await asked
     assert_that(outcome_of(headers), Equals(b"unknown"))
 
 
+async def connect(gateway):
+    """Return a connected `RawCaller` of a gateway."""
+    caller = RawCaller(gateway.settings.listen)
+    await caller.connect()
+    return caller
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"POST /serv",
+        b"POST /services/rating/a HTTP/1.1\r\n",
+        b"POST /services/rating/a HTTP/1.1\r\ncontent-length: 9\r\n\r\n123",
+    ],
+)
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_is_still_arriving_is_refused(fleet, part):
+    """Guards against a close whose caller cannot tell that nothing ran."""
+    gateway, stopped = begin_stop(fleet, "dar-0")
+    caller = await connect(gateway)
+    caller.socket.send(part)
+    received = await caller.receive(3.0)
+    assert_that(received, Contains(b"HTTP/1.1 503"))
+    assert_that(received.lower(), Contains(b"hyssop-outcome: not-run"))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_requests_behind_one_in_progress_are_answered(fleet):
+    """Guards against a close that drops requests which were read already."""
+    gateway, stopped = begin_stop(fleet, "dar-0")
+    caller = await connect(gateway)
+    for path in ("/services/rating/a", "/services/rating/b"):
+        caller.send(path, headers=HEADERS)
+    received = await caller.receive(1.5)
+    assert_that(received.count(b"HTTP/1.1 200"), Equals(2))
+    assert_that(received.lower().count(b"connection: close"), Equals(1))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_the_first_request_of_a_new_connection_is_answered(fleet):
+    """Guards against a port that closes under a caller that connects."""
+    gateway, stopped = begin_stop(fleet, "dar-0")
+    await pause(0.19)
+    caller = await connect(gateway)
+    await pause(0.1)
+    caller.send("/services/rating/a", headers=HEADERS)
+    assert_that(await caller.receive(0.5), Contains(b"HTTP/1.1 "))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_response_is_delivered_to_a_slow_reader(fleet, monkeypatch):
+    """Guards against a response whose rest is lost as its host ends."""
+    size = 12_000_000
+
+    def report(self):
+        return {"server": self.name, "filler": "~" * size}
+
+    def answer(self, request, identifier):
+        request.setHeader(b"x-request-id", identifier.encode())
+        request.write(msgspec.json.encode(report(self)))
+        request.finish()
+
+    monkeypatch.setattr(FakeService, "answer", answer)
+    gateway, stopped = begin_stop(fleet, "dar-0")
+    caller = await connect(gateway)
+    caller.send("/services/rating/a", headers=HEADERS)
+    received = await caller.receive(0.5, most=1000)
+    await pause(1.0)
+    received += await caller.receive(1.0)
+    assert_that(received.count(b"~"), Equals(size))
+    await stopped
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_gateway_without_requests_ends_at_once(fleet):
     """Guards against a rolling restart that waits for nothing."""
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,17 +1,15 @@
 """Requests at a host that is told to stop."""
 
-import contextlib
-import socket
 import time
 
 import pytest
 import pytest_twisted
 from entry_hosts import NOT_CONNECTED, USAGE, cut_off_stores, status_of
+from raw_callers import RawCaller, pause
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan
-from twisted.internet import defer, reactor, task
+from twisted.internet import defer
 
-from hyssopspring.core.addresses import split_address
 from hyssopspring.records import cause_of, read_records
 
 APPLY_SECONDS = 4.0
@@ -21,56 +19,6 @@
 """Seconds after the stop signal, 0.3 s before a host of 4 s ends."""
 
 
-def pause(seconds):
-    """Return a deferred that fires after *seconds*."""
-    return task.deferLater(reactor, seconds)
-
-
-class RawCaller:
-    """A caller on one connection, whose bytes a test sends by itself.
-
-    Its socket does not depend on the event loop, so that it sends and connects
-    also while a host in the same process is suspended.
-    """
-
-    def __init__(self, process):
-        self.address = split_address(process.settings.front)
-        self.socket = socket.socket()
-        self.socket.setblocking(False)
-
-    async def connect(self):
-        """Connect; the host accepts the connection soon after."""
-        with contextlib.suppress(BlockingIOError):
-            self.socket.connect(self.address)
-        await pause(0.02)
-
-    def send(self, path, *, body=b"", announced=0):
-        """Send a request, or the part of it that *body* leaves incomplete."""
-        head = (
-            f"POST {path} HTTP/1.1\r\nhost: a.example\r\n"
-            f"x-request-attempt-id: r1\r\n"
-            f"content-length: {announced or len(body)}\r\n\r\n"
-        )
-        self.socket.send(head.encode() + body)
-
-    async def receive(self, seconds, *, most=64 * 1024 * 1024):
-        """Return what comes until the close, in *seconds*, up to *most*."""
-        received = b""
-        end = reactor.seconds() + seconds
-        while reactor.seconds() < end and len(received) < most:
-            try:
-                data = self.socket.recv(65536)
-            except BlockingIOError:
-                await pause(0.01)
-                continue
-            except ConnectionResetError:
-                break
-            if not data:
-                break
-            received += data
-        return received
-
-
 def suspend(seconds):
     """Suspend all hosts, which run in the process of the test."""
     time.sleep(seconds)
@@ -161,7 +109,7 @@
     hosts.add_host("h-north-2", "north", 5)
     await hosts.settled()
     process, stopped = begin_stop(hosts, "h-north")
-    caller = RawCaller(process)
+    caller = RawCaller(process.settings.front)
     await caller.connect()
     caller.send("/lookup/a")
     head = await caller.receive(1.0, most=1000)
@@ -176,7 +124,7 @@
 async def test_a_request_that_came_during_a_suspension_is_answered(hosts):
     """Guards against a close of an idle connection with a request unread."""
     process, stopped = begin_stop(hosts, "h-north")
-    callers = [RawCaller(process) for _ in range(4)]
+    callers = [RawCaller(process.settings.front) for _ in range(4)]
     for caller in callers:
         await caller.connect()
     await pause(0.5)
@@ -195,7 +143,7 @@
     """Guards against a close of a connection before its first request."""
     process, stopped = begin_stop(hosts, "h-north")
     await pause(1.45)
-    caller = RawCaller(process)
+    caller = RawCaller(process.settings.front)
     await caller.connect()
     await pause(0.15)
     caller.send("/lookup/a")
@@ -207,7 +155,7 @@
 async def test_requests_behind_one_in_progress_are_answered(hosts):
     """Guards against a close that drops requests which were read already."""
     process, stopped = begin_stop(hosts, "h-north")
-    caller = RawCaller(process)
+    caller = RawCaller(process.settings.front)
     await caller.connect()
     caller.send("/lookup/a")
     caller.send("/lookup/b")
@@ -225,7 +173,7 @@
     """Guards against a close whose caller cannot tell that nothing ran."""
     process, stopped = begin_stop(hosts, "h-north")
     await pause(2.5)
-    caller = RawCaller(process)
+    caller = RawCaller(process.settings.front)
     await caller.connect()
     caller.socket.send(part)
     received = await caller.receive(3.0)
@@ -238,7 +186,7 @@
     """Guards against a close whose caller cannot tell that nothing ran."""
     process, stopped = begin_stop(hosts, "h-north")
     await pause(2.5)
-    caller = RawCaller(process)
+    caller = RawCaller(process.settings.front)
     await caller.connect()
     caller.send("/post/a", body=b"12345", announced=10)
     received = await caller.receive(3.0)
