Write the state of claimed keys before a gateway ends

What callers saw: a request with an idempotency key that has been answered, or was told that it was not run, is refused as in progress when its caller repeats it, until the claim expires.

Cause: the state of a claim is written after the response, by work that the end of the process did not wait for. A claim that was written, but whose verdict had not come, was never released. Class: work that outlives its request and that nobody asks for at the end.

Change: `Claims` keeps the writes in progress, and the stop waits for them after the connections, for five seconds and up to the end of its time. `stopped` tells how many are left.

--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -446,11 +446,13 @@
             self.drain.exits_at, self.reactor.seconds() + MIN_CLOSE_SECONDS
         )
         await self.listeners.close(until)
+        await self.claims.wait_until_written(self.drain.exits_at)
         self.timeline.note(
             EventKind.STOPPED,
             active=len(ended),
             unanswered=len(self.in_progress),
             unsent_bytes=self.listeners.unsent_bytes,
+            unwritten=len(self.claims.pending),
         )
 
     async def close(self):
--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -6,7 +6,7 @@
 from binascii import Error as Base64Error
 
 import msgspec
-from twisted.internet import defer
+from twisted.internet import defer, task
 from twisted.web.http_headers import Headers
 
 from ..core.claims import (
@@ -45,6 +45,13 @@
 """Delay before a claim that timed out is released. By then every write that
 could carry the claim has been answered or is outdated."""
 
+MAX_WRITE_SECONDS = 5.0
+"""Time for which a stopping host waits for records to be written: that until
+a claim is released, and one second to write it."""
+
+CHECK_INTERVAL_SECONDS = 0.05
+"""Interval between checks whether all records are written."""
+
 FLEET_WRITES_PER_SECOND = 200.0
 """Limit on claim writes of all shards together, divided among the shards."""
 
@@ -110,6 +117,7 @@
     Attributes:
         logs: `ClaimLog` by shard.
         health: `Health` of the key-value service, shared by all logs.
+        pending: Deferreds of the records that are being written.
     """
 
     wait = Wait.CLAIM
@@ -123,6 +131,7 @@
         self.wall = wall
         self.logs = {}
         self.health = Health()
+        self.pending = set()
 
     def tick(self):
         """Probe the key-value service while it is down."""
@@ -156,7 +165,7 @@
             return REJECTIONS[Verdict.UNAVAILABLE]
         nonce = secrets.token_bytes(NONCE_BYTES)
         record = self.make_record(request, nonce, ClaimState.CLAIMED)
-        verdict = await self.claim(record, request)
+        verdict = await self.track(self.claim(record, request))
         if verdict is not Verdict.GRANTED:
             self.release_later(record, verdict)
             return REJECTIONS[verdict]
@@ -314,7 +323,29 @@
             claim_state = ClaimState.DONE
         elif isinstance(outcome, NotRun):
             claim_state = ClaimState.RELEASED
-        defer.ensureDeferred(self.write_claim_state(record, claim_state))
+        self.track(self.write_claim_state(record, claim_state))
+
+    def track(self, write):
+        """Start a coroutine that writes a record; return its deferred."""
+        work = defer.ensureDeferred(write)
+        self.pending.add(work)
+        return work.addBoth(self.end_write, work)
+
+    def end_write(self, result, work):
+        """Forget a write that has ended, and return its result."""
+        self.pending.discard(work)
+        return result
+
+    async def wait_until_written(self, until):
+        """Wait until no record is being written.
+
+        Args:
+            until: Time at which the remaining writes are given up.
+        """
+        clock = self.state.clock
+        until = min(until, clock.seconds() + MAX_WRITE_SECONDS)
+        while self.pending and clock.seconds() < until:
+            await task.deferLater(clock, CHECK_INTERVAL_SECONDS)
 
     async def write_claim_state(self, record, claim_state):
         """Write the state of a claim through the owner of the shard.
@@ -343,9 +374,9 @@
         """
         if verdict is not Verdict.UNAVAILABLE:
             return
-        self.state.clock.callLater(
-            RELEASE_DELAY_SECONDS,
-            lambda: defer.ensureDeferred(
-                self.write_claim_state(record, ClaimState.RELEASED)
-            ),
-        )
+        self.track(self.release(record))
+
+    async def release(self, record):
+        """Release a key after `RELEASE_DELAY_SECONDS`."""
+        await task.deferLater(self.state.clock, RELEASE_DELAY_SECONDS)
+        await self.write_claim_state(record, ClaimState.RELEASED)
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -47,7 +47,8 @@
 
 
 def end_process(gateway):
-    """Reset the connections of a gateway, as the end of its process does."""
+    """Reset connections and let no write begin, as the end of a process."""
+    gateway.store.get = gateway.store.swap = lambda *_: defer.Deferred()
     settings = gateway.settings
     ports = {
         split_address(address)[1]
@@ -146,6 +147,45 @@
     assert_that(outcome_of(headers), Equals(b"unknown"))
 
 
+@pytest_twisted.ensureDeferred
+async def test_the_outcome_of_a_key_is_written_before_its_gateway_ends(
+    fleet, caller
+):
+    """Guards against a key that stays claimed by a request that has ended."""
+    gateway = fleet.gateways["dar-0"]
+    gateway.claims.owner = lambda shard: NOTHING
+    fleet.platform.set_fault("slow", 0.3)
+    await caller.complete("dar-0", headers=ONCE)
+    _, stopped = begin_stop(fleet, "dar-0")
+    await stopped
+    committed = len(events(gateway, "claim_committed"))
+    assert_that(committed, Equals(2))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_key_is_free_after_its_request_was_not_run(fleet, caller):
+    """Guards against a claim that outlives a request ended by a stop."""
+    claims = fleet.gateways["dar-0"].claims
+    claims.owner = lambda shard: NOTHING
+    submit = claims.submit
+
+    async def submit_late(record, within):
+        claims.submit = submit
+        verdict = await submit(record, within)
+        await pause(2.0)
+        return verdict
+
+    claims.submit = submit_late
+    asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
+    await pause(0.3)
+    _, stopped = begin_stop(fleet, "dar-0")
+    await stopped
+    _, headers, _ = await asked
+    assert_that(outcome_of(headers), Equals(b"not-run"))
+    status, _, _ = await caller.complete("arusha-0", headers=ONCE)
+    assert_that(status, Equals(200))
+
+
 async def connect(gateway):
     """Return a connected `RawCaller` of a gateway."""
     caller = RawCaller(gateway.settings.listen)
