Forward a request to another gateway if one is shutting down

What callers saw: 503 host_leaving for a request that another gateway of the same data centre could have served.

Cause: a plan counts a data centre as tried after one gateway of it, also if that one only said that it is shutting down.

Change: such a refusal leaves out the gateway, not its data centre. It still counts as an attempt, and not as a failure of a server.

Result: the test failed before (503 instead of 200) and passes, those of plans too.

--- a/src/hyssopspring/core/plans.py
+++ b/src/hyssopspring/core/plans.py
@@ -81,9 +81,16 @@
         self.outcomes = []
         self.tried_servers = set()
         self.tried_centres = set()
+        self.leaving_gateways = set()
+        self.last_step = NOTHING
 
     def next(self, now):
         """Return the next step: `Serve`, `Forward` or `Finish`."""
+        self.last_step = self.decide(now)
+        return self.last_step
+
+    def decide(self, now):
+        """Return the step that follows the outcomes so far."""
         if self.outcomes:
             final = self.final_outcome(now)
             if final is not NOTHING:
@@ -115,8 +122,18 @@
         return Finish(NotRun(Reason.OVERLOADED, wait))
 
     def record(self, outcome):
-        """Record the outcome of the step that `next` returned last."""
+        """Record the outcome of the step that `next` returned last.
+
+        A gateway that is shutting down says nothing about the others of its
+        data centre.
+        """
         self.outcomes.append(outcome)
+        step = self.last_step
+        if not isinstance(step, Forward) or not isinstance(outcome, NotRun):
+            return
+        if outcome.reason is Reason.LEAVING:
+            self.leaving_gateways.add(step.address)
+            self.tried_centres.discard(step.summary.data_centre)
 
     def final_outcome(self, now):
         """Return the final outcome, or `NOTHING` if a retry is allowed."""
@@ -210,10 +227,15 @@
             summary.region in self.allowed(target),
             "request would be forwarded outside its residency",
         )
-        if self.request.path or not summary.gateways:
+        gateways = [
+            address
+            for address in summary.gateways
+            if address not in self.leaving_gateways
+        ]
+        if self.request.path or not gateways:
             return NOTHING
         if summary.data_centre in self.tried_centres:
             return NOTHING
         self.tried_centres.add(summary.data_centre)
-        address = self.rng.choice(summary.gateways)
+        address = self.rng.choice(gateways)
         return Forward(summary, address, target, len(self.outcomes))
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -147,6 +147,32 @@
     assert_that(outcome_of(headers), Equals(b"unknown"))
 
 
+@pytest.mark.parametrize(
+    "shape",
+    [Shape(gateways=2, engines=1, stop_seconds=STOP_SECONDS)],
+)
+@pytest_twisted.ensureDeferred
+async def test_a_forward_that_a_stopping_host_refuses_goes_to_another(
+    fleet, caller
+):
+    """Guards against a refusal while a host next to it could serve."""
+    sender = fleet.gateways["dar-0"]
+    await remove_engine(fleet, "dar")
+    set_faults(fleet, "arusha", slow=100.0)
+    busy = defer.ensureDeferred(caller.complete("arusha-0", max_tokens=8))
+    await pause(0.1)
+    first = fleet.gateways["arusha-0"].settings.forward
+    sender.membership.handle_message = lambda message: None
+    sender.state.rng.choice = lambda rows: first if first in rows else rows[0]
+    gateway, stopped = begin_stop(fleet, "arusha-0")
+    await fleet.until(lambda: gateway.drain.refusing)
+    status, _, _ = await caller.complete("dar-0", max_tokens=1)
+    assert_that(status, Equals(200))
+    assert_that(events(sender, "server_paused"), Equals([]))
+    await stopped
+    await busy
+
+
 @pytest_twisted.ensureDeferred
 async def test_the_outcome_of_a_key_is_written_before_its_gateway_ends(
     fleet, caller
