Handle stop signals of a gateway from before it listens

What callers saw: a gateway that gets SIGTERM right after its start ends at once, with the connections it has accepted. A further signal during a stop cuts nothing there, as a trial showed, but writes a traceback (ReactorNotRunning).

Cause: the ports were opened before the reactor installed its handlers, and each signal stopped the reactor anew.

Change: `StopSignals` installs the handlers before the ports are opened. The first signal begins the stop; further ones are logged (E108) and ignored. A stop that raises is logged, and the process ends all the same.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -22,6 +22,7 @@
     STOPPED = (102, "planned shutdown completed")
     LOOP_STALL = (103, "event loop was blocked")
     RELOADED = (107, "settings file changed")
+    STOP_REPEATED = (108, "further stop signal ignored, the stop goes on")
     UNEXPECTED = (106, "unexpected error, a defect in hyssopspring")
     CONFINED = (104, "host serves only workspaces whose home is its region")
     UNCONFINED = (105, "host trusts its configuration again")
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -36,6 +36,7 @@
 from .net.serving import LimitedSite, Router
 from .observability import log_failure, make_rng, make_timeline
 from .settings import GatewaySettings, settings_command, split_address
+from .signals import StopSignals
 from .stores import etcd  # noqa: F401 - registers the etcd client
 from .stores.hosts import HostListClient
 from .stores.keyvalues import find_client
@@ -493,13 +494,15 @@
 
     start_logging(settings.log)
     gateway = Gateway(settings, reactor, wall=time.time)
-    gateway.start()
-    reactor.addSystemEventTrigger(
-        "before",
-        "shutdown",
-        lambda: defer.ensureDeferred(gateway.stop()),
+    signals = StopSignals(
+        reactor,
+        gateway.stop,
+        timeline=gateway.timeline,
+        on_failure=gateway.report_failure,
     )
-    reactor.run()
+    signals.install()
+    gateway.start()
+    reactor.run(installSignalHandlers=False)
 
 
 main = settings_command("hyssop-gateway", GatewaySettings, run)
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -1,5 +1,7 @@
 """Requests at a gateway that is told to stop."""
 
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import msgspec
@@ -15,6 +17,7 @@
     GreaterThan,
     HasLength,
     LessThan,
+    Not,
 )
 from twisted.internet import defer, reactor
 from twisted.internet.tcp import Server
@@ -295,3 +298,57 @@
     _, stopped = begin_stop(fleet, "dar-0")
     await stopped
     assert_that(reactor.seconds() - began_at, LessThan(1.5))
+
+
+PROGRAM = """
+import os, signal
+from hyssopspring import {module}
+from hyssopspring.settings import {settings}
+from hyssopspring_fakes.ports import free_address
+
+start = {module}.{part}.start
+
+def start_and_signal(self):
+    start(self)
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGINT)
+
+{module}.{part}.start = start_and_signal
+address = free_address()
+{module}.run({settings}(
+    host="dar-0", region="dar", data_centre="dar-a", regions=["dar"],
+    platform=f"etcd+http://{{address}}", host_list=f"http://{{address}}",
+    peer_secret="s", listen=free_address(), {more}))
+"""
+GATEWAY_SETTINGS = "forward=free_address(), control=free_address()"
+
+
+@pytest.mark.parametrize(
+    ("module", "part", "settings", "more"),
+    [
+        (
+            "gateway",
+            "Gateway",
+            "GatewaySettings",
+            f"{GATEWAY_SETTINGS}, drain_seconds=0.1",
+        ),
+    ],
+)
+def test_signals_right_after_a_start_end_a_process_in_order(
+    module, part, settings, more
+):
+    """Guards against an early or further signal that ends a process."""
+    program = PROGRAM.format(
+        module=module, part=part, settings=settings, more=more
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    lines = ended.stdout + ended.stderr
+    assert_that(ended.returncode, Equals(0))
+    assert_that(lines, Contains("E108"))
+    assert_that(lines, Contains("E102"))
+    assert_that(lines, Not(Contains("Traceback")))
