Answer every request of an admin server before its process ends

What callers saw: an operator whose write waits for its verdict loses the connection without a response if the server is stopped, and cannot tell whether the file counts. SIGTERM right after the start ended the process at once.

Cause: the same as with gateways: the end of the process asked for no request, and handlers were installed after the port was opened.

Change: the admin server is stopped by the same `Drain`, `Listeners` and `StopSignals`, within `stop_seconds`. New requests are refused; changes go on being validated until the last response is sent; a write that is ended is unknown. `Drain.end_requests` has the steps that both have in common. A gateway whose `stop_seconds` are shorter than the margin stops at once.

--- a/src/hyssopspring/admin.py
+++ b/src/hyssopspring/admin.py
@@ -2,19 +2,23 @@
 
 import time
 
-from twisted.internet import defer, task
+from twisted.internet import task
 
 from .config.reconciler import RECONCILE_INTERVAL_SECONDS, Reconciler
 from .core.events import EventKind
 from .core.sentinels import NOTHING
 from .logs import start_logging
-from .net.administration import AdminApi
+from .net.administration import AdminApi, end_request
+from .net.channels import Listeners
 from .net.clients import make_agent
 from .net.control import ControlClient
+from .net.draining import Drain
+from .net.inprogress import InProgress
 from .net.messages import Signer
 from .net.serving import LimitedSite, Router
 from .observability import log_failure, make_rng, make_timeline
 from .settings import AdminSettings, settings_command, split_address
+from .signals import StopSignals
 from .stores import etcd  # noqa: F401 - registers the etcd client
 from .stores.hosts import HostListClient
 from .stores.keyvalues import find_client
@@ -35,7 +39,7 @@
 
     Attributes:
         loop: Periodic validation of the configuration folder.
-        port: Listening port, or `NOTHING` before the start.
+        listeners: The `Listeners` for operators.
     """
 
     def __init__(self, settings, reactor, *, wall, seed=NOTHING):
@@ -43,6 +47,11 @@
         self.reactor = reactor
         self.timeline = make_timeline(settings, wall)
         self.agent = make_agent(reactor)
+        self.in_progress = InProgress(reactor, end_request)
+        self.drain = Drain(
+            reactor, settings.stop_seconds, self.in_progress, self.timeline
+        )
+        self.listeners = Listeners(reactor)
         scheme, _, address = settings.platform.partition("+")
         self.store = find_client(scheme)(address, self.agent, reactor)
         hosts = HostListClient(settings.host_list, self.agent, reactor)
@@ -64,10 +73,10 @@
             reactor,
             self.timeline,
             settings.tokens,
+            self.drain,
         )
         self.loop = task.LoopingCall(self.reconciler.schedule)
         self.loop.clock = reactor
-        self.port = NOTHING
 
     def start(self):
         """Start listening and start validating the configuration folder."""
@@ -77,9 +86,11 @@
             router.resource(),
             max_request_bytes=MAX_FILE_BYTES,
             reactor=self.reactor,
+            in_progress=self.in_progress,
         )
         host, port = split_address(self.settings.listen)
-        self.port = self.reactor.listenTCP(port, site, interface=host)
+        listening = self.reactor.listenTCP(port, site, interface=host)
+        self.listeners.add(listening, site)
         self.reconciler.start()
         self.loop.start(RECONCILE_INTERVAL_SECONDS)
         self.timeline.note(EventKind.STARTED)
@@ -93,16 +104,30 @@
         log_failure(self.settings.host, reason)
 
     async def stop(self):
-        """Stop the server.
+        """Stop the server once every request in progress is answered.
 
-        A configuration change in progress is abandoned; another admin
-        server completes it.
+        New requests are refused. A configuration change that is not complete
+        as `stop_seconds` are nearly over is abandoned; another admin server
+        completes it.
         """
+        if self.drain.leaving:
+            return
+        self.timeline.note(EventKind.STOPPING, active=len(self.in_progress))
+        self.drain.begin()
+        self.listeners.announce()
+        ended = await self.drain.end_requests(
+            self.listeners, self.report_failure
+        )
+        self.timeline.note(
+            EventKind.STOPPED,
+            active=ended,
+            unanswered=len(self.in_progress),
+            unsent_bytes=self.listeners.unsent_bytes,
+        )
         self.loop.stop()
         self.reconciler.stop()
-        await self.port.stopListening()
+        self.listeners.abort()
         await self.agent.pool.closeCachedConnections()
-        self.timeline.note(EventKind.STOPPED)
 
 
 def run(settings):
@@ -111,11 +136,15 @@
 
     start_logging(settings.log)
     admin = Admin(settings, reactor, wall=time.time)
-    admin.start()
-    reactor.addSystemEventTrigger(
-        "before", "shutdown", lambda: defer.ensureDeferred(admin.stop())
+    signals = StopSignals(
+        reactor,
+        admin.stop,
+        timeline=admin.timeline,
+        on_failure=admin.report_failure,
     )
-    reactor.run()
+    signals.install()
+    admin.start()
+    reactor.run(installSignalHandlers=False)
 
 
 main = settings_command("hyssop-admin", AdminSettings, run)
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -48,10 +48,6 @@
 STALL_THRESHOLD_SECONDS = 0.25
 """Delay of the event loop beyond which a stall is logged."""
 
-MIN_CLOSE_SECONDS = 0.25
-"""Least time in which a stopping host closes its connections, also if it was
-suspended past the time allowed."""
-
 HOSTS_TTL_SECONDS = 5
 """Time for which callers may cache the list of entry hosts; also the interval
 at which this host renews its directory entry."""
@@ -432,29 +428,19 @@
             self.settings.drain_seconds,
             self.drain.ends_at - self.reactor.seconds(),
         )
-        await task.deferLater(self.reactor, accepting)
-        self.drain.refusing = True
-        await self.drain.wait_until_idle(self.listeners)
-        await self.end_requests()
-        await self.close()
-
-    async def end_requests(self):
-        """End what is still in progress, and deliver the responses."""
-        ended = self.drain.begin_ending()
-        for tracked in ended:
-            self.call_safely(tracked.end)
-        until = max(
-            self.drain.exits_at, self.reactor.seconds() + MIN_CLOSE_SECONDS
+        await task.deferLater(self.reactor, max(0.0, accepting))
+        ended = await self.drain.end_requests(
+            self.listeners, self.report_failure
         )
-        await self.listeners.close(until)
         await self.claims.wait_until_written(self.drain.exits_at)
         self.timeline.note(
             EventKind.STOPPED,
-            active=len(ended),
+            active=ended,
             unanswered=len(self.in_progress),
             unsent_bytes=self.listeners.unsent_bytes,
             unwritten=len(self.claims.pending),
         )
+        await self.close()
 
     async def close(self):
         """Close all sockets and stop all periodic work."""
--- a/src/hyssopspring/net/administration.py
+++ b/src/hyssopspring/net/administration.py
@@ -12,8 +12,10 @@
 from ..config.validation import FolderValidator, RawFile
 from ..core.accepted import FILES_PREFIX, Verdict
 from ..core.exceptions import KeyValueError, PlatformError
+from ..core.outcomes import NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..stores.keyvalues import Applied, WriteUnknown
+from .answers import respond_outcome
 from .openapi import OPENAPI
 from .serving import header, respond_error, respond_json
 
@@ -72,10 +74,11 @@
         clock: Clock of the event loop.
         timeline: `Timeline`, the event log of this process.
         tokens: Bearer token by team.
+        drain: The `Drain`, the planned stop of this process.
     """
 
     def __init__(
-        self, reconciler, hosts, control_client, clock, timeline, tokens
+        self, reconciler, hosts, control_client, clock, timeline, tokens, drain
     ):
         self.reconciler = reconciler
         self.store = reconciler.store
@@ -84,6 +87,7 @@
         self.clock = clock
         self.timeline = timeline
         self.tokens = tokens
+        self.drain = drain
 
     def add_routes(self, router):
         """Register the routes of the API with *router*."""
@@ -105,7 +109,8 @@
     def require_token(self, handler):
         """Return *handler* wrapped in the check of the bearer token.
 
-        The wrapper also responds with status 503 if the platform fails.
+        The wrapper also responds with status 503 if the platform fails, or if
+        this process is shutting down.
         """
 
         async def authenticated(request):
@@ -117,6 +122,9 @@
                     "bearer token is missing or belongs to no team",
                 )
                 return
+            if self.drain.refusing:
+                respond_outcome(request, NotRun(Reason.LEAVING))
+                return
             try:
                 await handler(request)
             except (KeyValueError, PlatformError) as error:
@@ -438,6 +446,17 @@
         )
 
 
+def end_request(request):
+    """Respond to a request that is in progress as the process ends.
+
+    A change may have been written; another admin server completes it.
+    """
+    outcome = NotRun(Reason.LEAVING)
+    if request.method in (b"PUT", b"DELETE"):
+        outcome = Unknown(Reason.LEAVING)
+    respond_outcome(request, outcome)
+
+
 def file_name(request):
     """Return the last segment of the request's path."""
     return request.path.rsplit(b"/", 1)[1].decode("utf-8", "replace")
--- a/src/hyssopspring/net/draining.py
+++ b/src/hyssopspring/net/draining.py
@@ -1,8 +1,9 @@
-"""Planned stop of a gateway: what is accepted, and when requests end."""
+"""Planned stop of a process: what is accepted, and when requests end."""
 
 from dataclasses import replace
 
 from twisted.internet import task
+from twisted.python.failure import Failure
 
 from ..core.events import EventKind
 from ..core.outcomes import Answered, NotRun, Reason, combine
@@ -15,12 +16,16 @@
 CHECK_INTERVAL_SECONDS = 0.05
 """Interval between checks whether all requests have ended."""
 
+MIN_CLOSE_SECONDS = 0.25
+"""Least time in which a stopping host closes its connections, also if it was
+suspended past the time allowed."""
+
 CUT_REASONS = (Reason.DEADLINE, Reason.OVERLOADED)
 """Reasons of an outcome that a shortened deadline can cause."""
 
 
 class Drain(StopTimes):
-    """The planned stop of one gateway.
+    """The planned stop of one gateway or admin server.
 
     Args:
         clock: The runtime's clock.
@@ -83,6 +88,29 @@
             return combined
         return type(combined)(Reason.LEAVING)
 
+    async def end_requests(self, listeners, on_failure):
+        """Refuse new requests, wait, and end what is left in time.
+
+        Args:
+            listeners: The `Listeners`, whose connections are closed.
+            on_failure: Called with the failure of a request that could not
+                be ended.
+
+        Returns:
+            Number of requests that the stop has ended.
+        """
+        self.refusing = True
+        await self.wait_until_idle(listeners)
+        ended = self.begin_ending()
+        for tracked in ended:
+            try:
+                tracked.end()
+            except Exception:  # noqa: BLE001 - every exception is logged
+                on_failure(Failure())
+        now = self.clock.seconds()
+        await listeners.close(max(self.exits_at, now + MIN_CLOSE_SECONDS))
+        return len(ended)
+
     async def wait_until_idle(self, listeners):
         """Wait until no request is in progress, or their time is over.
 
--- a/src/hyssopspring/settings.py
+++ b/src/hyssopspring/settings.py
@@ -94,11 +94,14 @@
         tokens: Bearer token by team, at least one.
         gateways: Addresses of the gateways' control endpoints for status
             queries, by host name.
+        stop_seconds: Time from the first stop signal to the end of the
+            process, within which every request is answered.
     """
 
     listen: str
     tokens: dict[str, str]
     gateways: dict[str, str] = {}
+    stop_seconds: float = 30.0
 
 
 def load_settings(path, schema):
--- a/src/hyssopspring_fakes/fleet.py
+++ b/src/hyssopspring_fakes/fleet.py
@@ -42,7 +42,7 @@
         model: Name of the model that the engines serve.
         engine_model: `EngineModel` of all engines.
         drain_seconds: Time that a leaving gateway goes on serving.
-        stop_seconds: Time in which a leaving gateway must have ended.
+        stop_seconds: Time in which a leaving process must have ended.
     """
 
     regions: tuple = ("dar", "arusha")
@@ -176,6 +176,7 @@
             listen=free_address(),
             tokens={"operators": TOKEN},
             log=self.shape.log,
+            stop_seconds=self.shape.stop_seconds,
         )
         self.admin = Admin(settings, self.reactor, wall=time.time, seed=1)
         self.admin.start()
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -22,6 +22,7 @@
 from twisted.internet import defer, reactor
 from twisted.internet.tcp import Server
 
+from hyssopspring.core.accepted import FILES_PREFIX
 from hyssopspring.core.addresses import split_address
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.core.shares import ledger_of
@@ -30,6 +31,7 @@
 
 STOP_SECONDS = 2.5
 HEADERS = f"authorization: Bearer {KEY}\r\n"
+FILE_KEY = FILES_PREFIX + "20-more.yaml"
 ONCE = {"hyssop_repeatable": "no", "idempotency_key": "k1"}
 
 
@@ -40,8 +42,8 @@
 
 
 def begin_stop(fleet, name):
-    """Tell a gateway to stop; return it and a deferred of its end."""
-    gateway = fleet.gateways[name]
+    """Tell a gateway or the admin to stop; return it and its end."""
+    gateway = fleet.gateways.get(name, fleet.admin)
     stopped = defer.ensureDeferred(gateway.stop())
     # A gateway that does not end fails its test, and holds up no other.
     stopped.addTimeout(STOP_SECONDS + 2.0, reactor)
@@ -53,10 +55,11 @@
     """Reset connections and let no write begin, as the end of a process."""
     gateway.store.get = gateway.store.swap = lambda *_: defer.Deferred()
     settings = gateway.settings
-    ports = {
-        split_address(address)[1]
-        for address in (settings.listen, settings.forward)
+    addresses = {
+        settings.listen,
+        getattr(settings, "forward", settings.listen),
     }
+    ports = {split_address(address)[1] for address in addresses}
     for one in {*reactor.getReaders(), *reactor.getWriters()}:
         if isinstance(one, Server) and one.getHost().port in ports:
             one.abortConnection()
@@ -300,6 +303,25 @@
     assert_that(reactor.seconds() - began_at, LessThan(1.5))
 
 
+@pytest.mark.parametrize(("is_held", "status"), [(False, 200), (True, 502)])
+@pytest_twisted.ensureDeferred
+async def test_a_change_is_answered_before_its_admin_ends(
+    fleet, is_held, status
+):
+    """Guards against a write whose operator cannot tell whether it counts."""
+    if is_held:
+        fleet.admin.api.wait_verdict = lambda *_: defer.Deferred()
+    text = "models:\n  small-draft: {}\n"
+    asked = defer.ensureDeferred(fleet.put("20-more.yaml", text))
+    await fleet.until(lambda: fleet.platform.store.current(FILE_KEY))
+    _, stopped = begin_stop(fleet, "admin")
+    await stopped
+    answered, report = await asked
+    assert_that(answered, Equals(status))
+    if is_held:
+        assert_that(report["error"]["type"], Equals("unknown"))
+
+
 PROGRAM = """
 import os, signal
 from hyssopspring import {module}
@@ -332,6 +354,7 @@
             "GatewaySettings",
             f"{GATEWAY_SETTINGS}, drain_seconds=0.1",
         ),
+        ("admin", "Admin", "AdminSettings", "tokens={}"),
     ],
 )
 def test_signals_right_after_a_start_end_a_process_in_order(
