Do not advise callers to repeat a request that may have run

What callers saw: a request that a stop ended with an unknown outcome came with the text "use another host".

Cause: the text belongs to the reason, and only requests that were not run had that reason before.

Change: the text for an unknown outcome says that the request may have run.

Result: the test failed before, for a request at a server and one at another host, and passes.

--- a/src/hyssopspring/net/answers.py
+++ b/src/hyssopspring/net/answers.py
@@ -126,6 +126,8 @@
         status = STATUS_BY_REASON.get(outcome.reason, UNKNOWN_STATUS)
         if outcome.reason is Reason.DEADLINE:
             status = DEADLINE_STATUS
+        if outcome.reason is Reason.LEAVING:
+            message = "this host has shut down; the request may have run"
         kind = "unknown"
         headers.append(("hyssop-outcome", "unknown"))
     respond_error(
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -123,8 +123,10 @@
     await pause(0.3)
     gateway, stopped = begin_stop(fleet, host)
     await stopped
-    status, headers, _ = await asked
+    _, headers, body = await asked
     assert_that(outcome_of(headers), Equals(outcome))
+    is_advised = b"use another host" in body
+    assert_that(is_advised, Equals(outcome == b"not-run"))
     reason = headers.getRawHeaders(b"hyssop-reason")
     assert_that(reason, Equals([b"host_leaving"]))
     assert_that(list_runs(fleet), HasLength(runs))
