--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -2,7 +2,6 @@
 
 import subprocess
 import sys
-from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,13 +16,16 @@
     GreaterThan,
     HasLength,
     LessThan,
+    MatchesAll,
     Not,
 )
 from twisted.internet import defer, reactor
 from twisted.internet.tcp import Server
+from twisted.web.client import ResponseFailed
 
 from hyssopspring.core.accepted import FILES_PREFIX
 from hyssopspring.core.addresses import split_address
+from hyssopspring.core.configuration import Limits
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.core.shares import ledger_of
 from hyssopspring_fakes.fleet import Shape
@@ -85,25 +87,45 @@
     )
 
 
-def hold_ledger(gateway, store):
-    """Let the next update of a limit wait without an end."""
-    gateway.limits.waiting_by_ledger[ledger_of("quotes")] = []
-    gateway.limits.limits = lambda workspace: SimpleNamespace(
-        concurrent=0, requests_per_second=0.0
-    )
+async def hold_at_server(fleet):
+    """Let servers never answer."""
+    for engine in fleet.engines.values():
+        engine.faults.hang = True
 
 
-def hold_claim(gateway, store):
-    """Let the next claim of a key wait without an end."""
-    gateway.claims.owner = lambda shard: NOTHING
-    gateway.claims.submit = lambda record, within: defer.Deferred()
+async def hold_at_other_host(fleet):
+    """Let a server of another region never answer."""
+    await hold_at_server(fleet)
+    await remove_engine(fleet, "dar")
+
+
+async def hold_at_check(fleet):
+    """Let no check of a server that gave no valid answer end."""
+    set_faults(fleet, "dar", garbage=True)
+    detector = fleet.gateways["dar-0"].state.crash_detector
+    detector.check_attempt = lambda *_: defer.Deferred()
+
+
+async def hold_at_limit(fleet):
+    """Let an update of a limit never end."""
+    limiter = fleet.gateways["dar-0"].limits
+    limiter.waiting_by_ledger[ledger_of("quotes")] = []
+    limiter.limits = lambda _: Limits(concurrent=0)
+
+
+async def hold_at_claim(fleet):
+    """Let the claim of a key never end."""
+    claims = fleet.gateways["dar-0"].claims
+    claims.owner = lambda shard: NOTHING
+    claims.submit = lambda record, within: defer.Deferred()
 
 
 HOLDERS = {
-    "server": ("dar-0", b"unknown", 1, lambda gateway, store: None),
-    "other_host": ("dar-0", b"unknown", 1, lambda gateway, store: None),
-    "limit": ("dar-0", b"not-run", 0, hold_ledger),
-    "claim": ("dar-0", b"not-run", 0, hold_claim),
+    "server": (b"unknown", hold_at_server),
+    "other_host": (b"unknown", hold_at_other_host),
+    "crash_check": (b"unknown", hold_at_check),
+    "limit": (b"not-run", hold_at_limit),
+    "claim": (b"not-run", hold_at_claim),
 }
 
 
@@ -113,15 +135,11 @@
     fleet, caller, wait
 ):
     """Guards against a request that waits without a bound as a host ends."""
-    host, outcome, runs, hold = HOLDERS[wait]
-    hold(fleet.gateways[host], fleet.platform)
-    for engine in fleet.engines.values():
-        engine.faults.hang = True
-    if wait == "other_host":
-        await remove_engine(fleet, "dar")
-    asked = defer.ensureDeferred(caller.complete(host, headers=ONCE))
+    outcome, hold = HOLDERS[wait]
+    await hold(fleet)
+    asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
     await pause(0.3)
-    gateway, stopped = begin_stop(fleet, host)
+    gateway, stopped = begin_stop(fleet, "dar-0")
     await stopped
     _, headers, body = await asked
     assert_that(outcome_of(headers), Equals(outcome))
@@ -129,7 +147,7 @@
     assert_that(is_advised, Equals(outcome == b"not-run"))
     reason = headers.getRawHeaders(b"hyssop-reason")
     assert_that(reason, Equals([b"host_leaving"]))
-    assert_that(list_runs(fleet), HasLength(runs))
+    assert_that(list_runs(fleet), HasLength(int(outcome == b"unknown")))
     (ended,) = events(gateway, "ended_by_stop")
     assert_that(ended["waits_for"], Equals(wait))
     assert_that(int(ended["waited_ms"]), GreaterThan(300))
@@ -220,6 +238,19 @@
     assert_that(status, Equals(200))
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_stream_that_is_ended_looks_incomplete(fleet, caller):
+    """Guards against a part of a stream that is taken for the whole."""
+    set_faults(fleet, "dar", slow=100.0)
+    work = caller.complete("dar-0", stream=True, max_tokens=300)
+    asked = defer.ensureDeferred(work)
+    await pause(1.0)
+    _, stopped = begin_stop(fleet, "dar-0")
+    await stopped
+    with pytest.raises(ResponseFailed):
+        await asked
+
+
 async def connect(gateway):
     """Return a connected `RawCaller` of a gateway."""
     caller = RawCaller(gateway.settings.listen)
@@ -275,14 +306,11 @@
 @pytest_twisted.ensureDeferred
 async def test_a_response_is_delivered_to_a_slow_reader(fleet, monkeypatch):
     """Guards against a response whose rest is lost as its host ends."""
-    size = 12_000_000
-
-    def report(self):
-        return {"server": self.name, "filler": "~" * size}
+    body = msgspec.json.encode({"filler": "~" * 12_000_000})
 
     def answer(self, request, identifier):
         request.setHeader(b"x-request-id", identifier.encode())
-        request.write(msgspec.json.encode(report(self)))
+        request.write(body)
         request.finish()
 
     monkeypatch.setattr(FakeService, "answer", answer)
@@ -292,7 +320,7 @@
     received = await caller.receive(0.5, most=1000)
     await pause(1.0)
     received += await caller.receive(1.0)
-    assert_that(received.count(b"~"), Equals(size))
+    assert_that(received.count(b"~"), Equals(12_000_000))
     await stopped
 
 
@@ -326,45 +354,37 @@
 
 PROGRAM = """
 import os, signal
-from hyssopspring import {module}
-from hyssopspring.settings import {settings}
+from hyssopspring import admin, gateway, settings
 from hyssopspring_fakes.ports import free_address
 
-start = {module}.{part}.start
-
 def start_and_signal(self):
     start(self)
     os.kill(os.getpid(), signal.SIGTERM)
     os.kill(os.getpid(), signal.SIGINT)
 
-{module}.{part}.start = start_and_signal
-address = free_address()
-{module}.run({settings}(
+start = {part}.start
+{part}.start = start_and_signal
+{module}.run(settings.{part_settings}(
     host="dar-0", region="dar", data_centre="dar-a", regions=["dar"],
-    platform=f"etcd+http://{{address}}", host_list=f"http://{{address}}",
+    platform="etcd+http://127.0.0.1:1", host_list="http://127.0.0.1:1",
     peer_secret="s", listen=free_address(), {more}))
 """
-GATEWAY_SETTINGS = "forward=free_address(), control=free_address()"
+GATEWAY = "forward=free_address(), control=free_address(), drain_seconds=0.1"
 
 
 @pytest.mark.parametrize(
-    ("module", "part", "settings", "more"),
-    [
-        (
-            "gateway",
-            "Gateway",
-            "GatewaySettings",
-            f"{GATEWAY_SETTINGS}, drain_seconds=0.1",
-        ),
-        ("admin", "Admin", "AdminSettings", "tokens={}"),
-    ],
+    ("module", "name", "more"),
+    [("gateway", "Gateway", GATEWAY), ("admin", "Admin", "tokens={}")],
 )
 def test_signals_right_after_a_start_end_a_process_in_order(
-    module, part, settings, more
+    module, name, more
 ):
     """Guards against an early or further signal that ends a process."""
     program = PROGRAM.format(
-        module=module, part=part, settings=settings, more=more
+        module=module,
+        part=f"{module}.{name}",
+        part_settings=f"{name}Settings",
+        more=more,
     )
     ended = subprocess.run(
         [sys.executable, "-c", program],
@@ -374,6 +394,5 @@
     )
     lines = ended.stdout + ended.stderr
     assert_that(ended.returncode, Equals(0))
-    assert_that(lines, Contains("E108"))
-    assert_that(lines, Contains("E102"))
+    assert_that(lines, MatchesAll(Contains("E108"), Contains("E102")))
     assert_that(lines, Not(Contains("Traceback")))
