Claim no key for a request that a stop has ended

What callers saw: nothing yet; a key could stay claimed by a request that was told that it was not run.

Cause: a request that was ended while it waited for a limit goes on to its claim once the limit is known, after the stop has looked for claims in progress.

Change: `Claims` refuses a request while the stop ends all of them.

Result: the case `limit` failed before with a claim in progress and passes.

--- a/src/hyssopspring/net/claiming.py
+++ b/src/hyssopspring/net/claiming.py
@@ -161,6 +161,8 @@
         """
         if request.repeatable or request.key is NOTHING:
             return await run()
+        if self.state.drain.ending:
+            return NotRun(Reason.LEAVING)
         if self.health.down:
             return REJECTIONS[Verdict.UNAVAILABLE]
         nonce = secrets.token_bytes(NONCE_BYTES)
--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -27,7 +27,6 @@
 from hyssopspring.core.addresses import split_address
 from hyssopspring.core.configuration import Limits
 from hyssopspring.core.sentinels import NOTHING
-from hyssopspring.core.shares import ledger_of
 from hyssopspring_fakes.fleet import Shape
 from hyssopspring_fakes.service import FakeService
 
@@ -107,10 +106,12 @@
 
 
 async def hold_at_limit(fleet):
-    """Let an update of a limit never end."""
+    """Let an update of a limit end with the deferred that is returned."""
     limiter = fleet.gateways["dar-0"].limits
-    limiter.waiting_by_ledger[ledger_of("quotes")] = []
-    limiter.limits = lambda _: Limits(concurrent=0)
+    limiter.limits = lambda workspace: Limits(concurrent=1)
+    admitted = defer.Deferred()
+    limiter.admit = lambda *_: admitted
+    return admitted
 
 
 async def hold_at_claim(fleet):
@@ -136,7 +137,7 @@
 ):
     """Guards against a request that waits without a bound as a host ends."""
     outcome, hold = HOLDERS[wait]
-    await hold(fleet)
+    held = await hold(fleet)
     asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
     await pause(0.3)
     gateway, stopped = begin_stop(fleet, "dar-0")
@@ -156,6 +157,9 @@
         (end["active"], end["unanswered"], end["unsent_bytes"]),
         Equals(("1", "0", "0")),
     )
+    if held:
+        held.callback(NOTHING)
+        assert_that(gateway.claims.pending, HasLength(0))
 
 
 @pytest_twisted.ensureDeferred
