--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -7,7 +7,7 @@
 import time
 from dataclasses import replace
 
-from twisted.internet import defer, task
+from twisted.internet import task
 from twisted.python.failure import Failure
 
 from ..core.addresses import split_address
@@ -21,6 +21,7 @@
 from ..platform.directory import DirectoryHandler
 from ..platform.settings import read_settings
 from ..platform.store import PlatformStore
+from ..signals import StopSignals
 from ..traffic.crashes import CrashTracker
 from ..traffic.mechanisms import parse_disabled
 from ..traffic.members import Member, Members
@@ -518,19 +519,6 @@
         ]
         return frozenset.intersection(*bound) if bound else frozenset()
 
-    def begin_stop(self, done):
-        """Stop gracefully and call *done*; only the first call counts."""
-        stopping = self.state.stopping
-        if stopping.since is not NOTHING:
-            self.timeline.note(
-                EventKind.STOP_REPEATED,
-                stopping_ms=int(stopping.seconds * 1000),
-            )
-            return
-        work = defer.ensureDeferred(self.stop())
-        work.addErrback(self.log_failure)
-        work.addBoth(lambda _: done())
-
     def log_failure(self, failure):
         """Log an unexpected error."""
         self.timeline.note(EventKind.UNEXPECTED, error=failure.getTraceback())
@@ -686,14 +674,16 @@
         metrics_port=metrics_port,
     )
 
-    def stop(number, frame):
-        reactor.callFromThread(process.begin_stop, reactor.stop)
-
     def reload(number, frame):
         reactor.callFromThread(process.reload)
 
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
+    signals = StopSignals(
+        reactor,
+        process.stop,
+        timeline=process.timeline,
+        on_failure=process.log_failure,
+    )
+    signals.install()
     signal.signal(signal.SIGHUP, reload)
     process.start()
     reactor.run(installSignalHandlers=False)
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -10,14 +10,17 @@
 from .core.events import EventKind
 from .core.exceptions import PlatformError
 from .core.membership import HEARTBEAT_INTERVAL_SECONDS, PeerEntry, PeerTable
+from .core.outcomes import NotRun, Reason
 from .core.placement import CentreTable
 from .core.sentinels import NOTHING
 from .core.servers import ServerTable
 from .core.trust import Trust, TrustLevel
 from .logs import start_logging
+from .net.answers import respond_outcome
 from .net.backends import BackendClient
 from .net.bus import Bus
 from .net.callers import CallerApi
+from .net.channels import Listeners
 from .net.claiming import Claims
 from .net.clients import make_agent
 from .net.control import ControlApi, ControlClient, HostStatus
@@ -25,6 +28,7 @@
 from .net.dispatching import Dispatcher, HostState
 from .net.draining import Drain
 from .net.forwarding import ForwardedApi
+from .net.inprogress import InProgress
 from .net.interceptors import Interceptors
 from .net.limiting import WorkspaceLimiter
 from .net.membership import Membership
@@ -32,6 +36,7 @@
 from .net.serving import LimitedSite, Router
 from .observability import log_failure, make_rng, make_timeline
 from .settings import GatewaySettings, settings_command, split_address
+from .signals import StopSignals
 from .stores import etcd  # noqa: F401 - registers the etcd client
 from .stores.hosts import HostListClient
 from .stores.keyvalues import find_client
@@ -64,7 +69,7 @@
         incarnation: Identifier of this run of the process.
         pooled_agent: HTTP agent that reuses connections.
         unpooled_agent: HTTP agent that opens a connection per request.
-        ports: Listening ports.
+        listeners: The `Listeners` for callers and other hosts.
         loops: Periodic calls in progress.
         longest_stall: Longest recent delay of the event loop in seconds;
             it decays with each measurement.
@@ -80,7 +85,10 @@
         self.wall = wall
         self.incarnation = uuid.uuid4().hex[:12]
         self.timeline = make_timeline(settings, wall)
-        self.drain = Drain()
+        self.in_progress = InProgress(reactor, refuse_leaving)
+        self.drain = Drain(
+            reactor, settings.stop_seconds, self.in_progress, self.timeline
+        )
         self.signer = Signer(settings.peer_secret)
         self.pooled_agent = make_agent(reactor)
         self.unpooled_agent = make_agent(reactor, persistent=False)
@@ -89,7 +97,7 @@
         self.create_platform_clients()
         self.create_apis()
         self.create_membership()
-        self.ports = []
+        self.listeners = Listeners(reactor)
         self.loops = []
         self.longest_stall = 0.0
         self.trust_level = TrustLevel.FULL
@@ -118,6 +126,7 @@
                 self.timeline,
                 lambda message: self.bus.publish(CRASH_TOPIC, message),
             ),
+            drain=self.drain,
         )
 
     def create_platform_clients(self):
@@ -233,11 +242,21 @@
         router = Router(self.report_failure)
         for api in apis:
             api.add_routes(router)
-        site = LimitedSite(router.resource(), reactor=self.reactor)
+        site = LimitedSite(
+            router.resource(),
+            reactor=self.reactor,
+            in_progress=self.in_progress,
+        )
         host, port = split_address(address)
-        self.ports.append(
-            self.reactor.listenTCP(port, site, interface=host, backlog=512)
+        listening = self.reactor.listenTCP(
+            port, site, interface=host, backlog=512
         )
+        self.listeners.add(listening, site)
+
+    @property
+    def ports(self):
+        """The listening ports, which are empty once they are closed."""
+        return self.listeners.ports
 
     def report_failure(self, reason):
         """Log the traceback of a handler that raised.
@@ -392,22 +411,36 @@
         The host first announces the shutdown to the other hosts and
         withdraws its directory entry. It continues to serve for
         `drain_seconds`, since callers may still have its address cached.
-        Then it rejects new requests and waits for those in progress.
+        Then it rejects new requests, waits for those in progress, and
+        ends those that are left as `stop_seconds` are nearly over.
         """
         if self.drain.leaving:
             return
         self.timeline.note(EventKind.STOPPING, active=self.drain.active)
-        self.drain.leaving = True
+        self.drain.begin()
         self.membership.send_heartbeat()
         withdrawn = defer.ensureDeferred(
             self.hosts.withdraw(self.settings.host)
         )
         withdrawn.addErrback(lambda reason: reason.trap(PlatformError))
-        await task.deferLater(self.reactor, self.settings.drain_seconds)
-        self.drain.refusing = True
-        await self.drain.wait_until_idle()
+        self.listeners.announce()
+        accepting = min(
+            self.settings.drain_seconds,
+            self.drain.ends_at - self.reactor.seconds(),
+        )
+        await task.deferLater(self.reactor, max(0.0, accepting))
+        ended = await self.drain.end_requests(
+            self.listeners, self.report_failure
+        )
+        await self.claims.wait_until_written(self.drain.exits_at)
+        self.timeline.note(
+            EventKind.STOPPED,
+            active=ended,
+            unanswered=len(self.in_progress),
+            unsent_bytes=self.listeners.unsent_bytes,
+            unwritten=len(self.claims.pending),
+        )
         await self.close()
-        self.timeline.note(EventKind.STOPPED)
 
     async def close(self):
         """Close all sockets and stop all periodic work."""
@@ -415,13 +448,18 @@
             if loop.running:
                 loop.stop()
         self.config_sync.stop()
-        for port in self.ports:
-            await port.stopListening()
+        self.listeners.stop_listening()
+        self.listeners.abort()
         self.bus.stop()
         await self.pooled_agent.pool.closeCachedConnections()
         await self.unpooled_agent.pool.closeCachedConnections()
 
 
+def refuse_leaving(request):
+    """Respond that *request* was not run, since the host ends."""
+    respond_outcome(request, NotRun(Reason.LEAVING))
+
+
 def seed_entry(peer):
     """Return the `PeerEntry` of a peer from the settings."""
     return PeerEntry(
@@ -442,13 +480,15 @@
 
     start_logging(settings.log)
     gateway = Gateway(settings, reactor, wall=time.time)
-    gateway.start()
-    reactor.addSystemEventTrigger(
-        "before",
-        "shutdown",
-        lambda: defer.ensureDeferred(gateway.stop()),
+    signals = StopSignals(
+        reactor,
+        gateway.stop,
+        timeline=gateway.timeline,
+        on_failure=gateway.report_failure,
     )
-    reactor.run()
+    signals.install()
+    gateway.start()
+    reactor.run(installSignalHandlers=False)
 
 
 main = settings_command("hyssop-gateway", GatewaySettings, run)
--- a/src/hyssopspring/net/answers.py
+++ b/src/hyssopspring/net/answers.py
@@ -5,7 +5,7 @@
 from ..core.exceptions import ensure
 from ..core.outcomes import NotRun, Reason, Repeated, Unknown
 from ..core.sentinels import NOTHING
-from .serving import respond_error
+from .serving import LEAVING_MESSAGE, respond_error
 from .sinks import AnswerSink, first_value
 
 STATUS_BY_REASON = {
@@ -40,7 +40,7 @@
     Reason.NO_SERVER: "no backend server can take the request now",
     Reason.RATE_LIMIT: "the workspace's rate limit is reached",
     Reason.CONCURRENCY_LIMIT: "the workspace's concurrency limit is reached",
-    Reason.LEAVING: "this host is shutting down; use another host",
+    Reason.LEAVING: LEAVING_MESSAGE,
     Reason.NO_CONFIGURATION: "this host has no configuration yet",
     Reason.UNVERIFIED: "this host may be out of date; use another host",
     Reason.CLAIMS_UNAVAILABLE: "the idempotency key cannot be recorded now",
@@ -81,15 +81,24 @@
             self.first_body_at = self.clock.seconds()
         super().write(data)
 
+    def note_wait(self, wait):
+        """Record what the request waits for.
+
+        Args:
+            wait: The `Wait`.
+        """
+        self.request.tracked.waits_for = wait
+
     def fail(self, outcome):
         """Respond with a failed outcome.
 
-        A response that has been started can only be aborted: if it were
-        ended properly, the caller would take a part of it for the whole.
+        A response of which a part was sent can only be aborted: if it were
+        ended properly, the caller would take the part for the whole.
         """
-        if self.started:
+        if self.request.startedWriting:
             self.abort()
             return
+        self.clear_producer()
         self.finished = True
         for name, value in self.headers:
             self.request.setHeader(name, value)
@@ -117,6 +126,8 @@
         status = STATUS_BY_REASON.get(outcome.reason, UNKNOWN_STATUS)
         if outcome.reason is Reason.DEADLINE:
             status = DEADLINE_STATUS
+        if outcome.reason is Reason.LEAVING:
+            message = "this host has shut down; the request may have run"
         kind = "unknown"
         headers.append(("hyssop-outcome", "unknown"))
     respond_error(
--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -51,10 +51,17 @@
         """Whether data was read that belongs to no request in progress."""
         return bool(self._buffer) or any(self._dataBuffer)
 
+    @property
+    def is_closing(self):
+        """Whether the connection is being closed already."""
+        return (
+            self.half_closed_at is not NOTHING or self.transport.disconnecting
+        )
+
     @property
     def is_receiving(self):
         """Whether a part of a request was read, and not all of it."""
-        if self.half_closed_at is not NOTHING:
+        if self.is_closing:
             return False
         if self.requests:
             return not self._handlingRequest
@@ -76,7 +83,7 @@
 
     def may_close(self, now):
         """Return whether the connection carries no request at present."""
-        if self.half_closed_at is not NOTHING:
+        if self.is_closing:
             return False
         if self.requests or self._buffer or self.has_unread_input():
             return False
