Keep the other requests of a queue if serving one raises

Cause: a queue was emptied before its requests were served, so an error with one left the rest neither served nor refused.

Change: the rest stays in the queue and is served or refused later.

Result: the test failed before (nothing served after the error) and passes.

--- a/src/hyssopspring/entry/holding.py
+++ b/src/hyssopspring/entry/holding.py
@@ -66,9 +66,14 @@
     def release(self):
         """Serve all requests that wait."""
         waiting, self.waiting = self.waiting, deque()
-        for queued in waiting:
-            if not queued.done:
-                self.serve(queued.request, queued.arrived)
+        try:
+            while waiting:
+                queued = waiting.popleft()
+                if not queued.done:
+                    self.serve(queued.request, queued.arrived)
+        finally:
+            # An error with one request leaves the others in the queue.
+            self.waiting.extendleft(reversed(waiting))
 
     def refuse_expired(self, now):
         """Refuse the requests that have waited for too long."""
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -81,6 +81,21 @@
     assert_that(recorder.served, HasLength(0))
 
 
+def test_an_error_with_one_request_drops_no_other(recorder):
+    """Guards against requests that are neither served nor refused."""
+    requests = [Request() for _ in range(3)]
+    for request in requests:
+        recorder.queue.enqueue(request, 0.0)
+    serve = recorder.queue.serve
+    recorder.queue.serve = None
+    with pytest.raises(TypeError):
+        recorder.queue.release()
+    recorder.queue.serve = serve
+    recorder.queue.release()
+    served = [request for request, _ in recorder.served]
+    assert_that(served, Equals(requests[1:]))
+
+
 def test_few_wait_at_once(recorder):
     """The queue is bounded, so that a starting host keeps free memory."""
     for _ in range(MAX_QUEUED_REQUESTS):
