Read before an idle timeout closes a connection

What callers saw: a request that arrives as its connection reaches the idle timeout, while the event loop is late, has the connection closed without a response, also on a host that does not stop.

Cause: the same as with idle connections of a stopping host, in the other timer that closes them.

Change: a connection with unread input gets another timeout.

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -115,6 +115,13 @@
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
+    def timeoutConnection(self):
+        """Close an idle connection, unless a request waits to be read."""
+        if self.has_unread_input():
+            self.setTimeout(self.timeOut)
+            return
+        super().timeoutConnection()
+
     def end_lingering(self, now):
         """Close the connection of a caller that does not close its own."""
         if self.half_closed_at is NOTHING or self.unsent_bytes:
@@ -205,6 +212,12 @@
         for site in self.sites:
             site.close_idle()
 
+    def end_lingering(self):
+        """Close connections of callers that do not close their own."""
+        now = self.reactor.seconds()
+        for channel in self.channels:
+            channel.end_lingering(now)
+
     @property
     def channels(self):
         """The open connections of all listeners."""
@@ -237,11 +250,10 @@
         # One pass of the event loop reads what waits in the sockets.
         await task.deferLater(self.reactor, 0)
         while self.channels and self.reactor.seconds() < until:
-            now = self.reactor.seconds()
             for channel in self.channels:
                 if channel.is_receiving:
                     channel.refuse_incomplete()
-                channel.end_lingering(now)
+            self.end_lingering()
             self.close_idle()
             await task.deferLater(self.reactor, CLOSE_INTERVAL_SECONDS)
 
