Answer relayed requests and errors at a stop, keep callers of a last host

- A refusal of an incomplete request on the port for other hosts did not say that it was not run.
The sender took it for a server's response, and could deliver it as 503 after a later attempt had run.
It bears the headers of a refusal now.
- A relayed request had no deadline at the host that relays: a sender that is gone without a reset held it for ever.
Its deadline is enforced there too, and a response that is complete is delivered as the host ends.
- An error in the log line or in the end of one request took the responses of all.
Each is guarded, what could not be ended gets 502, and the end of the stop runs also if the wait before it fails.
- The last host of a region closed idle connections of callers who have no other host there; a request that crossed the close got no response.
It keeps them.

Tests for these, for the half-close, the pass of the event loop before connections are closed, connections that wait to be accepted, and relayed requests that wait for a placement. Tests of the stop that a last host made pass by that change use a host that stays up for a stream.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from dataclasses import replace
+from functools import partial
 
 from twisted.internet import task
 from twisted.python.failure import Failure
@@ -53,6 +54,7 @@
 from .notices import ServerNotices
 from .prometheus import PrometheusMetrics
 from .provenance import Provenance
+from .relaying import STOPPING_HEADERS as RELAY_STOPPING_HEADERS
 from .relaying import RelayApi
 from .remotehosts import RemoteHosts
 from .state import EntryState
@@ -61,7 +63,7 @@
 from .streamorigins import StreamOrigins
 from .views import ConfirmedView, ViewVerifier
 from .watches import StoreContact
-from .web import WebFactory
+from .web import WebFactory, respond_refusal
 
 __all__ = ["EntryProcess", "run_command"]
 
@@ -359,9 +361,17 @@
         self.caller_site = self.listen(settings.front, self.callers.handle)
         for address in {settings.ready, settings.directory} - {""}:
             self.listen(address, self.pages.handle)
-        self.listen(own.relay, self.relay.handle, idle=PEER_IDLE_SECONDS)
-        if settings.control:
-            self.listen(settings.control, self.relay.handle)
+        for address, idle in (
+            (own.relay, PEER_IDLE_SECONDS),
+            (settings.control, 0.0),
+        ):
+            if address:
+                self.listen(
+                    address,
+                    self.relay.handle,
+                    idle=idle,
+                    stopping_headers=RELAY_STOPPING_HEADERS,
+                )
         if self.metrics_port:
             address = f"{settings.address}:{self.metrics_port}"
             self.listen(address, self.metrics.handle)
@@ -379,6 +389,7 @@
         )
         self.repeat(TRANSFER_INTERVAL_SECONDS, self.limiter.tick)
         self.repeat(CHECK_INTERVAL_SECONDS, self.callers.check)
+        self.repeat(CHECK_INTERVAL_SECONDS, self.relay.check)
         self.repeat(LOG_FLUSH_INTERVAL_SECONDS, self.log_writer.flush)
         self.timeline.note(
             EventKind.STARTED,
@@ -388,14 +399,23 @@
             without=sorted(one.label for one in settings.disabled_mechanisms),
         )
 
-    def listen(self, address, handle, *, idle=0.0):
-        """Serve *handle* at *address*; return the `WebFactory`."""
+    def listen(self, address, handle, *, idle=0.0, **options):
+        """Serve *handle* at *address*; return the `WebFactory`.
+
+        Args:
+            address: Address to listen at.
+            handle: Called with each `WebRequest`.
+            idle: Maximum idle time of a connection in seconds; 0 for that of
+                the configuration.
+            options: Further arguments of the `WebFactory`.
+        """
         factory = WebFactory(
             handle,
             self.reactor,
             self.in_progress,
             max_idle_seconds=lambda: idle or self.limits().idle_seconds,
             max_body_bytes=lambda: self.limits().body_bytes,
+            **options,
         )
         ip, port = split_address(address)
         listening = self.reactor.listenTCP(
@@ -540,20 +560,25 @@
         self.store_sync.spawn(self.store_sync.leave())
         self.listeners.announce()
         await self.sleep(self.state.stopping.drain_seconds)
-        await self.wait_until_idle()
-        await self.end_requests()
+        try:
+            await self.wait_until_idle()
+        finally:
+            await self.end_requests()
 
     async def wait_until_idle(self):
         """Wait until the host has been idle for a while, or its time is over.
 
         Another host may stop meanwhile, so that this one has to serve again.
-        Idle connections of callers are closed. Those of other hosts are not,
-        as a request over a long link would cross the close.
+        Idle connections of callers are closed if another host can serve them.
+        Those of other hosts are not, as a request over a long link would cross
+        the close.
         """
         stopping = self.state.stopping
         while stopping.has_time(0.0):
             if self.is_busy():
-                self.caller_site.close_idle()
+                self.listeners.end_lingering()
+                if not stopping.is_last_host():
+                    self.caller_site.close_idle()
                 await self.sleep(CHECK_INTERVAL_SECONDS)
                 continue
             accepted = self.accepted_requests
@@ -580,8 +605,18 @@
     def end_all(self):
         """End and log each request in progress."""
         for tracked in self.in_progress.tracked_requests():
-            self.log_ended_by_stop(tracked)
+            self.run_guarded(partial(self.log_ended_by_stop, tracked))
             self.run_guarded(tracked.end)
+        for tracked in self.in_progress.tracked_requests():
+            if not tracked.request.finished:
+                self.run_guarded(partial(self.fail, tracked.request))
+
+    def fail(self, request):
+        """Respond that the outcome of a request is not known."""
+        if request.startedWriting:
+            request.loseConnection()
+        else:
+            respond_refusal(request, 502, "this host is stopping")
 
     def log_ended_by_stop(self, tracked):
         """Log a request without a complete response as the process ends."""
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -37,6 +37,12 @@
 
 ANSWERED = b"answered"
 NOT_RUN = b"not-run"
+STOPPING_HEADERS = (
+    (OUTCOME, NOT_RUN),
+    (REASON, str(Reason.LEAVING).encode()),
+    (RETRY_AFTER, b"%.3f" % STOPPING_RETRY_SECONDS),
+)
+"""Headers of the refusal of a forwarded request by a host that stops."""
 
 
 class RelayParameters(msgspec.Struct, array_like=True, frozen=True):
@@ -184,6 +190,12 @@
             parameters.time_left, stream=parameters.stream, busy=False
         )
 
+    def check(self):
+        """Enforce the deadlines of the requests in progress."""
+        now = self.state.clock.seconds()
+        for relay in list(self.relayed):
+            relay.check(now)
+
     def handle_page(self, request):
         """Respond with this host's snapshot of the store."""
         if request.path != b"/state":
@@ -239,6 +251,7 @@
             shared_parts(self.metadata.demand.parts),
         )
         self.attempt = NOTHING
+        self.outcome = NOTHING
         self.arrived = self.state.clock.seconds()
         self.server_id = ""
         self.version = ""
@@ -396,7 +409,7 @@
                 self.state, placed, self.parameters.version
             ),
         )
-        outcome = await self.attempt.run()
+        outcome = self.outcome = await self.attempt.run()
         self.state.coordinator.record_attempt_end(
             number, self.attempt.result, self.gap_meter.gaps()
         )
@@ -434,14 +447,30 @@
 
     def end_with_host(self):
         """End the request at once as this host ends."""
+        self.end(Reason.LEAVING, STOPPING_RETRY_SECONDS)
+
+    def check(self, now):
+        """Enforce the deadline, also if the sending host is gone."""
+        if now >= self.arrived + self.parameters.time_left:
+            self.end(Reason.DEADLINE, DENIED_RETRY_SECONDS)
+
+    def end(self, reason, retry_after):
+        """End the request at once, whatever it waits for.
+
+        Args:
+            reason: The `Reason`.
+            retry_after: Seconds after which to retry if it was not run.
+        """
         if self.attempt is not NOTHING and self.attempt.in_progress:
-            self.attempt.abandon(Reason.LEAVING)
+            self.attempt.abandon(reason)
         if self.sink.finished or self.sink.disconnected:
             return
-        if self.attempt is not NOTHING and self.attempt.sent:
-            self.conclude(Unknown(Reason.LEAVING))
+        if self.outcome is not NOTHING:
+            self.conclude(self.outcome)
+        elif self.attempt is not NOTHING and self.attempt.sent:
+            self.conclude(Unknown(reason))
         else:
-            self.refuse_stopping()
+            self.refuse(NotRun(reason, retry_after))
 
     def refuse_stopping(self):
         """Refuse the request because this host stops."""
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -14,16 +14,9 @@
 it is aborted."""
 
 
-INCOMPLETE_BODY = b'{"error":"this host is stopping"}'
-INCOMPLETE_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\n"
-    b"retry-after: %.3f\r\n"
-    b"connection: close\r\n"
-    b"content-type: application/json\r\n"
-    b"content-length: %d\r\n\r\n%s"
-    % (STOPPING_RETRY_SECONDS, len(INCOMPLETE_BODY), INCOMPLETE_BODY)
-)
-"""Response of a stopping host to a request that it has not read completely."""
+STOPPING_HEADERS = ((b"retry-after", b"%.3f" % STOPPING_RETRY_SECONDS),)
+"""Headers of the response of a stopping host to a request that it has not read
+completely."""
 
 
 class WebRequest(ClosingRequest):
@@ -82,18 +75,28 @@
         max_idle_seconds: Returns the maximum number of seconds for which a
             connection may be idle.
         max_body_bytes: Returns the maximum size of a body in bytes.
+        stopping_headers: Headers of the refusal of a request that is not read
+            completely as the host stops.
     """
 
     noisy = False
 
     def __init__(
-        self, handle, reactor, in_progress, *, max_idle_seconds, max_body_bytes
+        self,
+        handle,
+        reactor,
+        in_progress,
+        *,
+        max_idle_seconds,
+        max_body_bytes,
+        stopping_headers=STOPPING_HEADERS,
     ):
         super().__init__(reactor=reactor)
         self.handle = handle
         self.in_progress = in_progress
         self.max_idle_seconds = max_idle_seconds
         self.max_body_bytes = max_body_bytes
+        self.stopping_headers = stopping_headers
 
     def buildProtocol(self, addr):
         """Return the protocol of a new connection."""
@@ -105,7 +108,18 @@
 
     def incomplete_refusal(self):
         """Return the response to a request that is not read completely."""
-        return INCOMPLETE_REFUSAL
+        body = msgspec.json.encode({"error": "this host is stopping"})
+        headers = (
+            *self.stopping_headers,
+            (b"connection", b"close"),
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(body)),
+        )
+        lines = [b"%s: %s\r\n" % row for row in headers]
+        return b"HTTP/1.1 503 Service Unavailable\r\n%s\r\n%s" % (
+            b"".join(lines),
+            body,
+        )
 
     def startFactory(self):
         """Open no access log; the event log contains the relevant events."""
--- a/tests/raw_callers.py
+++ b/tests/raw_callers.py
@@ -30,9 +30,13 @@
 
     async def connect(self):
         """Connect; the host accepts the connection soon after."""
+        self.begin_connect()
+        await pause(0.02)
+
+    def begin_connect(self):
+        """Connect on loopback; the host need not accept for that."""
         with contextlib.suppress(BlockingIOError):
             self.socket.connect(self.address)
-        await pause(0.02)
 
     def send(self, path, *, body=b"", announced=0, headers=""):
         """Send a request, or the part of it that *body* leaves incomplete."""
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -6,15 +6,32 @@
 
 import pytest
 import pytest_twisted
-from entry_hosts import NOT_CONNECTED, USAGE, cut_off_stores, status_of
+from entry_hosts import (
+    BROKEN,
+    NOT_CONNECTED,
+    USAGE,
+    cut_off_stores,
+    status_of,
+)
 from raw_callers import RawCaller, pause
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+)
 from twisted.internet import defer, reactor
 from twisted.internet.error import ConnectError
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
+from hyssopspring.entry.relaying import (
+    RELAY_HEADER,
+    RelayParameters,
+    encode_parameters,
+)
 from hyssopspring.net.clients import read_body
 from hyssopspring.records import cause_of, read_records
 from hyssopspring_fakes.soakfleet import SoakFleet
@@ -22,6 +39,9 @@
 APPLY_SECONDS = 4.0
 """Seconds in which every host must apply a change."""
 
+PROMPT_LINES = [f"{k.replace('_', '-')}: {v}\r\n" for k, v in USAGE.items()]
+"""The same headers as lines of a request."""
+
 LATE_SECONDS = 2.9
 """Seconds after the stop signal, 0.3 s before a host of 4 s ends."""
 
@@ -158,19 +178,55 @@
     await stopped
 
 
-@pytest_twisted.ensureDeferred
-async def test_a_request_that_came_during_a_suspension_is_answered(hosts):
-    """Guards against a close of an idle connection with a request unread."""
+async def stop_with_stream(hosts):
+    """Stop a host that stays up for a stream, beside one that serves."""
+    hosts.add_host("h-north-2", "north", 5)
+    await hosts.settled()
+    engine = hosts.backends["engine-north"]
+    engine.events, engine.gap = 6, 0.5
+    streaming = defer.ensureDeferred(
+        status_of(
+            hosts,
+            hosts.processes["h-north"],
+            "/quote/a",
+            method=b"POST",
+            **USAGE,
+        )
+    )
+    await hosts.until(lambda: engine.ran)
     process, stopped = begin_stop(hosts, "h-north")
+    stopped.addCallback(lambda _: streaming)
+    return process, stopped
+
+
+@pytest.mark.parametrize("ending", [False, True])
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_came_during_a_suspension_is_answered(
+    hosts, ending
+):
+    """Guards against a close of an idle connection with a request unread.
+
+    The host is suspended as it begins to close idle connections, or as it is
+    about to close its ports, with connections that wait to be accepted.
+    """
+    if ending:
+        hosts.add_host("h-north-2", "north", 5)
+        await hosts.settled()
+        process, stopped = begin_stop(hosts, "h-north")
+    else:
+        process, stopped = await stop_with_stream(hosts)
+    await pause(1.35 if ending else 1.0)
     callers = [RawCaller(process.settings.front) for _ in range(4)]
-    for caller in callers:
-        await caller.connect()
-    await pause(0.5)
+    if not ending:
+        for caller in callers:
+            await caller.connect()
     # Resumes in an event of a socket, so that timers are next.
     await hosts.page("h-south", "/v1/ready")
     for caller in callers:
+        if ending:
+            caller.begin_connect()
         caller.send("/lookup/a")
-    suspend(0.8)
+    suspend(0.4)
     for caller in callers:
         assert_that(await caller.receive(0.5), Contains(b"HTTP/1.1 "))
     await stopped
@@ -179,8 +235,8 @@
 @pytest_twisted.ensureDeferred
 async def test_the_first_request_of_a_new_connection_is_answered(hosts):
     """Guards against a close of a connection before its first request."""
-    process, stopped = begin_stop(hosts, "h-north")
-    await pause(1.45)
+    process, stopped = await stop_with_stream(hosts)
+    await pause(1.4)
     caller = RawCaller(process.settings.front)
     await caller.connect()
     await pause(0.15)
@@ -189,6 +245,163 @@
     await stopped
 
 
+@pytest_twisted.ensureDeferred
+async def test_the_last_host_of_a_region_keeps_idle_connections(hosts):
+    """Guards against a request that crosses a close nobody needs."""
+    process, stopped = begin_stop(hosts, "h-north")
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    await pause(1.7)
+    caller.send("/lookup/a")
+    assert_that(await caller.receive(0.5), Contains(b"HTTP/1.1 200"))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_idle_timeout_drops_no_request(hosts):
+    """Guards against a timer that closes a connection before reading it."""
+    caller = RawCaller(hosts.processes["h-north"].settings.front)
+    await caller.connect()
+    (channel,) = hosts.processes["h-north"].caller_site.channels
+    channel.setTimeout(0.5)
+    await pause(0.4)
+    await hosts.page("h-south", "/v1/ready")
+    caller.send("/lookup/a")
+    suspend(0.3)
+    assert_that(await caller.receive(0.5), Contains(b"HTTP/1.1 200"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_input_behind_a_response_takes_nothing_of_it_away(hosts):
+    """Guards against a reset that discards what a caller has not read."""
+    body = b"x" * 400_000
+    backend = hosts.backends["plain-north"]
+    backend.run = lambda request, headers, identifier: backend.answer(
+        request,
+        200,
+        body,
+        {b"x-request-attempt-id": identifier, b"x-response-stamp": b"s"},
+    )
+    process, stopped = begin_stop(hosts, "h-north")
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    caller.send("/lookup/a")
+    await pause(0.3)
+    caller.send("/lookup/b")
+    await pause(0.2)
+    received = await caller.receive(1.0)
+    assert_that(received.count(b"x"), GreaterThan(len(body) - 1))
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_response_that_is_cut_holds_no_host_up(hosts):
+    """Guards against a host that waits for a caller with nothing to read."""
+    process, stopped = await stop_with_stream(hosts)
+    hosts.backends["engine-north"].mood = "cut"
+    hosts.backends["engine-north"].cut_after = 1
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    caller.send("/review/a", headers="".join(PROMPT_LINES))
+    assert_that(await caller.receive(1.5), Contains(b"event 0"))
+    await stopped
+    assert_that(process.state.stopping.seconds, LessThan(3.2))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_cannot_be_ended_is_answered(hosts):
+    """Guards against an error that takes the response of each request."""
+    hosts.backends["engine-north"].mood = "silent"
+    process, stopped = begin_stop(hosts, "h-north")
+    asked = [
+        defer.ensureDeferred(
+            status_of(hosts, process, "/review/a", method=b"POST", **USAGE)
+        )
+        for _ in range(2)
+    ]
+    await hosts.until(lambda: len(hosts.backends["engine-north"].ran) == 2)
+
+    def fail(*args):
+        raise ValueError("injected")
+
+    process.log_ended_by_stop = fail
+    for tracked in process.in_progress.tracked_requests():
+        tracked.end = fail
+    await stopped
+    assert_that([await one for one in asked], Equals([502, 502]))
+    errors = [line for line in hosts.lines if '"unexpected"' in line]
+    assert_that(errors, HasLength(4))
+    hosts.lines.clear()
+
+
+def relay_to(hosts, process, *, time_left=5.0):
+    """Send a relayed request to a process; return the deferred response."""
+    parameters = encode_parameters(
+        RelayParameters(
+            "post",
+            "plain",
+            False,
+            False,
+            time_left,
+            1.0,
+            5.0,
+            0,
+            [],
+            "",
+            False,
+        )
+    )
+    headers = {RELAY_HEADER.decode(): parameters.decode()}
+    pool = HTTPConnectionPool(reactor, persistent=False)
+    source = hosts.processes["h-north"].settings.address
+    agent = Agent(reactor, pool=pool, bindAddress=source)
+    relay = process.members.own.relay
+    return hosts.request(relay, "/post/a", "r1", b"POST", b"", headers, agent)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_relayed_request_that_waits_is_refused_as_its_host_ends(hosts):
+    """Guards against an unknown outcome of a request that nothing ran."""
+    process = hosts.processes["h-south"]
+    process.coordinator.place = lambda ask: defer.Deferred()
+    asked = relay_to(hosts, process)
+    await hosts.until(lambda: process.relay.relayed)
+    _, stopped = begin_stop(hosts, "h-south")
+    response = await asked
+    found = response.headers.getRawHeaders
+    assert_that(
+        (found("hyssop-outcome"), found("hyssop-reason")),
+        Equals((["not-run"], ["host_leaving"])),
+    )
+    await read_body(response)
+    await stopped
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_relayed_request_ends_at_its_deadline(hosts):
+    """Guards against a sender that is gone and holds a host up for ever."""
+    hosts.backends["plain-south"].mood = "silent"
+    process = hosts.processes["h-south"]
+    asked = relay_to(hosts, process, time_left=0.5)
+    asked.addErrback(lambda reason: reason.trap(*BROKEN))
+    await hosts.until(lambda: process.relay.relayed)
+    await hosts.until(lambda: not process.relay.relayed, within=1.0)
+    await asked
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_incomplete_relayed_request_counts_as_not_run(hosts):
+    """Guards against a refusal that a host takes for a server's response."""
+    process, stopped = begin_stop(hosts, "h-north")
+    await pause(2.5)
+    caller = RawCaller(process.members.own.relay)
+    await caller.connect()
+    caller.send("/post/a", body=b"12345", announced=10)
+    received = await caller.receive(3.0)
+    assert_that(received.lower(), Contains(b"hyssop-outcome: not-run"))
+    await stopped
+
+
 @pytest.mark.parametrize("body", [b"", b"a body"])
 @pytest_twisted.ensureDeferred
 async def test_responses_of_a_stopping_host_announce_the_close(hosts, body):
