End the requests of a stop also if its announcement fails

Cause: an error while a stop is announced to other hosts and the store ended the process at once, with every request in progress. Found by reading the change.

Change: the announcement is within the part of the stop after which the requests are ended in any case. Responses announce the close from the first moment.

Result: no test of its own; tests of further signals, unverified routes, slow readers and requests that cannot be ended pass.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -552,19 +552,23 @@
         """
         self.state.stopping.begin()
         self.members.own.leaving = True
+        self.listeners.announce()
         self.timeline.note(
             EventKind.STOPPING, active=len(self.callers.exchanges)
         )
-        self.membership.send_heartbeats()
-        self.state.stream_origins.hand_over()
-        self.store_sync.spawn(self.store_sync.leave())
-        self.listeners.announce()
-        await self.sleep(self.state.stopping.drain_seconds)
         try:
+            self.announce_stop()
+            await self.sleep(self.state.stopping.drain_seconds)
             await self.wait_until_idle()
         finally:
             await self.end_requests()
 
+    def announce_stop(self):
+        """Tell other hosts and the store that this host leaves."""
+        self.membership.send_heartbeats()
+        self.state.stream_origins.hand_over()
+        self.store_sync.spawn(self.store_sync.leave())
+
     async def wait_until_idle(self):
         """Wait until the host has been idle for a while, or its time is over.
 
