End a stopping process by its time beside callers that stay connected

Cause: the waits between checks ran past the end of the requests, and the quarter second for a suspended host was added to that.

Change: these waits end with the requests, and delivery past its time takes 0.1 s.

Result: the test failed before and passes, with those of unverified routes and silent servers.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -79,8 +79,11 @@
 idle connection much sooner."""
 
 IDLE_SECONDS = 0.25
-"""Seconds for which a stopping host has to be idle before it ends, and for
-which it delivers responses if its time is over already."""
+"""Seconds for which a stopping host has to be idle before it ends."""
+
+MIN_DELIVERY_SECONDS = 0.1
+"""Seconds for which a host delivers responses that was suspended past the time
+allowed for that."""
 
 LISTEN_BACKLOG = 512
 
@@ -583,21 +586,26 @@
                 self.listeners.end_lingering()
                 if not stopping.is_last_host():
                     self.caller_site.close_idle()
-                await self.sleep(CHECK_INTERVAL_SECONDS)
+                await self.sleep_until_end(CHECK_INTERVAL_SECONDS)
                 continue
             accepted = self.accepted_requests
-            await self.sleep(IDLE_SECONDS)
+            await self.sleep_until_end(IDLE_SECONDS)
             if accepted == self.accepted_requests and not self.is_busy():
                 return
 
+    def sleep_until_end(self, seconds):
+        """Return a deferred of *seconds*, or of the time that is left."""
+        left = self.state.stopping.ends_at - self.reactor.seconds()
+        return self.sleep(max(0.0, min(seconds, left)))
+
     async def end_requests(self):
         """End what is still in progress, and deliver the responses."""
         stopping = self.state.stopping
         stopping.refusing = True
         active = len(self.in_progress)
         self.end_all()
-        now = self.reactor.seconds()
-        await self.listeners.close(max(stopping.exits_at, now + IDLE_SECONDS))
+        at_least = self.reactor.seconds() + MIN_DELIVERY_SECONDS
+        await self.listeners.close(max(stopping.exits_at, at_least))
         self.timeline.note(
             EventKind.STOPPED,
             active=active,
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -257,6 +257,17 @@
     await stopped
 
 
+@pytest_twisted.ensureDeferred
+async def test_callers_that_stay_connected_delay_no_end(hosts):
+    """Guards against a process that is killed as it waits for its callers."""
+    process, stopped = begin_stop(hosts, "h-north")
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    await stopped
+    stopping = process.state.stopping
+    assert_that(reactor.seconds() - stopping.exits_at, LessThan(0.1))
+
+
 @pytest_twisted.ensureDeferred
 async def test_an_idle_timeout_drops_no_request(hosts):
     """Guards against a timer that closes a connection before reading it."""
