--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -47,6 +48,9 @@
 moment at which the watches of the region have waited no longer than the second
 figure."""
 
+MAX_WAIT_SECONDS = 60.0
+"""Longest wait for such a moment."""
+
 LEAVES_AT = 2.2
 """Seconds after the silence at which the server reports `draining`."""
 
@@ -152,9 +156,16 @@
 
 
 async def make_trouble(proxy, servers, runs, record, region_ips, times):
-    """Let watches go silent; the server leaves soon after."""
+    """Let watches go silent; a server leaves soon after.
+
+    Returns:
+        Whether there was a moment for it.
+    """
+    until = time.monotonic() + MAX_WAIT_SECONDS
     while True:
         now = time.monotonic()
+        if now > until:
+            return False
         ages = [
             now - pair.passed_at
             for pair in proxy.pairs
@@ -172,6 +183,7 @@
     record(event="connections go silent", count=count)
     await asyncio.sleep(LEAVES_AT)
     await leave(busiest(servers, runs), record, times)
+    return True
 
 
 def busiest(servers, runs):
@@ -233,13 +245,17 @@
     )
     await asyncio.sleep(WARM_UP_SECONDS)
     ips = {host.ip for host in fleet.hosts if host.region == "dar"}
+    ready = True
     if TROUBLE:
-        await make_trouble(proxy, servers, runs, record, ips, times)
+        ready = await make_trouble(proxy, servers, runs, record, ips, times)
     else:
         times["silent"] = time.monotonic() - LEAVES_AT
         await leave(busiest(servers, runs), record, times)
     ended.set()
     await sending
+    if not ready:
+        record.say("could not run: the watches never had the wanted age")
+        return 2
     return judge(record, runs, results, times)
 
 
@@ -293,4 +309,6 @@
 
 
 if __name__ == "__main__":
+    # A time-out from outside must end the hosts as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     sys.exit(asyncio.run(main()))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -14,6 +14,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PORT_COUNT = 8
+PORTS = (20000, 32000)
+"""First ports to choose from, below those of outgoing connections."""
 
 SETTINGS = """\
 node={name}
@@ -79,7 +81,7 @@
 def free_ports(ips, count):
     """Return a first port from which *count* are free at all addresses."""
     for _ in range(200):
-        first = random.randrange(20000, 60000 - count)
+        first = random.randrange(*PORTS)
         if all(
             is_free(ip, first + number)
             for ip in ips
