--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -862,9 +862,12 @@
 
     def end_details(self):
         """Return the log fields on the end of the last attempt."""
+        details = {"sent_bytes": self.sink.bytes}
         if self.attempt is NOTHING:
-            return {}
-        return self.attempt.end_details()
+            return details
+        silent = self.state.clock.seconds() - self.last_data
+        details["silent_ms"] = int(silent * 1000)
+        return {**details, **self.attempt.end_details()}
 
     def respond_failure(self, outcome):
         """Respond at once that there is no result."""
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -138,6 +138,8 @@
     parts += [describe_refusal(record) for record in refused]
     parts += [describe_stop(record) for record in stopped]
     parts += describe_lateness(last.details)
+    if last.event == "unknown":
+        parts += describe_sent(last.details)
     placed = [record for record in records if record.event == "placed"]
     if placed and len(parts) > 1:
         parts += describe_preceding(placed[-1], all_records)
@@ -155,6 +157,22 @@
     )
 
 
+def describe_sent(details):
+    """Return texts on what a caller had before its request ended early.
+
+    Args:
+        details: Details of the record of its end, by name.
+    """
+    texts = []
+    if "sent_bytes" in details:
+        sent = int(details["sent_bytes"])
+        texts.append(f"{sent} bytes of a response had been sent to the caller")
+    silent = int(details.get("silent_ms", 0))
+    if silent > MIN_STALL_MILLIS:
+        texts.append(f"its server had been silent for {silent} ms")
+    return texts
+
+
 def describe_stream(records):
     """Return a text on the version that a stream had to go on with.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -281,3 +281,15 @@
         "the server ended its response (close) 9 bytes into an event",
     ):
         assert_that(text, Contains(part))
+
+
+def test_the_cause_of_a_cut_answer_names_what_its_caller_had():
+    """Guards against an end that does not tell a silence from a failure."""
+    details = {"how": "cut: superseded", "sent_bytes": "66"}
+    row = {"ms": 0, "n": 0, "host": "h1", "event": "unknown", **details}
+    silent = {**row, "silent_ms": "1004"}
+    text = cause_of(read_records([json.dumps(silent)]))
+    assert_that(text, Contains("66 bytes of a response had been sent"))
+    assert_that(text, Contains("its server had been silent for 1004 ms"))
+    text = cause_of(read_records([json.dumps({**row, "silent_ms": "20"})]))
+    assert "silent" not in text
