Show that a silent server ends responses which would have gone on

A stand-in can fall silent in its answers for 1.6 s and go on. Its streams are cut after two of four events, and its plain answers are replaced by a 502, if the other server is full: the attempt is abandoned before a replacement has begun.

--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -75,6 +75,10 @@
         cut_after: Events after which a stream is cut, in the mood "cut".
         script: `StreamScript` of its streams, or None.
         gap: Seconds between events.
+        silence: Seconds for which it falls silent in each answer: before the
+            event `silent_before`, before the first event of a stream that is
+            resumed there, or before the head of a plain answer.
+        silent_before: Number of that event.
         kept_for: Seconds for which it announces to keep idle connections;
             0 for no announcement.
         stopped: Identifier of each request whose caller has gone.
@@ -98,6 +102,8 @@
         self.cut_after = 2
         self.script = None
         self.gap = 0.0
+        self.silence = 0.0
+        self.silent_before = 2
         self.kept_for = 0
         self.crashed_by = None
         self.crashing_parts = frozenset()
@@ -207,7 +213,7 @@
             body = b"whole " + request.uri
             if request.path.endswith(b"/large"):
                 body = body.ljust(LARGE_BODY_BYTES)
-            self.answer(request, 200, body, stamp)
+            self.after_silence(self.answer, request, 200, body, stamp)
 
     def stream(self, request, stamp, first):
         """Send the events of a stream, one by one."""
@@ -225,7 +231,10 @@
             return
         for name, value in headers.items():
             request.setHeader(name, value)
-        self.next_event(request, first, request)
+        if first >= self.silent_before:
+            self.after_silence(self.next_event, request, first, request)
+        else:
+            self.next_event(request, first, request)
 
     def next_event(self, request, number, body):
         """Send one event and go on with the next."""
@@ -241,12 +250,23 @@
         by = f" of {self.version}" if self.version else ""
         text = f"id: {number}\ndata: event {number}{by}\n\n"
         body.write(text.encode())
-        task.deferLater(
-            self.reactor, self.gap, self.next_event, request, number + 1, body
-        )
+        go_on = (self.next_event, request, number + 1, body)
+        if number + 1 == self.silent_before:
+            self.after_silence(*go_on)
+        else:
+            task.deferLater(self.reactor, self.gap, *go_on)
+
+    def after_silence(self, call, *arguments):
+        """Call a function after `silence`, or at once without one."""
+        if self.silence:
+            self.reactor.callLater(self.silence, call, *arguments)
+        else:
+            call(*arguments)
 
     def answer(self, request, status, body, headers):
-        """Answer at once."""
+        """Answer, unless the caller has gone."""
+        if request._disconnected:
+            return
         request.setResponseCode(status)
         for name, value in headers.items():
             request.setHeader(name, value)
