Keep an attempt at a silent server until its replacement has data

Callers saw cut streams, and 502 or 503 for plain requests, although their server was sound: it sent nothing for 1.6 s and then went on.

Cause: after about a second of silence a request was placed again, and the running attempt was abandoned as soon as a place had been found. If the other server was full, failed, reset the connection or was silent as well, or its route allowed no further attempt there, nothing was left that could go on. Class: something that works is given up before its replacement is known to work.

The second attempt now runs beside the first one (entry/hedging.py). The first one with data for the caller is used: complete events, or a whole response. The other one is abandoned at that moment, so that a resumed run and the one before do not go on side by side. A second attempt that is refused or fails is dropped, and the first one goes on. The retry budget is asked once a place has been found, and no longer for a search that finds none. A place that is found after the first attempt has ended is given back; it was kept for a later try before.

State of one try moves from the exchange to entry/tries.py, so that two of them can run. The head of a caller's stream is written with its first event, from the server whose event it is, so that a stream which ends between its head and its first event is refused and no longer closed without a byte.

Ruled out for this design: to wait for longer and to ask the server for its report. A process that stands still answers no report either, and callers leave a stream after two to three seconds without an event, so that a dead server would cost each of its streams.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -15,23 +15,18 @@
     PlacementQuery,
     RateLimited,
 )
-from ..traffic.pauses import GapMeter, objective_details, pause_details
+from ..traffic.pauses import objective_details
 from ..traffic.promptparts import shared_parts
 from ..traffic.serverhealth import AttemptResult
-from .attempts import Attempt, OutgoingRequest, silence_limit
-from .connections import Endpoint
+from .attempts import OutgoingRequest
 from .crashchecks import REFUSING_REASONS, SUSPECTED_RETRY_SECONDS, CrashCheck
 from .eventstreams import has_unnumbered_data, last_event_id
+from .hedging import Hedging
 from .notices import notice_details
-from .relaying import (
-    RELAY_HEADER,
-    RelayParameters,
-    encode_parameters,
-    read_relay_head,
-)
-from .serverstarts import start_confirmation
+from .relaying import RelayParameters
 from .stopping import STOPPING_RETRY_SECONDS
 from .streamversion import StreamVersion
+from .tries import CONNECT_RETRY_SECONDS, Try
 from .web import respond_refusal
 
 __all__ = ["Exchange"]
@@ -50,17 +45,9 @@
 PATIENCE_FRACTION = 0.85
 """Fraction of that time within which a first event has to be predicted."""
 
-STREAM_SILENCE_SECONDS = 1.0
-"""Seconds without an event after which a running stream is resumed at another
-server, if its route allows that. Engines pause for less than 0.3 s."""
-
 MIN_ATTEMPT_SECONDS = 0.03
 """No new attempt starts when the request has fewer seconds left than this."""
 
-CONNECT_RETRY_SECONDS = 0.4
-"""Retry-After of a request for which no server could be reached. Within this
-time the service registry is up to date or the connection is restored."""
-
 FINAL_REASONS = (
     Reason.DEADLINE,
     Reason.LEAVING,
@@ -101,26 +88,19 @@
         if metadata.deadline is not NOTHING:
             allowed = min(allowed, metadata.deadline)
         self.deadline_at = self.arrived + allowed
-        self.attempt = NOTHING
-        self.attempt_began = 0.0
-        self.last_data = 0.0
+        self.current = NOTHING
         self.longest_gap = 0.0
-        self.gap_meter = GapMeter()
-        self.predicted = 0.0
         self.excluded = []
         self.tried_hosts = set()
         self.responsive_hosts = set()
-        self.stream_server = ""
         self.sent_attempts = 0
         self.executions = 0
-        self.outcome = NOTHING
         self.tries = 0
         self.may_leave = True
         self.avoided = []
         self.refused_locally = False
-        self.retry_spent = False
-        self.switching = False
-        self.next_placement = NOTHING
+        self.hedging = Hedging(self)
+        self.streaming = NOTHING
         self.fallback_response = NOTHING
         self.crash_check = CrashCheck(
             state.sharing,
@@ -132,7 +112,6 @@
         self.stream_version = StreamVersion(
             state.stream_origins, state.registry, route, metadata
         )
-        self.served_version = ""
         self.last_event = metadata.last_event
         self.last_event_at = NOTHING
         self.has_unnumbered_data = False
@@ -162,6 +141,7 @@
         """Report the end of the exchange once."""
         if not self.closed:
             self.closed = True
+            self.hedging.drop(Reason.SUPERSEDED)
             self.on_end(self)
 
     def handle_disconnect(self, reason):
@@ -172,11 +152,10 @@
         request as well, and each request that must not be repeated would wait
         there until its caller disconnects.
         """
-        if self.attempt is NOTHING:
-            return
-        waited = self.state.clock.seconds() - self.last_data
-        silent = waited > self.silence_limit()
-        self.attempt.abandon(Reason.CALLER_GONE, silent=silent)
+        self.hedging.drop(Reason.CALLER_GONE)
+        current = self.current
+        if current is not NOTHING and current.in_progress:
+            current.abandon(Reason.CALLER_GONE, silent=current.is_silent)
 
     @property
     def deadline_left(self):
@@ -234,12 +213,20 @@
         return refusal
 
     async def next_try(self):
-        """Place the request, make one attempt and return its outcome."""
+        """Place the request, make one attempt and return its outcome.
+
+        An attempt that runs beside the one that has ended takes its place.
+        """
+        hedge = self.hedging.take()
+        if hedge is not NOTHING:
+            self.current = hedge
+            return await hedge.ended
         self.tries += 1
         refusal = self.crash_refusal()
         if refusal is not NOTHING:
             return refusal
-        number, decision = await self.get_placement()
+        self.request.tracked.waits_for = Wait.PLACEMENT
+        number, decision = await self.state.coordinator.place(self.ask())
         over = self.closed or self.sink.disconnected
         if over or self.time_left < MIN_ATTEMPT_SECONDS:
             self.state.coordinator.record_attempt_end(
@@ -252,13 +239,9 @@
                 number, AttemptResult.UNUSED
             )
             return refusal
-        if isinstance(decision, Placed):
-            return await self.try_server(number, decision)
-        if isinstance(decision, PlacedRemotely):
-            outcome = await self.try_region(decision)
-            ran = not isinstance(outcome, NotRun)
-            self.state.coordinator.note_away_end(number, ran=ran)
-            return outcome
+        if isinstance(decision, Placed | PlacedRemotely):
+            self.current = Try(self, number, decision)
+            return await self.current.start()
         self.refused_locally = True
         if isinstance(decision, RateLimited):
             self.log_rate_limit(decision)
@@ -287,14 +270,6 @@
         )
         return NotRun(reason, SUSPECTED_RETRY_SECONDS)
 
-    async def get_placement(self):
-        """Return the number and the decision for the next attempt."""
-        if self.next_placement is NOTHING:
-            self.request.tracked.waits_for = Wait.PLACEMENT
-            return await self.state.coordinator.place(self.ask())
-        placement, self.next_placement = self.next_placement, NOTHING
-        return placement
-
     def log_refusal(self, refused):
         """Log a refusal by the placement and its grounds."""
         self.state.timeline.note(
@@ -376,7 +351,7 @@
         if not self.route.stream:
             return max(0.0, self.time_left)
         if self.sink.started:
-            waited = self.state.clock.seconds() - self.last_data
+            waited = self.current.silent_seconds
         longest = max(
             STREAM_PATIENCE_SECONDS,
             STREAM_PATIENCE_OBJECTIVES * self.route.objective,
@@ -394,160 +369,6 @@
             return self.route.objective
         return max(0.0, self.route.objective - waited)
 
-    async def try_server(self, number, placed):
-        """Make an attempt at a server of this region."""
-        self.state.timeline.note(
-            EventKind.PLACED,
-            request=self.id,
-            server=placed.server_id,
-            predicted=round(placed.predicted, 3),
-            urgency=placed.urgency,
-            copy_from=placed.copy_from,
-            **self.stream_version.details(),
-            **self.state.coordinator.placement_details(number),
-            **pause_details(placed),
-            **notice_details(placed),
-        )
-        headers = self.state.codec.server_headers(
-            self.request.requestHeaders,
-            time_left=self.deadline_left,
-            server_id=placed.server_id,
-            urgency=self.urgency(placed),
-            last_event=self.last_event,
-            copy_from=placed.copy_from,
-            workspace=self.permissions.workspace,
-        )
-        began = self.state.clock.seconds()
-        self.served_version = self.state.coordinator.version_of(placed)
-        self.attempt = Attempt(
-            self.state.connections,
-            Endpoint(placed.server_id, placed.address),
-            self.outgoing(headers),
-            self.state.codec.read_head,
-            self.state.clock,
-            tracked=self.request.tracked,
-            on_stream=self.open_stream,
-            on_first_data=lambda: self.record_start(number, began),
-            on_head=self.state.notices.head_handler(
-                placed.server_id, self.id, number
-            ),
-            confirm=start_confirmation(
-                self.state, placed, self.stream_version.required or ""
-            ),
-        )
-        outcome = await self.run_attempt(placed.predicted)
-        self.state.coordinator.record_attempt_end(
-            number, self.attempt.result, self.gap_meter.gaps()
-        )
-        self.request.tracked.waits_for = Wait.CRASH_CHECK
-        await self.state.crash_detector.examine(
-            self.attempt, self.request.peer_ip, placed.predicted
-        )
-        if not isinstance(outcome, Answered) or outcome.status >= 500:
-            self.excluded.append(placed.server_id)
-        if self.attempt.result is AttemptResult.UNREACHED:
-            self.state.connections.close_idle(placed.server_id)
-        return outcome
-
-    def urgency(self, placed):
-        """Return the urgency to send to an engine, or `NOTHING`."""
-        return placed.urgency if self.metadata.demand.tokens_in else NOTHING
-
-    def record_start(self, number, began):
-        """Record when the response started."""
-        now = self.state.clock.seconds()
-        if self.first_data_at is NOTHING:
-            self.first_data_at = now
-        self.state.coordinator.record_response_start(number, now - began)
-
-    async def try_region(self, away):
-        """Make an attempt through a host of another region.
-
-        A pooled connection is used for every kind of request. A new connection
-        costs a round trip of 160 ms, and the other side keeps idle connections
-        five times as long as this one. If the connection turns out to be
-        closed nevertheless, the outcome is unknown, and a request that must
-        not run twice is not sent again.
-        """
-        far = self.state.remote_hosts
-        member = self.choose_remote_host(away.region)
-        if member is NOTHING:
-            self.avoid_region(away.region)
-            return NotRun(Reason.CONNECT, CONNECT_RETRY_SECONDS)
-        self.tried_hosts.add(member.name)
-        self.state.timeline.note(
-            EventKind.SENT_AWAY,
-            request=self.id,
-            region=away.region,
-            peer=member.name,
-            predicted=round(away.predicted, 3),
-            **self.stream_version.details(),
-        )
-        headers = self.state.codec.forwarded_headers(
-            self.request.requestHeaders
-        )
-        headers.setRawHeaders(
-            RELAY_HEADER, [encode_parameters(self.relay_parameters())]
-        )
-        self.attempt = Attempt(
-            self.state.connections,
-            far.endpoint(member),
-            self.outgoing(headers, reuse=True),
-            lambda status, found: read_relay_head(
-                self.state.codec, status, found
-            ),
-            self.state.clock,
-            tracked=self.request.tracked,
-            on_stream=self.open_stream,
-            on_first_data=self.record_relay_start,
-            reject=self.reject_version,
-        )
-        self.stream_server = ""
-        outcome = await self.run_attempt(away.predicted)
-        if self.attempt.head_received:
-            self.responsive_hosts.add(member.name)
-        server_id = self.relayed_server()
-        if server_id:
-            self.excluded.append(server_id)
-        if isinstance(outcome, NotRun) and outcome.reason != Reason.LEAVING:
-            self.avoid_region(away.region)
-        if self.attempt.result is AttemptResult.UNREACHED:
-            self.state.connections.close_idle(member.name)
-        return outcome
-
-    def reject_version(self, head):
-        """Return why a relayed stream is not used, or `NOTHING`.
-
-        A host of an earlier release places it at a server of any version.
-        """
-        self.served_version = head.version or self.state.registry.version_of(
-            head.server_id
-        )
-        required = self.stream_version.required
-        if required is NOTHING or self.served_version == required:
-            return NOTHING
-        return Reason.WRONG_VERSION
-
-    def choose_remote_host(self, region):
-        """Return the `Member` that relays the next attempt, or `NOTHING`.
-
-        A host that has responded is used again only if there is no other.
-        What failed was its server, or the host itself since.
-        """
-        far = self.state.remote_hosts
-        member = far.choose(region, self.tried_hosts)
-        if member is NOTHING:
-            failed = self.tried_hosts - self.responsive_hosts
-            member = far.choose(region, failed)
-        return member
-
-    def relayed_server(self):
-        """Return the server at which a relayed attempt ran, or ""."""
-        buffered_response = self.attempt.buffered_response
-        if buffered_response is NOTHING:
-            return self.stream_server
-        return buffered_response.head.server_id
-
     def avoid_region(self, region):
         """Use another region for the next try.
 
@@ -556,10 +377,10 @@
         self.may_leave = not self.avoided
         self.avoided.append(region)
 
-    def record_relay_start(self):
-        """Record when a response from another region started."""
+    def record_first_data(self, now):
+        """Record when a response started."""
         if self.first_data_at is NOTHING:
-            self.first_data_at = self.state.clock.seconds()
+            self.first_data_at = now
 
     def relay_parameters(self):
         """Return the `RelayParameters` of the request at this moment."""
@@ -600,54 +421,40 @@
             isolated=self.crash_check.isolated,
         )
 
-    async def run_attempt(self, predicted):
-        """Run the attempt and count whether it was sent and executed."""
-        self.predicted = predicted
-        self.attempt_began = self.state.clock.seconds()
-        self.last_data = self.attempt_began
-        self.gap_meter = GapMeter()
-        self.outcome = NOTHING
-        outcome = self.outcome = await self.attempt.run()
-        if self.attempt.sent:
-            self.sent_attempts += 1
-        if not isinstance(outcome, NotRun):
-            self.executions += 1
-        if not isinstance(outcome, Answered):
-            self.state.timeline.note(
-                EventKind.ATTEMPT_ENDED,
-                request=self.id,
-                at=self.attempt.endpoint.key,
-                outcome=type(outcome).__name__,
-                reason=outcome.reason,
-                events=self.attempt.events,
-                cause=self.attempt.cause,
-                **self.attempt.end_details(),
-            )
-        return outcome
-
-    def open_stream(self, buffered_response, response):
-        """Start the caller's stream; return the function that takes events.
+    def open_response(self, chosen):
+        """Start the caller's stream, or go on with it from another server.
 
         A stream that is resumed at another server keeps the head of its first
         response.
+
+        Args:
+            chosen: The `Try` whose stream the caller receives.
         """
-        self.stream_server = buffered_response.head.server_id
+        if self.streaming is chosen:
+            return
+        self.streaming = chosen
         if not self.sink.started:
-            self.sink.start(
-                buffered_response.status, buffered_response.headers
-            )
-        self.sink.set_producer(response._transport)
-        return self.forward_events
+            head = chosen.stream_head
+            self.sink.start(head.status, head.headers)
+        self.sink.set_producer(chosen.producer)
 
-    def forward_events(self, events):
-        """Forward events and store the identifier of the last one."""
-        self.stream_version.begin(self.service, self.served_version)
+    def forward_events(self, chosen, events):
+        """Forward events and store the identifier of the last one.
+
+        Args:
+            chosen: The `Try` that received them.
+            events: Complete events.
+        """
+        self.hedging.select(chosen)
+        if self.sink.finished:
+            return
+        self.open_response(chosen)
+        self.stream_version.begin(self.service, chosen.served_version)
         now = self.state.clock.seconds()
         if self.last_event_at is not NOTHING:
             gap = now - self.last_event_at
             self.longest_gap = max(self.longest_gap, gap)
-        self.last_event_at = self.last_data = now
-        self.gap_meter.record(now)
+        self.last_event_at = now
         found = last_event_id(events)
         unnumbered = has_unnumbered_data(events)
         if found:
@@ -659,23 +466,24 @@
 
     def should_retry(self, outcome):
         """Return whether another attempt follows *outcome*."""
-        if self.is_final(outcome) or self.tries >= MAX_TRIES:
+        if self.is_final(outcome):
+            return False
+        if self.hedging.hedge is not NOTHING:
+            return True
+        if self.tries >= MAX_TRIES:
             return False
         if self.time_left < MIN_ATTEMPT_SECONDS * 2:
             return False
         if self.crash_check.refusal() is not NOTHING:
             return False
-        if self.sent_attempts == 0 or self.retry_spent:
-            self.retry_spent = False
-            return True
-        return self.spend_retry()
+        return self.sent_attempts == 0 or self.spend_retry()
 
     def is_final(self, outcome):
         """Return whether no further attempt can improve on *outcome*."""
         if isinstance(outcome, Answered):
             if outcome.status < 500 or not self.may_retry():
                 return True
-            self.fallback_response = self.attempt.buffered_response
+            self.keep_fallback(self.current, outcome)
             return False
         if outcome.reason in REFUSING_REASONS:
             return True
@@ -685,15 +493,37 @@
             return True
         return not self.may_retry()
 
-    def may_retry(self):
-        """Return whether the request may run at one more server."""
-        if (
-            not self.route.repeatable
-            or self.executions >= self.route.max_attempts
-        ):
+    def keep_fallback(self, ended, outcome):
+        """Keep an error response, for the case that no other one comes.
+
+        Args:
+            ended: The `Try` that received it.
+            outcome: Its outcome.
+        """
+        if isinstance(outcome, Answered) and outcome.status >= 500:
+            self.fallback_response = ended.attempt.buffered_response
+
+    def may_retry(self, *, running=0):
+        """Return whether the request may run at one more server.
+
+        Args:
+            running: Number of servers at which it runs.
+        """
+        executions = self.executions + running
+        if not self.route.repeatable or executions >= self.route.max_attempts:
             return False
         return self.may_resume()
 
+    def may_hedge(self):
+        """Return whether a second attempt may run beside the current one."""
+        if self.tries >= MAX_TRIES:
+            return False
+        if self.time_left < MIN_ATTEMPT_SECONDS * 2:
+            return False
+        if self.crash_check.refusal() is not NOTHING:
+            return False
+        return self.may_retry(running=1)
+
     def may_resume(self):
         """Return whether another server may send the rest of the response."""
         if not self.sink.started:
@@ -711,64 +541,19 @@
         return self.state.retries.spend(self.service, now, hosts)
 
     def check(self, now):
-        """Enforce the deadline, and replace an attempt at a silent server."""
+        """Enforce the deadline, and look after a silent server."""
         if self.closed:
             return
         if now >= self.deadline_at:
             self.end(Reason.DEADLINE)
             return
-        if self.attempt is NOTHING or self.attempt.abandon_reason:
+        if self.current is NOTHING or not self.current.in_progress:
             return
-        self.state.crash_detector.examine_running(self.attempt)
+        self.state.crash_detector.examine_running(self.current.attempt)
         if self.crash_check.refusal() is Reason.CRASHES_SERVERS:
-            self.attempt.abandon(Reason.CRASHES_SERVERS)
-            return
-        if not self.route.repeatable or self.retry_spent:
-            return
-        if not self.may_resume():
-            return
-        executions_with_this = self.executions + 1
-        if executions_with_this >= self.route.max_attempts or self.switching:
+            self.current.abandon(Reason.CRASHES_SERVERS)
             return
-        if now - self.last_data > self.silence_limit() and self.spend_retry():
-            self.retry_spent = True
-            self.switching = True
-            work = defer.ensureDeferred(self.switch_server(self.attempt))
-            work.addErrback(self.handle_error)
-
-    async def switch_server(self, silent):
-        """Replace an attempt at a silent server by one elsewhere.
-
-        The other place is found before the attempt is abandoned. A server that
-        is merely slow would have responded, and the work of an attempt that is
-        abandoned without a replacement is lost.
-
-        Args:
-            silent: The `Attempt`.
-        """
-        last_data_seen = self.last_data
-        key = silent.endpoint.key
-        ask = self.ask()
-        ask = replace(ask, excluded=(*ask.excluded, key))
-        number, decision = await self.state.coordinator.place(ask)
-        self.switching = False
-        found = isinstance(decision, Placed | PlacedRemotely)
-        still_silent = (
-            self.attempt is silent and self.last_data == last_data_seen
-        )
-        if found and still_silent and not self.closed:
-            self.next_placement = (number, decision)
-            silent.abandon(Reason.CONNECTION_LOST, silent=True)
-        else:
-            self.state.coordinator.record_attempt_end(
-                number, AttemptResult.UNUSED
-            )
-
-    def silence_limit(self):
-        """Return the seconds after which the server counts as silent."""
-        if self.attempt.events:
-            return STREAM_SILENCE_SECONDS
-        return silence_limit(self.predicted)
+        self.hedging.check(now)
 
     def end_with_host(self):
         """End the request as its host ends."""
@@ -781,14 +566,15 @@
             reason: The `Reason`.
             retry_after: Seconds after which to retry if it was not run.
         """
-        sent = False
-        if self.attempt is not NOTHING and self.attempt.in_progress:
-            sent = self.attempt.sent
-            self.attempt.abandon(reason)
+        sent = self.hedging.drop(reason)
+        outcome = NOTHING
+        if self.current is not NOTHING:
+            sent |= self.current.abandon(reason)
+            outcome = self.current.outcome
         if self.closed or self.sink.finished or self.sink.disconnected:
             return
-        if isinstance(self.outcome, Answered):
-            self.conclude(self.outcome)
+        if isinstance(outcome, Answered):
+            self.conclude(outcome)
         elif sent or self.executions:
             self.conclude(Unknown(reason))
         else:
@@ -817,14 +603,16 @@
 
     def deliver(self, outcome):
         """End a stream, or send a buffered response."""
-        if self.sink.started and self.attempt.buffered_response is NOTHING:
+        buffered_response = self.current.attempt.buffered_response
+        if buffered_response is NOTHING:
+            self.open_response(self.current)
             self.sink.finish()
             self.log_end("answered", outcome.status)
         elif self.sink.started:
             self.log_end("cut: the server that resumed the stream failed")
             self.sink.abort()
         else:
-            self.deliver_buffered(self.attempt.buffered_response)
+            self.deliver_buffered(buffered_response)
 
     def deliver_buffered(self, buffered_response):
         """Send a buffered response of a server."""
@@ -838,6 +626,8 @@
     def log_end(self, how, status=0):
         """Log the end of the request."""
         now = self.state.clock.seconds()
+        current = self.current
+        predicted = 0.0 if current is NOTHING else current.predicted
         first = (
             self.first_data_at if self.first_data_at is not NOTHING else now
         )
@@ -852,7 +642,7 @@
             objective_ms=int(self.route.objective * 1000),
             longest_gap_ms=int(self.longest_gap * 1000),
             **objective_details(self.route),
-            predicted=round(self.predicted, 3),
+            predicted=round(predicted, 3),
             tries=self.tries,
             service=self.service,
             **self.end_details(),
@@ -863,11 +653,11 @@
     def end_details(self):
         """Return the log fields on the end of the last attempt."""
         details = {"sent_bytes": self.sink.bytes}
-        if self.attempt is NOTHING:
+        current = self.current
+        if current is NOTHING or current.attempt is NOTHING:
             return details
-        silent = self.state.clock.seconds() - self.last_data
-        details["silent_ms"] = int(silent * 1000)
-        return {**details, **self.attempt.end_details()}
+        details["silent_ms"] = int(current.silent_seconds * 1000)
+        return {**details, **current.attempt.end_details()}
 
     def respond_failure(self, outcome):
         """Respond at once that there is no result."""
