Refuse streams of which callers were sent nothing

What callers saw: a stream whose server sent a head, and then no event, had its connection closed without a byte: one endless line as the body, without a length or in chunks, or an endless chunk size.

Cause: the sink recorded the head of the caller's response as sent as soon as it was known, although it leaves with the first event. A stream without an event counted as begun: it could only go on where streams can be resumed, at the version and with the head of the server that failed, and ended by a close.

Change: the sink distinguishes the head that the response will have from the head that was sent, which goes out with the first event or the end. All that asked whether a stream has begun (repeats, patience, objective, priority, what other hosts are told) reads the latter, so that such a stream counts as new: it may be repeated as its route allows, at any version, under the head of the server that serves it, and is refused with 502 or 504 otherwise. Gateways keep their rule that an attempt whose head is known is the last one; headers of a response that failed no longer appear in their refusals.

Why it works: nothing is set on the request before the first write, so that a refusal starts from an empty response, and the only way to a close is through a sink that has sent its head.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -626,10 +626,10 @@
         return outcome
 
     def open_stream(self, buffered_response, response):
-        """Start the caller's stream; return the function that takes events.
+        """Prepare the caller's stream; return the function for its events.
 
         A stream that is resumed at another server keeps the head of its first
-        response.
+        response. Without an event, nothing has been sent yet.
         """
         self.stream_server = buffered_response.head.server_id
         if not self.sink.started:
@@ -817,7 +817,7 @@
 
     def deliver(self, outcome):
         """End a stream, or send a buffered response."""
-        if self.sink.started and self.attempt.buffered_response is NOTHING:
+        if self.attempt.buffered_response is NOTHING:
             self.sink.finish()
             self.log_end("answered", outcome.status)
         elif self.sink.started:
@@ -868,6 +868,7 @@
 
     def respond_failure(self, outcome):
         """Respond at once that there is no result."""
+        self.sink.release()
         if isinstance(outcome, NotRun) and self.executions == 0:
             retry_after = outcome.retry_after
             if outcome.reason is Reason.REFUSED:
@@ -888,5 +889,4 @@
         else:
             status = 504 if outcome.reason is Reason.DEADLINE else 502
             respond_refusal(self.request, status, str(outcome.reason))
-        self.sink.finished = True
         self.log_end(f"{type(outcome).__name__}: {outcome.reason}")
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -423,7 +423,7 @@
         return outcome
 
     def open_stream(self, buffered_response, response):
-        """Forward the head of a stream; return the function for events."""
+        """Prepare a stream; return the function that takes its events."""
         self.sink.start(
             buffered_response.status,
             self.relay_headers(buffered_response.headers),
@@ -490,23 +490,25 @@
             **self.attempt.end_details(),
             **self.state.provenance.details(),
         )
-        if self.sink.started:
-            if isinstance(outcome, Answered):
-                self.sink.finish()
-            else:
-                self.sink.abort()
-        elif isinstance(outcome, Answered):
-            buffered_response = self.attempt.buffered_response
-            self.sink.send_whole(
-                buffered_response.status,
-                self.relay_headers(buffered_response.headers),
-                buffered_response.body,
-            )
-        elif isinstance(outcome, Unknown):
+        if isinstance(outcome, Answered):
+            self.deliver()
+        elif self.sink.started or isinstance(outcome, Unknown):
             self.sink.abort()
         else:
             self.refuse(outcome)
 
+    def deliver(self):
+        """End a stream, or send a buffered response."""
+        buffered_response = self.attempt.buffered_response
+        if buffered_response is NOTHING:
+            self.sink.finish()
+            return
+        self.sink.send_whole(
+            buffered_response.status,
+            self.relay_headers(buffered_response.headers),
+            buffered_response.body,
+        )
+
     def refuse(self, outcome, predicted=0.0, evidence="", **details):
         """Respond to the sending host that the request was not run.
 
@@ -532,7 +534,7 @@
             (REASON, str(outcome.reason).encode()),
             (RETRY_AFTER, b"%.3f" % outcome.retry_after),
         ]
-        self.sink.finished = True
+        self.sink.release()
         respond_refusal(self.request, 503, str(outcome.reason), headers)
 
 
--- a/src/hyssopspring/net/answers.py
+++ b/src/hyssopspring/net/answers.py
@@ -70,13 +70,15 @@
         self.first_body_at = NOTHING
 
     def start(self, status, headers, length=NOTHING):
-        """Send the head of the response; it must be sent only once."""
-        ensure(not self.started, "response started twice")
+        """Set the head of the response; it must be set only once."""
+        ensure(self.head is NOTHING, "response started twice")
         super().start(status, headers, length)
 
     def write(self, data):
         """Write a part of the body and record the time of the first one."""
-        ensure(self.started, "response body written before its head")
+        ensure(
+            self.head is not NOTHING, "response body written before its head"
+        )
         if self.first_body_at is NOTHING:
             self.first_body_at = self.clock.seconds()
         super().write(data)
@@ -98,8 +100,7 @@
         if self.request.startedWriting:
             self.abort()
             return
-        self.clear_producer()
-        self.finished = True
+        self.release()
         for name, value in self.headers:
             self.request.setHeader(name, value)
         respond_outcome(self.request, outcome)
--- a/src/hyssopspring/net/dispatching.py
+++ b/src/hyssopspring/net/dispatching.py
@@ -155,7 +155,8 @@
             if not isinstance(outcome, Answered):
                 self.log_failure(request, step, outcome)
             plan.record(outcome)
-            is_cut = sink.started and not isinstance(outcome, Answered)
+            has_head = sink.head is not NOTHING
+            is_cut = has_head and not isinstance(outcome, Answered)
             if is_cut and not state.drain.ending:
                 return Unknown(outcome.reason)
 
@@ -183,7 +184,8 @@
     async def attempt(self, request, message, sink, step):
         """Execute one step of the plan and return its outcome."""
         ensure(
-            not sink.started, "attempt started after the response was started"
+            sink.head is NOTHING,
+            "attempt started after the response was started",
         )
         self.attempted.add(request.id)
         if isinstance(step, Serve):
@@ -218,7 +220,7 @@
             started_at=started_at,
             predicted=step.server.queue_wait(started_at),
             first_body_at=sink.first_body_at,
-            head_received=sink.started,
+            head_received=sink.head is not NOTHING,
             now=state.clock.seconds(),
         )
         sink.note_wait(Wait.CRASH_CHECK)
--- a/src/hyssopspring/net/sinks.py
+++ b/src/hyssopspring/net/sinks.py
@@ -13,14 +13,19 @@
         headers: Names and values of headers that each response has.
 
     Attributes:
-        started: Whether the head was sent.
-        finished: Whether the response was completed or aborted.
+        head: Status, headers and length that the response will have, or
+            `NOTHING`.
+        started: Whether the head was sent, with the first part of the body or
+            the end.
+        finished: Whether the response was completed or aborted, or is left to
+            others.
         bytes: Bytes of the body that were written so far.
     """
 
     def __init__(self, request, headers=()):
         self.request = request
         self.headers = headers
+        self.head = NOTHING
         self.started = False
         self.finished = False
         self.producer = NOTHING
@@ -32,16 +37,25 @@
         return self.request._disconnected
 
     def start(self, status, headers, length=NOTHING):
-        """Send the head of the response.
+        """Set the head of the response, which is sent with its first data.
+
+        Until then another head may replace it, or a refusal.
 
         Args:
             status: HTTP status.
             headers: Names and values, as bytes.
             length: Length of the whole body in bytes, or `NOTHING`.
         """
+        self.head = (status, headers, length)
+
+    def send_head(self):
+        """Let the request send the head with what is written next."""
+        if self.started:
+            return
         self.started = True
         if self.disconnected:
             return
+        status, headers, length = self.head
         self.request.setResponseCode(status)
         sent = (*self.headers, *headers)
         # Replace the values that twisted.web has set for these headers.
@@ -56,6 +70,7 @@
 
     def write(self, data):
         """Send a part of the body."""
+        self.send_head()
         self.bytes += len(data)
         if not self.disconnected:
             self.request.write(data)
@@ -79,11 +94,17 @@
 
     def finish(self):
         """End a complete response."""
+        self.send_head()
         self.clear_producer()
         self.finished = True
         if not self.disconnected:
             self.request.finish()
 
+    def release(self):
+        """Leave the response, of which nothing was sent, to the caller."""
+        self.clear_producer()
+        self.finished = True
+
     def send_whole(self, status, headers, body):
         """Send a complete response."""
         self.start(status, headers, len(body))
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,123 @@
+"""Responses of servers that never end, or never begin."""
+
+import pytest
+import pytest_twisted
+from entry_hosts import USAGE
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, MatchesAny
+from twisted.internet import reactor, task
+
+from hyssopspring_fakes.streamscripts import Ending, Framing, StreamScript
+
+UNFRAMED = b""
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+BLOCK = b"x" * 64 * 1024
+MAX_SENT = 24 * 1024 * 1024
+"""Bytes after which an endless stand-in gives up, so that tests end."""
+
+
+class EndlessScript:
+    """A stream response that repeats the same bytes until it is closed.
+
+    Args:
+        framing: Header lines that frame the body.
+        block: Bytes to repeat.
+        begin: Bytes before them.
+    """
+
+    def __init__(self, framing, block, begin=b""):
+        self.framing = framing
+        self.block = block
+        self.begin = begin
+        self.sent = 0
+        self.open = 0
+
+    def response(self, headers, first):
+        """Return the head of the response, and the first bytes."""
+        lines = [b"%s: %s\r\n" % row for row in headers.items()]
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        return b"".join([head, *lines, self.framing, b"\r\n", self.begin])
+
+    def finish(self, transport):
+        """Go on until the other side closes."""
+        self.open += 1
+        self.go_on(transport)
+
+    def go_on(self, transport):
+        """Send one block, and the next a moment later."""
+        if not transport.connected or self.sent > MAX_SENT:
+            self.open -= not transport.connected
+            return
+        self.sent += len(self.block)
+        transport.write(self.block)
+        task.deferLater(reactor, 0.001, self.go_on, transport)
+
+
+ENDLESS_STREAMS = {
+    "line": (UNFRAMED, BLOCK),
+    "line in chunks": (CHUNKED, b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK)),
+    "chunk size": (CHUNKED, b"0" * 1024),
+}
+
+
+def use_script(hosts, script):
+    """Let all engines send *script*."""
+    for name in ("engine-north", "engine-south"):
+        hosts.backends[name].script = script
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_STREAMS))
+@pytest.mark.parametrize("path", ["/quote/a", "/review/a"])
+@pytest_twisted.ensureDeferred
+async def test_a_stream_without_an_event_is_refused(hosts, path, kind):
+    """Guards against a close without a byte after a server's mere head."""
+    script = EndlessScript(*ENDLESS_STREAMS[kind])
+    use_script(hosts, script)
+    status, headers, _ = await hosts.send(
+        "h-north", path, identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(status, MatchesAny(Equals(502), Equals(504)))
+    assert not headers.hasHeader("x-response-stamp")
+    await hosts.until(lambda: script.open == 0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_stream_without_an_event_begins_again_elsewhere(hosts):
+    """Guards against the head of a server that sent no event."""
+    hosts.register_again("engine-south", version="v2")
+    script = EndlessScript(*ENDLESS_STREAMS["line"])
+    hosts.backends["engine-north"].script = script
+    status, headers, body = await hosts.send(
+        "h-north", "/quote/a", identifier="r1", method=b"POST", **USAGE
+    )
+    stamps = headers.getRawHeaders("x-response-stamp")
+    assert_that((status, stamps), Equals((200, ["stamp-engine-south"])))
+    assert body.startswith(b"id: 0\n")
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_relayed_stream_without_an_event_is_refused(hosts):
+    """Guards against a host that closes for a host that closes."""
+    hosts.register_again("engine-north", state="draining")
+    await hosts.until(lambda: hosts.decoded("server_leaving"))
+    use_script(hosts, EndlessScript(*ENDLESS_STREAMS["line"]))
+    status, _, _ = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(status, Equals(502))
+
+
+@pytest.mark.parametrize("remote", [False, True])
+@pytest_twisted.ensureDeferred
+async def test_a_whole_stream_may_have_no_events(hosts, remote):
+    """Guards against a stream that is refused as it ends before an event."""
+    script = StreamScript(events=(), framing=Framing.LENGTH, ending=Ending.END)
+    use_script(hosts, script)
+    if remote:
+        hosts.register_again("engine-north", state="draining")
+        await hosts.until(lambda: hosts.decoded("server_leaving"))
+    status, headers, body = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that((status, body), Equals((200, b"")))
+    assert headers.hasHeader("x-response-stamp")
