--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -661,6 +661,7 @@
 
     def respond_failure(self, outcome):
         """Respond at once that there is no result."""
+        self.sink.release()
         if isinstance(outcome, NotRun) and self.executions == 0:
             retry_after = outcome.retry_after
             if outcome.reason is Reason.REFUSED:
@@ -681,5 +682,4 @@
         else:
             status = 504 if outcome.reason is Reason.DEADLINE else 502
             respond_refusal(self.request, status, str(outcome.reason))
-        self.sink.finished = True
         self.log_end(f"{type(outcome).__name__}: {outcome.reason}")
