Tests: ask for the log lines of the own requests

What was seen: test_a_version_without_servers_is_refused_at_once failed once beside other load.

Cause: it took the last refusal logged so far. Lines are written in batches, so that the last one may be of an earlier request.

Evidence: with two refused requests before (no such route, and a stream that nobody began), both logged, the test failed in the first run: 'stream_version_unknown' != 'stream_version_gone'.

Change: the test waits for the line of each of its own requests, and checks the reason in all of them, instead of in one line.

Result: it passes, and also with the two refusals before.

--- a/tests/entry_hosts.py
+++ b/tests/entry_hosts.py
@@ -150,10 +150,23 @@
         lines = [json.loads(line) for line in self.lines]
         return [line for line in lines if line["event"] in events]
 
-    async def logged(self, event):
-        """Wait for a log line of *event*; return the last one."""
-        await self.until(lambda: self.decoded(event))
-        return self.decoded(event)[-1]
+    async def logged(self, event, request=""):
+        """Wait for a log line of *event*; return the last one.
+
+        Args:
+            event: Name of the event.
+            request: Identifier of a request if only its lines count.
+        """
+
+        def lines():
+            return [
+                line
+                for line in self.decoded(event)
+                if not request or line.get("request") == request
+            ]
+
+        await self.until(lines)
+        return lines()[-1]
 
     async def settled(self):
         """Wait until each host knows the other's load."""
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -397,8 +397,9 @@
     await all_of(one.call("h-north-2") for one in began_at_first)
     assert_that({one.status for one in began_at_first}, Equals({503}))
     assert_that(reactor.seconds() - began, LessThan(0.5))
-    line = await versions.logged("not_run")
-    assert_that(line["reason"], Equals(str(Reason.VERSION_GONE)))
+    for one in began_at_first:
+        line = await versions.logged("not_run", f"{one.name}-{one.tries}")
+        assert_that(line["reason"], Equals(str(Reason.VERSION_GONE)))
 
 
 @pytest_twisted.ensureDeferred
