Reject data that is nested too deeply

What callers saw: requests went on to a server whose entry another program had overwritten with a value that is nested over 1,000 deep, in any field.

Cause: the decoder raises RecursionError, also for a field that is not read. decode_server caught other errors only, so the old entry stayed in use, and the watch failed with an unexpected error.

Evidence: test_what_is_nested_too_deeply_cannot_be_decoded failed before: 'RecursionError: maximum recursion depth exceeded while deserializing an object' in decode_server; read_start_time and decode_message raised it too.

Change: one tuple of errors for undecodable data, used wherever bytes from outside are decoded by a host: entries of servers and hosts, the operators' document, reports of servers, datagrams, relay headers, records of crashes, responses of the store.

Why it works: the entry counts as invalid, and drop_unreadable ends its use.

Result: the test passes, and the others of test_adapter.py.

--- a/src/hyssopspring/core/exceptions.py
+++ b/src/hyssopspring/core/exceptions.py
@@ -1,5 +1,11 @@
 """Exceptions that the package raises."""
 
+import msgspec
+
+UNDECODABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""What decoders raise for data that they cannot decode. Data that is nested
+too deeply raises `RecursionError`, also in fields that are not read."""
+
 EXIT_BAD_SETTINGS = 2
 """Exit status of a process whose settings are invalid."""
 
--- a/src/hyssopspring/entry/crashstore.py
+++ b/src/hyssopspring/entry/crashstore.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..core.events import EventKind
-from ..core.exceptions import KeyValueError, ProtocolError
+from ..core.exceptions import UNDECODABLE, KeyValueError, ProtocolError
 from ..core.hashing import digest_of
 from ..stores.keyvalues import Applied
 from ..traffic.crashes import RETENTION_SECONDS
@@ -155,7 +155,7 @@
         now = self.clock.seconds()
         try:
             stored = _DECODER.decode(entry.value)
-        except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+        except UNDECODABLE as problem:
             raise ProtocolError(
                 f"invalid record at {entry.key}: {problem}"
             ) from None
--- a/src/hyssopspring/entry/hostentries.py
+++ b/src/hyssopspring/entry/hostentries.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..traffic.members import Member
 
 __all__ = [
@@ -54,7 +54,7 @@
     """
     try:
         row = _HOST.decode(value)
-    except msgspec.DecodeError as problem:
+    except UNDECODABLE as problem:
         raise ProtocolError(f"invalid host entry: {problem}") from None
     return member_from_entry(row)
 
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..traffic.members import Subscription
 from .hostentries import HostEntry
 
@@ -757,5 +757,5 @@
     """
     try:
         return _DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as problem:
+    except UNDECODABLE as problem:
         raise ProtocolError(f"invalid datagram: {problem}") from None
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from ..core.events import EventKind
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.outcomes import Answered, NotRun, Reason, Unknown
 from ..core.sentinels import NOTHING
 from ..net.inprogress import Wait
@@ -106,7 +106,7 @@
     """
     try:
         return _DECODER.decode(value)
-    except msgspec.DecodeError as problem:
+    except UNDECODABLE as problem:
         raise ProtocolError(f"invalid relay header: {problem}") from None
 
 
--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.web.http_headers import Headers
 
+from ..core.exceptions import UNDECODABLE
 from ..core.hashing import credential_digest
 from ..core.sentinels import INVALID, NOTHING
 from ..entry.attempts import ResponseHead
@@ -259,7 +260,7 @@
     """
     try:
         return _REPORT.decode(body).born
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNDECODABLE:
         return 0
 
 
--- a/src/hyssopspring/platform/operator.py
+++ b/src/hyssopspring/platform/operator.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.hashing import credential_digest
 from ..core.sentinels import NOTHING
 from ..traffic.routes import (
@@ -127,7 +127,7 @@
             row["key_digests"] = [
                 credential_digest(key.encode()) for key in keys
             ]
-    except (msgspec.DecodeError, AttributeError, TypeError):
+    except (*UNDECODABLE, AttributeError, TypeError):
         return b""
     return msgspec.json.encode(document)
 
@@ -145,7 +145,7 @@
         document = _DECODER.decode(value)
         routes = tuple(decode_route(row) for row in document.routes)
         workspaces = decode_workspaces(document.tenants)
-    except (msgspec.DecodeError, KeyError) as problem:
+    except (*UNDECODABLE, KeyError) as problem:
         raise ProtocolError(f"invalid configuration: {problem}") from None
     services = {row.name: decode_service(row) for row in document.services}
     return Configuration(
@@ -168,7 +168,7 @@
     """
     try:
         return _VERSION_DECODER.decode(value).version
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UNDECODABLE:
         return NOTHING
 
 
--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core.addresses import split_address
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.sentinels import NOTHING
 from ..traffic.servers import ServerEntry
 
@@ -56,7 +56,7 @@
     try:
         row = _DECODER.decode(value)
         split_address(row.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as problem:
+    except (*UNDECODABLE, ValueError) as problem:
         raise ProtocolError(f"invalid server entry {key}: {problem}") from None
     terminates_in = NOTHING
     if row.time_left_ms is not None:
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from ..core.exceptions import KeyValueError, NoAnswerError, ProtocolError
+from ..core.exceptions import (
+    UNDECODABLE,
+    KeyValueError,
+    NoAnswerError,
+    ProtocolError,
+)
 from ..core.revisions import era_of, join_revision, number_of
 from ..core.sentinels import NOTHING
 from ..entry.connections import Endpoint
@@ -375,7 +380,7 @@
     """
     try:
         return msgspec.json.decode(data, type=schema)
-    except (msgspec.DecodeError, ProtocolError) as problem:
+    except (*UNDECODABLE, ProtocolError) as problem:
         raise KeyValueError(
             f"invalid response of the store: {problem}"
         ) from None
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,13 @@
 
 from hyssopspring.core.exceptions import ProtocolError, SettingsError
 from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.messages import (
+    StoreChange,
+    decode_message,
+    encode_message,
+)
 from hyssopspring.platform import headers
+from hyssopspring.platform.headers import read_start_time
 from hyssopspring.platform.operator import (
     decode_configuration,
     evacuated_data_centre,
@@ -226,6 +232,28 @@
             decode_server("servers/i-1", msgspec.json.encode(lacking))
 
 
+def with_field(value):
+    """Return the entry of a server with an unknown field of raw bytes."""
+    return msgspec.json.encode(GOOD_ROW)[:-1] + b',"unknown":' + value + b"}"
+
+
+def test_what_is_nested_too_deeply_cannot_be_decoded():
+    """Guards against a server that stays in use although its entry is gone.
+
+    The decoder raised `RecursionError`, which nothing expected. The same bytes
+    may come in a report of a server or in a datagram.
+    """
+    nested = b"[" * 5_000 + b"]" * 5_000
+    with pytest.raises(ProtocolError):
+        decode_server("servers/i-1", with_field(nested))
+    assert_that(read_start_time(with_field(nested)), Equals(0))
+    change = StoreChange("h-1", "op/", 1, [], [], False, 0)
+    fields = [*msgspec.msgpack.decode(encode_message(change)), None]
+    longer = msgspec.msgpack.encode(fields)[:-1]
+    with pytest.raises(ProtocolError):
+        decode_message(longer + b"\x91" * 5_000 + b"\xc0")
+
+
 def test_headers_that_only_the_system_sets_do_not_pass():
     """Internal and hop-by-hop headers of a caller are not forwarded.
 
