Reject entries of servers with unreadable text in any field

What callers saw: nothing so far; found by reading. A request could go to what an entry names that cannot be read as a whole.

Cause: the decoder skips fields that are not read without checking their text, so that an entry with bytes that are not UTF-8 was used.

Evidence: test_an_entry_with_unreadable_text_names_no_server failed before for b'"\xff"': DID NOT RAISE ProtocolError. A lone surrogate was refused already.

Change: the value is decoded as UTF-8 before it is parsed.

Result: the test passes, and the others of test_adapter.py and test_eras.py.

--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -54,7 +54,8 @@
         ProtocolError: The value is not an entry of a server.
     """
     try:
-        row = _DECODER.decode(value)
+        # The decoder does not check the text of fields that it skips.
+        row = _DECODER.decode(value.decode())
         split_address(row.address)
     except (*UNDECODABLE, ValueError) as problem:
         raise ProtocolError(f"invalid server entry {key}: {problem}") from None
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -254,6 +254,14 @@
         decode_message(longer + b"\x91" * 5_000 + b"\xc0")
 
 
+@pytest.mark.parametrize("value", [b'"\xff"', b'"\\ud800"'])
+def test_an_entry_with_unreadable_text_names_no_server(value):
+    """Guards against an entry that is used although it cannot be read."""
+    decode_server("servers/i-1", with_field(b'"text"'))
+    with pytest.raises(ProtocolError):
+        decode_server("servers/i-1", with_field(value))
+
+
 def test_headers_that_only_the_system_sets_do_not_pass():
     """Internal and hop-by-hop headers of a caller are not forwarded.
 
