--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..core.addresses import split_address
-from ..core.exceptions import ProtocolError
+from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.sentinels import NOTHING
 from ..traffic.servers import ServerEntry
 
@@ -54,9 +54,10 @@
         ProtocolError: The value is not an entry of a server.
     """
     try:
-        row = _DECODER.decode(value)
+        # The decoder does not check the text of fields that it skips.
+        row = _DECODER.decode(value.decode())
         split_address(row.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as problem:
+    except (*UNDECODABLE, ValueError) as problem:
         raise ProtocolError(f"invalid server entry {key}: {problem}") from None
     terminates_in = NOTHING
     if row.time_left_ms is not None:
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -5,7 +5,12 @@
 
 import msgspec
 
-from ..core.exceptions import KeyValueError, NoAnswerError, ProtocolError
+from ..core.exceptions import (
+    UNDECODABLE,
+    KeyValueError,
+    NoAnswerError,
+    ProtocolError,
+)
 from ..core.revisions import era_of, join_revision, number_of
 from ..core.sentinels import NOTHING
 from ..entry.connections import Endpoint
@@ -27,8 +32,9 @@
 """Timeout of a call. The store responds within milliseconds, and a slow one
 within about 250 ms."""
 
-WATCH_GRACE_SECONDS = 1.5
-"""Time beyond the requested wait after which a watch has failed."""
+WATCH_GRACE_SECONDS = 0.6
+"""Time beyond the requested wait after which a watch has failed. A slow store
+responds within about 250 ms."""
 
 PROBE_TIMEOUT_SECONDS = 0.8
 """Timeout of a probe that complements a watch."""
@@ -375,7 +381,7 @@
     """
     try:
         return msgspec.json.decode(data, type=schema)
-    except (msgspec.DecodeError, ProtocolError) as problem:
+    except (*UNDECODABLE, ProtocolError) as problem:
         raise KeyValueError(
             f"invalid response of the store: {problem}"
         ) from None
