Send versions of streams again to keepers that have restarted

Callers whose streams began before a kill of three of seven hosts, which were back after 0.5 s, got 503 stream_version_unknown at each return once the other four had been killed 7.5 s later, although all servers ran.

Hypotheses: (1) a keeper that restarts within the patience of heartbeats is taken for the former process and gets no records; (2) records that a host received are passed on by nobody once their host is gone; (3) the lookup misses hosts that know. (3) was ruled out: with seven hosts all others are asked, and tables of hosts that were told hold the streams.

Cause: StreamOrigins.tick compared the names of the hosts that are up, and send_records left out each name that had had a record. The name and place on the ring of a host outlast its process; its records do not. Besides, tick sent only what the host itself had begun. Class: state that is believed to lie where a process has begun anew under the same name.

Change: StreamHandover, a module of its own, takes the sending of records out of StreamOrigins. Keepers are compared by the identifiers of incarnations, which membership knows from heartbeats, rosters and the store. A record that came from an incarnation that is gone is sent by those that received it. At each heartbeat 500 records at most are checked, the newest first; this replaces the pause of 2 s. An incarnation that has just appeared is sent a heartbeat before records, as it accepts them from known hosts only.

The store gets no call.

--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -10,21 +10,15 @@
     MAX_CONTACT_AGE_SECONDS,
     STARTUP_DISCOVERY_SECONDS,
 )
-from ..traffic.streamkeepers import KeeperRing
 from ..traffic.streamrecords import (
     CONFLICT,
-    RETENTION_SECONDS,
     StreamRecord,
     StreamRecords,
     origin_of,
     stream_of,
 )
-from .messages import (
-    StreamAnswer,
-    StreamQuery,
-    StreamRecordsMessage,
-    StreamRow,
-)
+from .messages import StreamAnswer, StreamQuery
+from .streamhandover import StreamHandover
 
 __all__ = ["FoundOrigin", "StreamOrigins"]
 
@@ -35,20 +29,6 @@
 LOOKUP_REPEAT_SECONDS = 0.2
 """Seconds after which hosts that have not answered are asked again."""
 
-RING_REFRESH_SECONDS = 0.5
-"""Seconds for which the ring of keepers is used, as the set of live hosts
-changes with heartbeats."""
-
-RESEND_INTERVAL_SECONDS = 2.0
-"""Minimum interval between two transfers to keepers that have changed."""
-
-RESEND_AGE_SECONDS = 30.0
-"""Age of the streams that are sent again when keepers change. Most streams
-have ended by then."""
-
-MAX_ROWS_PER_DATAGRAM = 500
-"""Rows in one datagram, which is then at most 11 KB long."""
-
 
 @dataclass(frozen=True, slots=True)
 class FoundOrigin:
@@ -104,11 +84,10 @@
         self.clock = clock
         self.announce = announce
         self.records = StreamRecords()
+        self.handover = StreamHandover(
+            members, self.records, datagrams, clock, announce
+        )
         self.lookups = {}
-        self.cached_ring = NOTHING
-        self.ring_at = NOTHING
-        self.sent_hosts = NOTHING
-        self.sent_at = NOTHING
         self.resumed = 0
         self.refused = defaultdict(int)
 
@@ -131,26 +110,7 @@
         )
         stream = stream_of(attempt)
         self.records.add(stream, record)
-        self.send_records([(stream, record)], now)
-
-    def send_records(self, rows, now):
-        """Send records to those of their keepers that do not have them."""
-        ring = self.ring(now)
-        by_keeper = defaultdict(list)
-        for stream, record in rows:
-            age = max(0, int(now - record.began_at))
-            row = StreamRow(stream, record.origin, age)
-            keepers = ring.keepers(stream)
-            for name in keepers:
-                if name not in record.keepers:
-                    by_keeper[name].append(row)
-            record.keepers = tuple(keepers)
-        for name, sent in by_keeper.items():
-            for first in range(0, len(sent), MAX_ROWS_PER_DATAGRAM):
-                batch = sent[first : first + MAX_ROWS_PER_DATAGRAM]
-                self.send(
-                    StreamRecordsMessage(self.members.own.id, batch), name
-                )
+        self.handover.send_records([(stream, record)], now)
 
     def send(self, message, name):
         """Send a message to a host that is still known."""
@@ -158,60 +118,28 @@
         if member is not None:
             self.datagrams.send(message, member.control)
 
-    def ring(self, now, *, max_age=RING_REFRESH_SECONDS):
-        """Return the `KeeperRing` of the hosts that are up.
-
-        A host that was never seen is included: right after its start a host
-        has not heard from the others, which may know a stream.
-
-        Args:
-            now: The time.
-            max_age: Seconds for which a ring that has hosts is reused.
-        """
-        is_fresh = self.ring_at is not NOTHING and now - self.ring_at < max_age
-        if is_fresh and self.cached_ring.hosts:
-            return self.cached_ring
-        self.ring_at = now
-        hosts = defaultdict(set)
-        for member in self.members.others.values():
-            unseen = member.last_seen_at is NOTHING
-            if not member.leaving and (
-                unseen or self.members.is_up(member, now)
-            ):
-                hosts[member.region].add(member.name)
-        if self.cached_ring is NOTHING or self.cached_ring.hosts != hosts:
-            own = self.members.own
-            self.cached_ring = KeeperRing(own.name, own.region, hosts)
-        return self.cached_ring
-
     def handle_records(self, message):
         """Keep the records of another host."""
         now = self.clock.seconds()
         member = self.members.by_id.get(message.host_id)
         source = "" if member is None else member.name
         for row in message.rows:
-            record = StreamRecord(row.origin, now - row.age, source=source)
+            record = StreamRecord(
+                row.origin,
+                now - row.age,
+                source=source,
+                source_id=message.host_id,
+            )
             self.records.add(row.stream, record)
 
     def tick(self):
         """Expire records; send recent ones again if keepers have changed."""
-        now = self.clock.seconds()
-        self.records.expire(now)
-        hosts = self.ring(now).hosts
-        if self.sent_at is not NOTHING and (
-            hosts == self.sent_hosts
-            or now - self.sent_at < RESEND_INTERVAL_SECONDS
-        ):
-            return
-        self.sent_hosts, self.sent_at = hosts, now
-        since = now - RESEND_AGE_SECONDS
-        self.send_records(self.records.since(since, own_only=True), now)
+        self.records.expire(self.clock.seconds())
+        self.handover.tick()
 
     def hand_over(self):
         """Send all records to the keepers that follow this host."""
-        now = self.clock.seconds()
-        since = now - RETENTION_SECONDS
-        self.send_records(self.records.since(since, own_only=False), now)
+        self.handover.hand_over()
 
     def find(self, attempt):
         """Look up the version that began a stream.
@@ -269,7 +197,7 @@
         lookup = self.lookups.get(query.stream)
         if lookup is None:
             now = self.clock.seconds()
-            ring = self.ring(now, max_age=0.0)
+            ring = self.handover.ring(now, max_age=0.0)
             names = set(ring.queried(query.stream))
             if not names:
                 return defer.succeed(FoundOrigin(unanswered=1))
@@ -321,18 +249,23 @@
         lookup.waiting.discard(message.host)
         if message.origin != CONFLICT:
             if not lookup.query.service:
-                began_at = self.clock.seconds() - message.age
-                self.records.add(
-                    message.stream,
-                    StreamRecord(
-                        message.origin, began_at, source=message.host
-                    ),
-                )
+                self.keep_answer(message)
             found = FoundOrigin(message.origin, message.age, message.host)
             self.end_lookup(lookup, found)
         elif not lookup.waiting:
             self.end_lookup(lookup, FoundOrigin())
 
+    def keep_answer(self, message):
+        """Keep the version that another host has found."""
+        member = self.members.others.get(message.host)
+        record = StreamRecord(
+            message.origin,
+            self.clock.seconds() - message.age,
+            source=message.host,
+            source_id=0 if member is None else member.id,
+        )
+        self.records.add(message.stream, record)
+
     def end_lookup(self, lookup, found):
         """Report the result of a lookup."""
         found = replace(found, unanswered=len(lookup.waiting))
--- a/src/hyssopspring/traffic/streamrecords.py
+++ b/src/hyssopspring/traffic/streamrecords.py
@@ -35,13 +35,16 @@
         began_at: Time of its first event.
         own: Whether this host has passed that event on.
         source: Name of the host from which it was received, or "".
-        keepers: Names of the hosts to which this host has sent it.
+        source_id: Identifier of the incarnation of that host.
+        keepers: Identifiers of the incarnations to which this host has sent
+            it.
     """
 
     origin: int
     began_at: float
     own: bool = False
     source: str = ""
+    source_id: int = 0
     keepers: tuple = ()
 
 
@@ -82,12 +85,12 @@
                 return
             del self.records[stream]
 
-    def since(self, began_at, *, own_only):
+    def since(self, began_at):
         """Return the rows of stream and record that began after a time."""
         return [
             (stream, record)
             for stream, record in self.records.items()
-            if record.began_at >= began_at and (record.own or not own_only)
+            if record.began_at >= began_at
         ]
 
 
