Soak: servers that pause, and responses without end

Cause: the soak's servers were sound, or failed at once. None fell silent for a second and went on, and none sent without end; a request that was closed without a byte was a violation only for plain requests.

Change: servers of three services (streams that some versions let resume, streams that may not be, plain requests) pause for 1 to 2.4 s, one or all of a service at once, before the head, after it, or between events. Each version changes timeout, attempts, resumption and homes of their routes, and each fifth exchanges two prefixes; three in ten pauses bring a version. Servers of two services send a header line, headers, interim responses, a line or a chunk size without end, at 1.6 MB/s. Callers with connections of their own record the bytes of each response. NO-BYTE: neither response nor refusal from a process that was not killed. GIVEN-UP: a response cut, or replaced by a 5xx, though its server had the request and only paused, no process that carried it was disturbed, and the time allowed was not over.

--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -1,10 +1,12 @@
 """Stand-in of a backend server behind an entry host, for tests."""
 
+import itertools
 import json
 from dataclasses import dataclass
 
 from twisted.internet import task
 
+from .endless import Endless, send_endless
 from .listening import cut_connections, listen_http
 
 __all__ = ["FakeBackend", "Said"]
@@ -56,7 +58,12 @@
         told: Headers that it adds to each of its answers, by name.
         said: `Said` of each answer to which headers were added.
         mood: How it behaves: "well", "silent", "cut", "error", "full",
-            "reset" or "foreign" (the answer is to another request).
+            "reset", "foreign" (the answer is to another request) or
+            "endless".
+        endless: Iterator over the `Endless` of its responses in that mood.
+        paused_until: Time until which it writes nothing but, for every other
+            stream, the head.
+        senders: Addresses of the hosts that sent a request, by identifier.
         crashed_by: Body of a request under which the server ends as soon
             as it begins to run it, or None.
         crashing_parts: Parts of prompts that make the server end as soon as
@@ -91,6 +98,9 @@
         self.said = []
         self.stopped = []
         self.mood = "well"
+        self.endless = itertools.cycle(Endless)
+        self.paused_until = 0.0
+        self.senders = {}
         self.born = 0
         self.unframed = False
         self.version = ""
@@ -140,6 +150,7 @@
             self.answer(request, 503, b"", {b"x-not-executed": b"1"})
             return
         self.ran.append(identifier.decode())
+        self.senders.setdefault(identifier.decode(), []).append(peer)
         request.notifyFinish().addErrback(
             lambda _: self.stopped.append(identifier.decode())
         )
@@ -187,6 +198,11 @@
 
     def run(self, request, headers, identifier):
         """Run one request."""
+        has_head = b"x-token-usage" in headers and len(self.ran) % 2
+        if not has_head and self.is_paused(
+            self.run, request, headers, identifier
+        ):
+            return
         if self.mood == "silent":
             return
         if self.mood == "reset":
@@ -198,7 +214,9 @@
             b"x-request-attempt-id": identifier,
             b"x-response-stamp": b"stamp-" + self.name.encode(),
         }
-        if self.mood == "error":
+        if self.mood == "endless":
+            send_endless(self.reactor, request, stamp, next(self.endless))
+        elif self.mood == "error":
             self.answer(request, 500, b"failed", stamp)
         elif b"x-token-usage" in headers:
             first = int(headers.get(b"last-event-id", b"-1")) + 1
@@ -209,6 +227,19 @@
                 body = body.ljust(LARGE_BODY_BYTES)
             self.answer(request, 200, body, stamp)
 
+    def is_paused(self, function, request, *args):
+        """Return whether it pauses; it calls *function* afterwards."""
+        left = self.paused_until - self.reactor.seconds()
+        if left <= 0:
+            return False
+
+        def resume():
+            if not request._disconnected:
+                function(request, *args)
+
+        task.deferLater(self.reactor, left, resume)
+        return True
+
     def stream(self, request, stamp, first):
         """Send the events of a stream, one by one."""
         if self.script is not None:
@@ -231,6 +262,9 @@
         """Send one event and go on with the next."""
         if request._disconnected:
             return
+        if self.is_paused(self.next_event, request, number, body):
+            body.write(b"")
+            return
         if self.mood == "cut" and number >= self.cut_after:
             body.write(b"id: %d\ndata: a part of" % number)
             body.loseConnection()
--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -26,9 +26,17 @@
     check_history,
 )
 from .soakfaults import FAULTS
-from .soakfleet import REGIONS, STOP_SECONDS, SoakFleet, configuration
+from .soakfleet import (
+    ENDLESS_SERVICES,
+    PAUSED_SERVICES,
+    REGIONS,
+    STOP_SECONDS,
+    SoakFleet,
+    configuration,
+)
 from .soaknotices import NOTICE_SERVERS, Notifier, check_notices
 from .soakparts import PartCaller, PartHistory, PartServers, check_parts
+from .soakpauses import PatientCallers, Pauses, add_server, check_pauses
 from .soakplan import Fault, draw_plan
 from .soakstops import check_stops
 from .soakstreams import Release, StreamCaller, check_streams
@@ -95,6 +103,8 @@
         self.part_callers = []
         self.parts = PartHistory()
         self.raw_callers = RawCallers(self, random.Random(seed + 3))
+        self.pauses = []
+        self.patient_callers = PatientCallers(self, random.Random(seed + 4))
         self.copies = deque(maxlen=KEPT_COPIES)
         self.began = 0.0
         self.changing = True
@@ -129,7 +139,7 @@
         work += [defer.ensureDeferred(self.play(step)) for step in self.steps]
         work += [
             defer.ensureDeferred(one.run(lambda: not self.changing))
-            for one in (*self.notifiers, *self.releases)
+            for one in (*self.notifiers, *self.releases, *self.pauses)
         ]
         work += [
             defer.ensureDeferred(one.run(lambda: not self.probing))
@@ -137,6 +147,7 @@
                 *self.stream_callers,
                 *self.part_callers,
                 self.raw_callers,
+                self.patient_callers,
             )
         ]
         await self.sleep(self.seconds)
@@ -151,7 +162,7 @@
         found = check_history(self.history) + self.check_notices()
         found += check_streams(self.streams(), self.history, Bounds().stable)
         found += check_parts(self.parts, self.history)
-        found += self.check_stops()
+        found += self.check_stops() + self.check_pauses()
         return found + [
             Violation("ENDED", None, f"{host.name}, {end}")
             for host in self.fleet.hosts.values()
@@ -179,6 +190,12 @@
         ]
         for region in REGIONS:
             PartServers(self, region, self.parts)
+            for service in ENDLESS_SERVICES:
+                add_server(self, self.patient_callers.rng, service, region)
+        self.pauses = [
+            Pauses(self, random.Random(f"{self.seed} {service}"), service)
+            for service in PAUSED_SERVICES
+        ]
         self.part_callers = [
             PartCaller(self, rng, f"part-{self.seed}-{number}", self.parts)
             for number in range(PART_CALLERS)
@@ -213,6 +230,15 @@
             self.began,
         )
 
+    def check_pauses(self):
+        """Return each `Violation` of what is owed at servers that pause."""
+        return check_pauses(
+            self.patient_callers.requests,
+            {seen.request for seen in self.history.ran},
+            STOP_SECONDS,
+            self.began,
+        )
+
     async def until_ready(self):
         """Wait until each host serves.
 
@@ -407,6 +433,7 @@
             f"requests {dict(Counter(one.status for one in asked))}, "
             f"{ignored} ignored after an announced end"
         )
+        yield self.patient_callers.report()
         rules = Counter(one.rule for one in violations)
         yield f"  violations: {dict(rules)}"
         shown = [
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -16,10 +16,13 @@
 from .soakstops import Life
 
 __all__ = [
+    "ENDLESS_SERVICES",
     "NOTICE_SERVICE",
+    "PAUSED_SERVICES",
     "PROMPT_SERVICE",
     "REGIONS",
     "SETTINGS",
+    "SHORTEST_TIMEOUT_MS",
     "STOP_SECONDS",
     "STREAM_SERVICE",
     "HostProcess",
@@ -47,6 +50,16 @@
 PROMPT_SERVICE = "prompting"
 """Service and route of prompts of which some crash servers."""
 
+PAUSED_SERVICES = ("pausing", "pausing-single", "pausing-plain")
+"""Services and routes of sound servers that pause: of streams that may be
+resumed by some versions, of streams that may not, and of plain requests."""
+
+ENDLESS_SERVICES = ("endless", "endless-plain")
+"""Services and routes of servers whose responses never end."""
+
+SHORTEST_TIMEOUT_MS = 5000
+"""Shortest timeout of the routes of these services."""
+
 RESTART_SECONDS = 0.2
 """Seconds after which a process that has ended by itself is started again."""
 
@@ -88,15 +101,25 @@
     routes.append(route(NOTICE_SERVICE, NOTICE_SERVICE))
     routes.append(stream_route(STREAM_SERVICE))
     routes.append(stream_route(PROMPT_SERVICE))
+    routes += [changing_route(name, version) for name in PAUSED_SERVICES]
+    routes += [changing_route(name, version) for name in ENDLESS_SERVICES]
     services = [{"name": service_of(number)} for number in range(ROTATION)]
     services += [
         {
             "name": name,
             "engine": {"slots": 64, "kv_capacity_tokens": 100000},
         }
-        for name in (STREAM_SERVICE, PROMPT_SERVICE)
+        for name in (
+            STREAM_SERVICE,
+            PROMPT_SERVICE,
+            *PAUSED_SERVICES[:2],
+            ENDLESS_SERVICES[0],
+        )
+    ]
+    services += [
+        {"name": name}
+        for name in (NOTICE_SERVICE, PAUSED_SERVICES[2], ENDLESS_SERVICES[1])
     ]
-    services.append({"name": NOTICE_SERVICE})
     return {
         "version": version,
         "routes": routes,
@@ -129,6 +152,24 @@
     }
 
 
+def changing_route(name, version):
+    """Return a route whose settings are others in each version.
+
+    The two routes of streams exchange their prefixes in each fifth version.
+    """
+    plain = name.endswith("plain")
+    made = route(name, name) if plain else stream_route(name)
+    made["timeout_ms"] = SHORTEST_TIMEOUT_MS + 1000 * (version % 3)
+    made["max_attempts"] = 1 + version % 4 % 3
+    made["home_regions"] = REGIONS[: version % 4]
+    if not plain:
+        made["resumable"] = name != "pausing-single" and version % 3 > 0
+    if version % 5 == 0 and name in PAUSED_SERVICES[:2]:
+        other = PAUSED_SERVICES[1 - PAUSED_SERVICES.index(name)]
+        made["prefix"] = f"/{other}/"
+    return made
+
+
 class _Output(protocol.ProcessProtocol):
     """Note the end of a process."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
     PromptSeen,
     check_parts,
 )
+from hyssopspring_fakes.soakpauses import Paused, check_pauses
 from hyssopspring_fakes.soakplan import STOPS, Fault, draw_plan
 from hyssopspring_fakes.soakstops import Asked, Life, check_stops
 
@@ -242,6 +243,44 @@
     assert_that(stop_rules(**case), Equals([rule] if rule else []))
 
 
+SUSPENDED = {"suspensions": [[13.5, 13.6]]}
+KILLED = {"killed": 13.5, "ended": 13.5}
+
+
+@pytest.mark.parametrize(
+    ("rule", "status", "case"),
+    [
+        ("NO-BYTE", 0, {}),
+        ("NO-BYTE", 0, {"service": "endless"}),
+        ("NO-BYTE", 0, {"carrier": KILLED}),
+        ("REFUSED", 503, {"whole": True}),
+        ("GIVEN-UP", 200, {}),
+        ("GIVEN-UP", 502, {"whole": True}),
+        ("GIVEN-UP", 200, {"life": {"stopped": 13.5, "ended": 18.0}}),
+        ("", 200, {"whole": True}),
+        ("", 503, {"whole": True, "ran": set()}),
+        ("", 0, {"life": KILLED}),
+        ("", 200, {"life": SUSPENDED}),
+        ("", 200, {"carrier": SUSPENDED}),
+        ("", 200, {"carrier": KILLED}),
+        ("", 200, {"service": "endless"}),
+        ("", 200, {"ended": 18.0}),
+    ],
+)
+def test_requests_given_up_at_paused_servers_are_found(rule, status, case):
+    """Guards against a soak that is blind to work that is thrown away."""
+    lives = [
+        Life(name, 1, **case.get(key, {}))
+        for name, key in (("north-0", "life"), ("south-0", "carrier"))
+    ]
+    service = case.get("service", "pausing")
+    asked = Asked(service, "r0", "/x", lives[0], 13.0, case.get("ended", 14.0))
+    asked.status, asked.whole = status, case.get("whole", False)
+    one = Paused(asked, status, lives[1:])
+    found = check_pauses([one], case.get("ran", {"r0"}), 5.0)
+    assert_that([v.rule for v in found], Equals([rule] if rule else []))
+
+
 def test_a_further_stop_signal_allows_no_more_time():
     """Guards against a stop that is measured from its last signal."""
     life = Life("north-0", 1)
