Respond with 502 after an unexpected error

What callers saw: an error that no part of the process expects closed their connection without a byte, whatever the request waited for.

Cause: an error in a handler left the HTTP channel, which closes the connection; an error of a request in progress aborted the response although nothing of it had been sent. For a request that waited in a queue, nobody closed it either.

Change: a request guards its handlers, and logs and answers an error with 502; queued requests pass through the same guard. A request in progress ends like any other whose outcome is not known, and its attempt is ended, as its caller no longer disconnects. No error is claimed to be "not run". What a failed request is told moves from the exchange to the module of responses, and with it the refusal of requests that could not be ended at a stop.

--- a/src/hyssopspring/core/outcomes.py
+++ b/src/hyssopspring/core/outcomes.py
@@ -42,6 +42,7 @@
     CRASHES_SERVERS = "crashes_servers"
     SUSPECTED = "suspected_of_crashes"
     CALLER_GONE = "caller_gone"
+    INTERNAL_ERROR = "internal_error"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CLAIM_IN_PROGRESS = "key_in_progress"
     CLAIM_DONE = "key_already_run"
--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -7,7 +7,7 @@
 from .admission import Denied, authorize
 from .exchanges import Exchange
 from .holding import HoldingQueue
-from .stopping import STOPPING_RETRY_SECONDS
+from .stopping import STOPPING_RETRY_SECONDS, STOPPING_TEXT
 from .web import respond_refusal
 
 __all__ = ["CallerApi"]
@@ -53,13 +53,13 @@
         self.startup_queue = HoldingQueue(
             state.clock,
             MAX_STARTUP_WAIT_SECONDS,
-            self.serve,
+            self.serve_queued,
             self.refuse_starting,
         )
         self.unverified_queue = HoldingQueue(
             state.clock,
             MAX_VERIFICATION_SECONDS,
-            self.serve,
+            self.serve_queued,
             self.refuse_unverified,
         )
 
@@ -94,6 +94,10 @@
         wait = NO_STORE_RETRY_SECONDS if failing else STARTING_RETRY_SECONDS
         self.refuse(request, "this host has no configuration yet", wait)
 
+    def serve_queued(self, request, arrived):
+        """Serve a request that was queued when it was read."""
+        request.guard(self.serve, arrived)
+
     def serve(self, request, arrived):
         """Serve a request that arrived at the time *arrived*."""
         configuration = self.state.keeper.current
@@ -204,7 +208,7 @@
 
     def refuse_stopping(self, request):
         """Refuse a request because this host stops."""
-        self.refuse(request, "this host is stopping", STOPPING_RETRY_SECONDS)
+        self.refuse(request, STOPPING_TEXT, STOPPING_RETRY_SECONDS)
 
     def refuse(self, request, text, retry_after):
         """Respond that the request was not run."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -32,7 +32,7 @@
 from .serverstarts import start_confirmation
 from .stopping import STOPPING_RETRY_SECONDS
 from .streamversion import StreamVersion
-from .web import respond_refusal
+from .web import respond_failure
 
 __all__ = ["Exchange"]
 
@@ -65,6 +65,7 @@
     Reason.DEADLINE,
     Reason.LEAVING,
     Reason.CALLER_GONE,
+    Reason.INTERNAL_ERROR,
     Reason.RESPONSE_TOO_LARGE,
 )
 """Reasons after which another attempt is of no use."""
@@ -148,15 +149,20 @@
         work.addErrback(self.handle_error)
 
     def handle_error(self, failure):
-        """Log an unexpected error and abort the response."""
+        """Log an unexpected error, and refuse or abort the response."""
         self.state.timeline.note(
             EventKind.UNEXPECTED,
             request=self.id,
             error=failure.getTraceback(),
         )
-        if not self.sink.finished:
-            self.sink.abort()
-        self.close()
+        if self.attempt is not NOTHING and self.attempt.in_progress:
+            self.attempt.abandon(Reason.INTERNAL_ERROR)
+        try:
+            self.conclude(Unknown(Reason.INTERNAL_ERROR))
+        finally:
+            if not self.sink.finished:
+                self.sink.abort()
+            self.close()
 
     def close(self):
         """Report the end of the exchange once."""
@@ -869,24 +875,11 @@
     def respond_failure(self, outcome):
         """Respond at once that there is no result."""
         self.sink.release()
-        if isinstance(outcome, NotRun) and self.executions == 0:
-            retry_after = outcome.retry_after
-            if outcome.reason is Reason.REFUSED:
-                retry_after = self.state.coordinator.retry_after_for_refused(
-                    self.service, retry_after
-                )
-            headers = []
-            # The block of a request that crashes servers lasts for minutes,
-            # so a retry would be refused.
-            if (
-                retry_after is not NOTHING
-                and outcome.reason is not Reason.CRASHES_SERVERS
-            ):
-                headers = [(b"retry-after", b"%.3f" % retry_after)]
-            limited = outcome.reason is Reason.RATE_LIMIT
-            status = 429 if limited else 503
-            respond_refusal(self.request, status, str(outcome.reason), headers)
-        else:
-            status = 504 if outcome.reason is Reason.DEADLINE else 502
-            respond_refusal(self.request, status, str(outcome.reason))
+        not_run = isinstance(outcome, NotRun) and self.executions == 0
+        if not_run and outcome.reason is Reason.REFUSED:
+            retry_after = self.state.coordinator.retry_after_for_refused(
+                self.service, outcome.retry_after
+            )
+            outcome = replace(outcome, retry_after=retry_after)
+        respond_failure(self.request, outcome, not_run=not_run)
         self.log_end(f"{type(outcome).__name__}: {outcome.reason}")
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -58,12 +58,12 @@
 from .relaying import RelayApi
 from .remotehosts import RemoteHosts
 from .state import EntryState
-from .stopping import Stopping
+from .stopping import STOPPING_TEXT, Stopping
 from .storesync import StoreSync
 from .streamorigins import StreamOrigins
 from .views import ConfirmedView, ViewVerifier
 from .watches import StoreContact
-from .web import WebFactory, respond_refusal
+from .web import WebFactory, respond_unknown
 
 __all__ = ["EntryProcess", "run_command"]
 
@@ -414,6 +414,7 @@
         """
         factory = WebFactory(
             handle,
+            self.log_failure,
             self.reactor,
             self.in_progress,
             max_idle_seconds=lambda: idle or self.limits().idle_seconds,
@@ -621,14 +622,9 @@
             self.run_guarded(tracked.end)
         for tracked in self.in_progress.tracked_requests():
             if not tracked.request.finished:
-                self.run_guarded(partial(self.fail, tracked.request))
-
-    def fail(self, request):
-        """Respond that the outcome of a request is not known."""
-        if request.startedWriting:
-            request.loseConnection()
-        else:
-            respond_refusal(request, 502, "this host is stopping")
+                self.run_guarded(
+                    partial(respond_unknown, tracked.request, STOPPING_TEXT)
+                )
 
     def log_ended_by_stop(self, tracked):
         """Log a request without a complete response as the process ends."""
--- a/src/hyssopspring/entry/stopping.py
+++ b/src/hyssopspring/entry/stopping.py
@@ -3,7 +3,12 @@
 from ..core.sentinels import NOTHING
 from ..net.stoptimes import StopTimes
 
-__all__ = ["DRAIN_ACCEPT_SECONDS", "STOPPING_RETRY_SECONDS", "Stopping"]
+__all__ = [
+    "DRAIN_ACCEPT_SECONDS",
+    "STOPPING_RETRY_SECONDS",
+    "STOPPING_TEXT",
+    "Stopping",
+]
 
 DRAIN_ACCEPT_SECONDS = 1.3
 """Seconds for which a stopping host accepts all requests: the time for which
@@ -13,6 +18,9 @@
 """Seconds for which the last host of a region still accepts streams while it
 is stopping. A stream that starts later may not end in time."""
 
+STOPPING_TEXT = "this host is stopping"
+"""Text of the responses of a host that stops."""
+
 STOPPING_RETRY_SECONDS = 0.05
 """Retry-After of a host that is stopping. Another host can serve the request
 at once."""
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -1,13 +1,21 @@
 """HTTP service on `twisted.web`: listeners, requests and responses."""
 
 import msgspec
+from twisted.python.failure import Failure
 from twisted.web import http
 
+from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
 from ..net.channels import ClosingRequest, ClosingSite
-from .stopping import STOPPING_RETRY_SECONDS
+from .stopping import STOPPING_RETRY_SECONDS, STOPPING_TEXT
 
-__all__ = ["WebFactory", "WebRequest", "respond_refusal"]
+__all__ = [
+    "WebFactory",
+    "WebRequest",
+    "respond_failure",
+    "respond_refusal",
+    "respond_unknown",
+]
 
 ABORT_AFTER_SECONDS = 2.0
 """Seconds after an idle timeout within which a connection has to close before
@@ -57,7 +65,20 @@
             self.close_after()
             respond_refusal(self, 413, "the request body is too long")
             return
-        site.handle(self)
+        self.guard(site.handle)
+
+    def guard(self, handle, *args):
+        """Call *handle* with this request; respond with 502 if it raises.
+
+        Args:
+            handle: The handler.
+            args: Its further arguments.
+        """
+        try:
+            handle(self, *args)
+        except Exception:  # noqa: BLE001 - all are logged
+            self.channel.site.on_error(Failure())
+            respond_unknown(self, Reason.INTERNAL_ERROR)
 
     @property
     def peer_ip(self):
@@ -70,6 +91,7 @@
 
     Args:
         handle: Called with each `WebRequest`.
+        on_error: Called with the `Failure` of a handler that raised.
         reactor: The reactor.
         in_progress: The `InProgress` that tracks the requests.
         max_idle_seconds: Returns the maximum number of seconds for which a
@@ -84,6 +106,7 @@
     def __init__(
         self,
         handle,
+        on_error,
         reactor,
         in_progress,
         *,
@@ -93,6 +116,7 @@
     ):
         super().__init__(reactor=reactor)
         self.handle = handle
+        self.on_error = on_error
         self.in_progress = in_progress
         self.max_idle_seconds = max_idle_seconds
         self.max_body_bytes = max_body_bytes
@@ -108,7 +132,7 @@
 
     def incomplete_refusal(self):
         """Return the response to a request that is not read completely."""
-        body = msgspec.json.encode({"error": "this host is stopping"})
+        body = msgspec.json.encode({"error": STOPPING_TEXT})
         headers = (
             *self.stopping_headers,
             (b"connection", b"close"),
@@ -143,3 +167,39 @@
     request.setHeader(b"content-length", b"%d" % len(body))
     request.write(body)
     request.finish()
+
+
+def respond_failure(request, outcome, *, not_run):
+    """Respond that a request has no result.
+
+    Args:
+        request: The `WebRequest`.
+        outcome: The `NotRun` or `Unknown` of its last attempt.
+        not_run: Whether no server ran it in any attempt.
+    """
+    text = str(outcome.reason)
+    if not not_run:
+        status = 504 if outcome.reason is Reason.DEADLINE else 502
+        respond_refusal(request, status, text)
+        return
+    headers = []
+    # The block of a request that crashes servers lasts for minutes, so a
+    # retry would be refused.
+    if (
+        outcome.retry_after is not NOTHING
+        and outcome.reason is not Reason.CRASHES_SERVERS
+    ):
+        headers = [(b"retry-after", b"%.3f" % outcome.retry_after)]
+    status = 429 if outcome.reason is Reason.RATE_LIMIT else 503
+    respond_refusal(request, status, text, headers)
+
+
+def respond_unknown(request, text):
+    """Respond that the outcome of a request is not known.
+
+    A response of which a part was sent is aborted.
+    """
+    if request.startedWriting:
+        request.loseConnection()
+    else:
+        respond_refusal(request, 502, text)
