Respond to requests whose head cannot be read

What callers saw: a request with a header line or path above 16 KiB, or with a Content-Length of 5,000 digits, had its connection closed without a byte.

Cause: the line receiver closes a connection whose line is too long, and an error of the number's conversion left the HTTP channel.

Change: the channel of entry hosts, gateways and admin servers responds with 431, or 400. As the caller may still be sending, only the sending side is closed until the response can have been read: a close with unread data is a reset, which may discard the response.

Result: the three cases fail before and pass, and the connection is gone after; tests of malformed input and of the stop of gateways pass.

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -18,6 +18,12 @@
 """Seconds for which a caller that has been sent everything may leave the
 connection open after the other side was closed."""
 
+TOO_LONG_REFUSAL = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+"""Response to a request whose first line, or a header line, is too long."""
+
 CLOSE_INTERVAL_SECONDS = 0.02
 """Interval between checks whether connections have closed."""
 
@@ -106,6 +112,10 @@
         if not self.site.closing:
             super().loseConnection()
             return
+        self.half_close()
+
+    def half_close(self):
+        """Close the sending side, and ignore what the caller still sends."""
         if self.half_closed_at is not NOTHING:
             return
         self.half_closed_at = self.site.reactor.seconds()
@@ -115,6 +125,22 @@
         self.transport.resumeProducing()
         self.transport.loseWriteConnection()
 
+    def headerReceived(self, line):
+        """Process a header line; refuse a number that has too many digits."""
+        try:
+            return super().headerReceived(line)
+        except ValueError:
+            self._respondToBadRequestAndDisconnect()
+            return False
+
+    def lineLengthExceeded(self, line):
+        """Refuse a request of which a line is too long."""
+        self.transport.write(TOO_LONG_REFUSAL)
+        self.half_close()
+        self.site.reactor.callLater(
+            LINGER_SECONDS, self.transport.loseConnection
+        )
+
     def timeoutConnection(self):
         """Close an idle connection, unless a request waits to be read."""
         if self.has_unread_input():
--- a/tests/test_unanswered.py
+++ b/tests/test_unanswered.py
@@ -91,3 +91,22 @@
     await error_is_logged(hosts)
     ended = await hosts.logged("attempt_ended")
     assert_that(ended["reason"], Equals("internal_error"))
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/quote/a", f"x-long: {'x' * 100_000}\r\n", b"431"),
+        (f"/quote/{'a' * 20_000}", "", b"431"),
+        ("/quote/a", f"content-length: {'9' * 5000}\r\n", b"400"),
+    ],
+)
+@pytest_twisted.ensureDeferred
+async def test_a_head_that_cannot_be_read_gets_a_response(
+    hosts, path, headers, status
+):
+    """Guards against a close without a byte for a line that is too long."""
+    answer = await answer_to(hosts, headers, path)
+    assert_that(answer, StartsWith(b"HTTP/1.1 " + status))
+    host = hosts.processes["h-north"]
+    await hosts.until(lambda: not host.caller_site.channels)
