--- a/src/hyssopspring/core/outcomes.py
+++ b/src/hyssopspring/core/outcomes.py
@@ -43,6 +43,7 @@
     SUSPECTED = "suspected_of_crashes"
     CALLER_GONE = "caller_gone"
     SUPERSEDED = "superseded"
+    INTERNAL_ERROR = "internal_error"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CLAIM_IN_PROGRESS = "key_in_progress"
     CLAIM_DONE = "key_already_run"
