--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -289,7 +289,8 @@
 
     def send_signal(self, number):
         """Send a signal to the process, if it runs."""
-        if self.process is not None:
+        # Between the reaping of a process and its end, its ID is None.
+        if self.process is not None and self.process.pid is not None:
             self.current.note_signal(number, self.fleet.reactor.seconds())
             os.kill(self.process.pid, number)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -449,6 +449,17 @@
     assert_that(host.ends, Equals([]))
 
 
+def test_a_signal_to_a_process_that_was_reaped_is_left():
+    """Guards against a soak that ends by itself as a host has just ended."""
+    fleet = SimpleNamespace(
+        reactor=task.Clock(), store_address="127.0.0.1:1", ticks=(0.0, 0.0)
+    )
+    host = HostProcess(fleet, "north-0", "north", "127.0.0.1")
+    host.process = SimpleNamespace(pid=None)
+    host.send_signal(signal.SIGSTOP)
+    assert_that(host.current.suspensions, Equals([]))
+
+
 def test_bounds_are_those_that_operators_are_told():
     """Guards against bounds that were widened to get a pass."""
     bounds = Bounds()
