Soak: callers wait longer than a suspended host may take

Change: callers wait 14 s, longer than deadline and longest suspension together.

Result: the check is as strict; a request that ends without a byte later is found as well.

--- a/src/hyssopspring_fakes/soakpauses.py
+++ b/src/hyssopspring_fakes/soakpauses.py
@@ -44,8 +44,9 @@
 """Most seconds between the requests of a caller."""
 
 DEADLINE_MS = 8000
-GIVE_UP = 9.0
-"""Seconds after which a caller leaves a request."""
+GIVE_UP = 14.0
+"""Seconds after which a caller leaves a request: a process that is suspended
+counts the deadline from when it wakes."""
 
 TIMEOUT_MARGIN = 0.5
 """Seconds by which a host may end a request before its timeout."""
