Use the response of a second attempt once all allowed attempts have run

The whole response came before the first attempt was abandoned, so both counted as run, and max_attempts ended the request before the response was taken over. Whether the outcome of one attempt decides the request is now separate from whether a further attempt may follow.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -473,11 +473,12 @@
 
     def should_retry(self, outcome):
         """Return whether another attempt follows *outcome*."""
-        if self.is_final(outcome):
+        if self.is_settled(outcome):
             return False
+        self.keep_fallback(self.current, outcome)
         if self.hedging.hedge is not NOTHING:
             return True
-        if self.tries >= MAX_TRIES:
+        if self.is_final(outcome) or self.tries >= MAX_TRIES:
             return False
         if self.time_left < MIN_ATTEMPT_SECONDS * 2:
             return False
@@ -485,19 +486,19 @@
             return False
         return self.sent_attempts == 0 or self.spend_retry()
 
-    def is_final(self, outcome):
-        """Return whether no further attempt can improve on *outcome*."""
+    def is_settled(self, outcome):
+        """Return whether *outcome* decides the request, whatever else runs."""
         if isinstance(outcome, Answered):
-            if outcome.status < 500 or not self.may_retry():
-                return True
-            self.keep_fallback(self.current, outcome)
-            return False
+            return outcome.status < 500
         if outcome.reason in REFUSING_REASONS:
             return True
+        is_unknown = not isinstance(outcome, NotRun)
+        return is_unknown and outcome.reason in FINAL_REASONS
+
+    def is_final(self, outcome):
+        """Return whether no further attempt may follow *outcome*."""
         if isinstance(outcome, NotRun):
             return self.refused_locally
-        if outcome.reason in FINAL_REASONS:
-            return True
         return not self.may_retry()
 
     def keep_fallback(self, ended, outcome):
--- a/tests/test_silentservers.py
+++ b/tests/test_silentservers.py
@@ -107,6 +107,17 @@
     await hosts.until(lambda: north.stopped == ["r1"])
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_plain_answer_comes_from_elsewhere_if_its_server_is_dead(
+    hosts,
+):
+    """Guards against a 502 although a second server has answered."""
+    await use(hosts, configuration(2, **WHOLE_TIMEOUT))
+    hosts.backends["plain-north"].silence = 60.0
+    status, _, body = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that((status, body), Equals((200, b"whole /lookup/a")))
+
+
 @pytest_twisted.ensureDeferred
 async def test_both_attempts_end_with_their_caller(hosts):
     """Guards against servers at work for a caller that has left."""
