Bound the heads of responses

What callers saw: a server whose header lines, continuation lines or interim responses don't end kept a request until its timeout (504), and the others waited while its bytes were parsed.

Cause: the HTTP client bounds a line, a chunk size and the trailers, but neither the number of lines of a head nor that of interim responses. It parses all that one read has brought, up to 64 KiB, before anything else runs.

Evidence: the test got 504 in place of 502 for each of the three kinds.

Change: a connection counts the bytes from its request to the end of the head, parses them in parts of 4 KiB, and gives up above 32 KiB. That bounds interim responses too.

Result: the three cases fail before and pass. Interim responses before a sound stream are skipped, before and after. Tests of truncation, versions and their network pass.

--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass
 
 from twisted.internet import defer, error, protocol
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.python.failure import Failure
+from twisted.web._newclient import (
+    HEADER,
+    STATUS,
+    HTTP11ClientProtocol,
+    ParseError,
+)
 
 from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
@@ -34,6 +40,16 @@
 """Maximum number of idle connections of one endpoint. The newest ones are
 reused first."""
 
+MAX_HEAD_BYTES = 32 * 1024
+"""Maximum size of the head of a response, with the interim responses before
+it. A server that never ends its head would otherwise keep the request until
+its deadline, and fill the memory of the host."""
+
+HEAD_PART_BYTES = 4096
+"""Bytes of a head that are parsed before its size is checked again. A single
+read may hold thousands of interim responses, and other requests wait
+meanwhile."""
+
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
@@ -62,6 +78,7 @@
     def __init__(self, quiescent):
         super().__init__(quiescent)
         self.lost_reason = NOTHING
+        self.head_bytes = 0
         self.reserved = False
         self.idle_since = 0.0
         self.idle_limit = UNANNOUNCED_IDLE_SECONDS
@@ -72,6 +89,33 @@
         enable_keepalive(self.transport)
         super().connectionMade()
 
+    @property
+    def is_reading_head(self):
+        """Whether a response is expected whose head is not complete."""
+        parser = self._parser
+        return parser is not None and parser.state in (STATUS, HEADER)
+
+    def dataReceived(self, data):
+        """Process data; close the connection if a head is too large."""
+        while data and self.is_reading_head:
+            part, data = data[:HEAD_PART_BYTES], data[HEAD_PART_BYTES:]
+            super().dataReceived(part)
+            self.count_head(len(part))
+            if self._parser is None:
+                # What follows a complete response belongs to no request.
+                return
+        if data:
+            super().dataReceived(data)
+
+    def count_head(self, size):
+        """Count bytes of a head, and give up above the maximum size."""
+        if not self.is_reading_head:
+            self.head_bytes = 0
+            return
+        self.head_bytes += size
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self._giveUp(Failure(ParseError("head too large", b"")))
+
     def connectionLost(self, reason):
         """Store the reason, then handle the loss as usual."""
         self.lost_reason = reason
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -4,10 +4,15 @@
 import pytest_twisted
 from entry_hosts import USAGE
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, MatchesAny
+from testtools.matchers import Equals, LessThan, MatchesAny
 from twisted.internet import reactor, task
 
-from hyssopspring_fakes.streamscripts import Ending, Framing, StreamScript
+from hyssopspring_fakes.streamscripts import (
+    Ending,
+    Framing,
+    StreamScript,
+    numbered_events,
+)
 
 UNFRAMED = b""
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -121,3 +126,45 @@
     )
     assert_that((status, body), Equals((200, b"")))
     assert headers.hasHeader("x-response-stamp")
+
+
+HEAD_LINE = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_HEADS = {
+    "header lines": (HEAD_LINE, b"X-A: b\r\n" * 4096),
+    "one header": (HEAD_LINE + b"X-A: b\r\n", b" " + b"x" * 1000 + b"\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1024),
+}
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+@pytest_twisted.ensureDeferred
+async def test_a_head_without_end_is_refused_soon(hosts, kind):
+    """Guards against a head that a host reads until the timeout."""
+    begin, block = ENDLESS_HEADS[kind]
+    script = EndlessScript(b"", block, begin)
+    script.response = lambda headers, first: begin
+    use_script(hosts, script)
+    status, _, _ = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(status, Equals(502))
+    await hosts.until(lambda: script.open == 0)
+    assert_that(script.sent, LessThan(MAX_SENT))
+
+
+@pytest_twisted.ensureDeferred
+async def test_interim_responses_before_a_stream_are_skipped(hosts):
+    """A few interim responses are no fault of a server."""
+    events = numbered_events(3)
+    script = StreamScript(events=events)
+    interim = EndlessScript(b"", b"")
+    interim.response = lambda headers, first: (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 8
+        + script.response(headers, first)
+    )
+    interim.finish = script.finish
+    use_script(hosts, interim)
+    _, _, body = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(body, Equals(b"".join(events)))
