Bound the memory of all response bodies together

Only the number of requests bounded the sum.

Cause: the maximum size holds for one response.

Evidence: in the test, six requests to a server whose bodies don't end held 16,777,216 bytes together in 1.5 s, when the stand-in had sent all that it sends.

Change: bodies from 1 MiB on are counted together. Above 32 MiB, the largest is ended with `response_too_large`, which counts nothing against its server, and its parts are dropped at once. A body without an end grows to that position; sound ones go on, and small ones are never ended for it. A body of less than 16 MiB can now be too large, if others take the memory.

Tests of streams without events, truncation and entry hosts pass.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -366,7 +366,10 @@
 
     async def receive_response(self, response, head):
         """Buffer the whole response and classify it."""
-        body = await self.read(response, BodyCollector(MAX_RESPONSE_BYTES))
+        collector = BodyCollector(
+            MAX_RESPONSE_BYTES, self.connections.large_bodies
+        )
+        body = await self.read(response, collector)
         self.buffered_response = BufferedResponse(
             response.code, forwarded_headers(response), body, head
         )
@@ -526,6 +529,11 @@
 class BodyCollector(protocol.Protocol):
     """Collect a body up to a maximum size.
 
+    Args:
+        limit: The maximum size in bytes.
+        large_bodies: The `LargeBodies` that bound the size of all together, or
+            `NOTHING`.
+
     Attributes:
         size: Bytes received so far.
         reason: Failure that tells how the body ended, or `NOTHING`.
@@ -536,8 +544,9 @@
 
     overflow_error = _OversizedResponse
 
-    def __init__(self, limit):
+    def __init__(self, limit, large_bodies=NOTHING):
         self.limit = limit
+        self.large_bodies = large_bodies
         self.parts = []
         self.size = 0
         self.reason = NOTHING
@@ -559,19 +568,25 @@
 
     def dataReceived(self, data):
         """Store one part, and close the connection above the maximum size."""
+        if self.overflowed:
+            return
         self.size += len(data)
+        self.parts.append(data)
         if self.size > self.limit:
             self.overflow()
-        else:
-            self.parts.append(data)
+        elif self.large_bodies is not NOTHING:
+            self.large_bodies.note(self)
 
     def overflow(self):
         """Close the connection of a body that is too large."""
         self.overflowed = True
+        self.parts.clear()
         self.transport.loseConnection()
 
     def connectionLost(self, reason):
         """Record how the body ended, and fire the deferred."""
+        if self.large_bodies is not NOTHING:
+            self.large_bodies.discard(self)
         if not self.done.called:
             self.reason = reason
             self.done.callback(None)
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -16,6 +16,7 @@
 
 from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
+from .largebodies import LargeBodies
 
 __all__ = ["Connections", "Connection", "Framing", "enable_keepalive"]
 
@@ -219,12 +220,16 @@
         reactor: The reactor.
         source: IP address from which connections are opened. A host may have
             several addresses; the other hosts identify it by this one.
+
+    Attributes:
+        large_bodies: The `LargeBodies` that are received over them.
     """
 
     def __init__(self, reactor, source):
         self.reactor = reactor
         self.source = source
         self.idle = {}
+        self.large_bodies = LargeBodies()
         self.opened = 0
         self.unopened = 0
 
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,12 +1,16 @@
 """Responses of servers that never end, or never begin."""
 
+import itertools
+
 import pytest
 import pytest_twisted
 from entry_hosts import USAGE
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan, MatchesAny
-from twisted.internet import reactor, task
+from twisted.internet import defer, reactor, task
 
+from hyssopspring.entry import largebodies
+from hyssopspring.entry.attempts import BodyCollector
 from hyssopspring_fakes.streamscripts import (
     Ending,
     Framing,
@@ -17,7 +21,8 @@
 UNFRAMED = b""
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 BLOCK = b"x" * 64 * 1024
-MAX_SENT = 24 * 1024 * 1024
+MEGABYTE = 1024 * 1024
+MAX_SENT = 24 * MEGABYTE
 """Bytes after which an endless stand-in gives up, so that tests end."""
 
 
@@ -168,3 +173,33 @@
         "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
     )
     assert_that(body, Equals(b"".join(events)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_bodies_without_end_do_not_add_up(hosts, monkeypatch):
+    """Guards against a memory that fills with bodies below their limit."""
+    monkeypatch.setattr(largebodies, "MAX_LARGE_BYTES", 4 * MEGABYTE)
+    receive = BodyCollector.dataReceived
+    bodies, held = set(), []
+
+    def received(body, data):
+        receive(body, data)
+        bodies.add(body)
+        parts = [one.parts for one in bodies if not one.done.called]
+        held.append(sum(map(len, itertools.chain(*parts))))
+
+    monkeypatch.setattr(BodyCollector, "dataReceived", received)
+    script = EndlessScript(b"", BLOCK)
+
+    def serve(request, status, body, headers):
+        request.transport.write(script.response(headers, 0))
+        script.finish(request.transport)
+
+    hosts.backends["plain-north"].answer = serve
+    asked = [
+        hosts.send("h-north", "/post/a", identifier=f"r{number}")
+        for number in range(6)
+    ]
+    ended = [await one for one in map(defer.ensureDeferred, asked)]
+    assert {status for status, _, _ in ended} <= {502, 504}
+    assert_that(max(held), LessThan(11 * MEGABYTE))
