--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,18 +1,28 @@
 """Responses of servers that never end, or never begin."""
 
+import itertools
+
 import pytest
 import pytest_twisted
 from entry_hosts import USAGE
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, MatchesAny
-from twisted.internet import reactor, task
-
-from hyssopspring_fakes.streamscripts import Ending, Framing, StreamScript
+from testtools.matchers import Equals, LessThan, MatchesAny
+from twisted.internet import defer, reactor, task
+
+from hyssopspring.entry import largebodies
+from hyssopspring.entry.attempts import BodyCollector
+from hyssopspring_fakes.streamscripts import (
+    Ending,
+    Framing,
+    StreamScript,
+    numbered_events,
+)
 
 UNFRAMED = b""
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 BLOCK = b"x" * 64 * 1024
-MAX_SENT = 24 * 1024 * 1024
+MEGABYTE = 1024 * 1024
+MAX_SENT = 24 * MEGABYTE
 """Bytes after which an endless stand-in gives up, so that tests end."""
 
 
@@ -121,3 +131,75 @@
     )
     assert_that((status, body), Equals((200, b"")))
     assert headers.hasHeader("x-response-stamp")
+
+
+HEAD_LINE = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_HEADS = {
+    "header lines": (HEAD_LINE, b"X-A: b\r\n" * 4096),
+    "one header": (HEAD_LINE + b"X-A: b\r\n", b" " + b"x" * 1000 + b"\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1024),
+}
+
+
+@pytest.mark.parametrize("kind", list(ENDLESS_HEADS))
+@pytest_twisted.ensureDeferred
+async def test_a_head_without_end_is_refused_soon(hosts, kind):
+    """Guards against a head that a host reads until the timeout."""
+    begin, block = ENDLESS_HEADS[kind]
+    script = EndlessScript(b"", block, begin)
+    script.response = lambda headers, first: begin
+    use_script(hosts, script)
+    status, _, _ = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(status, Equals(502))
+    await hosts.until(lambda: script.open == 0)
+    assert_that(script.sent, LessThan(MAX_SENT))
+
+
+@pytest_twisted.ensureDeferred
+async def test_interim_responses_before_a_stream_are_skipped(hosts):
+    """A few interim responses are no fault of a server."""
+    events = numbered_events(3)
+    script = StreamScript(events=events)
+    interim = EndlessScript(b"", b"")
+    interim.response = lambda headers, first: (
+        b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 8
+        + script.response(headers, first)
+    )
+    interim.finish = script.finish
+    use_script(hosts, interim)
+    _, _, body = await hosts.send(
+        "h-north", "/review/a", identifier="r1", method=b"POST", **USAGE
+    )
+    assert_that(body, Equals(b"".join(events)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_bodies_without_end_do_not_add_up(hosts, monkeypatch):
+    """Guards against a memory that fills with bodies below their limit."""
+    monkeypatch.setattr(largebodies, "MAX_LARGE_BYTES", 4 * MEGABYTE)
+    receive = BodyCollector.dataReceived
+    bodies, held = set(), []
+
+    def received(body, data):
+        receive(body, data)
+        bodies.add(body)
+        parts = [one.parts for one in bodies if not one.done.called]
+        held.append(sum(map(len, itertools.chain(*parts))))
+
+    monkeypatch.setattr(BodyCollector, "dataReceived", received)
+    script = EndlessScript(b"", BLOCK)
+
+    def serve(request, status, body, headers):
+        request.transport.write(script.response(headers, 0))
+        script.finish(request.transport)
+
+    hosts.backends["plain-north"].answer = serve
+    asked = [
+        hosts.send("h-north", "/post/a", identifier=f"r{number}")
+        for number in range(6)
+    ]
+    ended = [await one for one in map(defer.ensureDeferred, asked)]
+    assert {status for status, _, _ in ended} <= {502, 504}
+    assert_that(max(held), LessThan(11 * MEGABYTE))
