Find servers that leave within 4 s although replicas lag

Cause: a watch waited for 12 s, and only a probe at the replica could show that it was dead. Each prefix was probed each 1.8 s; that interval and the lag add up to more than drain_ms, as does a lag of over 4 s alone. No probe of a replica can hold the bound.

Evidence: test_a_replica_that_lags_hides_no_server_that_leaves failed before ('waited too long', 4.0 s); it passes with a replica without lag.

Change: the first host of a region lets its watch of the servers wait for 3 s, so that the watch itself is a linearizable check; its timeout is 0.6 s over the wait. All other watches wait for 30 s, which pays for most of it. A watch whose wait is too long by now (its host has become the first) is restarted. A listing after an answer without a change follows at most each 10 s, so that listings stay as frequent as with waits of 12 s; a probe that shows a newer revision counts as such an answer.

Why it works: 3.0 s of wait, 0.6 s of grace, a pause of 0.15 s at most and a listing are below 4 s wherever in the wait the connection falls silent, whatever the lag.

--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -13,7 +13,7 @@
 from .hostentries import MEMBERS_PREFIX, OWN_PREFIX, decode_host, encode_host
 from .mirrors import HistoryLostError, Mirror
 from .replication import Replication
-from .watches import PrefixWatcher
+from .watches import LONG_WAIT_SECONDS, SHORT_WAIT_SECONDS, PrefixWatcher
 
 __all__ = ["StoreSync"]
 
@@ -23,10 +23,10 @@
 RENEW_INTERVAL_SECONDS = 2.5
 """Interval between renewals of a host's entry in the store."""
 
-PROBE_INTERVAL_SECONDS = 0.9
-"""Interval between two probes of the watches of the first host of a region;
-each watch is probed in turn. A connection can stay open without passing any
-data, and a watch without an answer looks like a store without changes."""
+PROBE_INTERVAL_SECONDS = 1.8
+"""Interval between two probes of the watch of the operators' keys at the first
+host of a region. A connection can stay open without passing any data, and a
+watch without an answer looks like a store without changes."""
 
 WATCHING_HOSTS = 2
 """Hosts of a region that watch the store and broadcast changes. Each call is
@@ -136,8 +136,24 @@
             lambda: (
                 self.state.members.own.up_seconds < STARTUP_DISCOVERY_SECONDS
             ),
+            lambda: self.wait_seconds(prefix),
         )
 
+    def wait_seconds(self, prefix):
+        """Return for how long a watch of a prefix waits, in seconds.
+
+        The first host of a region finds out in time which servers leave. The
+        replica that answers probes may lag by longer than servers go on.
+        """
+        if prefix == self.layout.SERVERS_PREFIX and self.is_first_watching():
+            return SHORT_WAIT_SECONDS
+        return LONG_WAIT_SECONDS
+
+    def is_first_watching(self):
+        """Return whether this host is the first of its region to watch."""
+        ranked = self.watching_hosts(self.state.clock.seconds())
+        return bool(ranked) and ranked[0] is self.state.members.own
+
     def before_listing(self, prefix):
         """Return the callable to call once a listing has been applied.
 
@@ -271,7 +287,8 @@
         """Detect and restart dead watches.
 
         The first host of a region asks a replica of the store for changes that
-        its watches may lack. The second host receives each change from the
+        its watch of the operators' keys may lack; its watch of the servers
+        ends soon by itself. The second host receives each change from the
         first, which shows whether its own watch is alive.
         """
         for watcher in self.watchers:
@@ -279,16 +296,21 @@
             self.restart_lagging_watch(watcher)
         if self.probing or now - self.last_probe_at < PROBE_INTERVAL_SECONDS:
             return
-        if self.watching_hosts(now)[0] is not self.state.members.own:
-            return
-        waiting = [one for one in self.watchers if one.pending_watch]
-        if not waiting:
+        if not self.is_first_watching():
             return
-        longest = min(waiting, key=lambda one: one.last_reply_at)
-        if now - longest.last_reply_at >= PROBE_INTERVAL_SECONDS:
-            self.probing = True
-            self.last_probe_at = now
-            self.spawn(self.probe(longest))
+        for watcher in self.watchers:
+            if self.is_probe_due(watcher, now):
+                self.probing = True
+                self.last_probe_at = now
+                self.spawn(self.probe(watcher))
+
+    def is_probe_due(self, watcher, now):
+        """Return whether a watch has been without an answer for long."""
+        return (
+            watcher.prefix == self.layout.OPERATOR_PREFIX
+            and watcher.pending_watch is not NOTHING
+            and now - watcher.last_reply_at >= PROBE_INTERVAL_SECONDS
+        )
 
     def restart_lagging_watch(self, watcher):
         """Restart a watch that fails to deliver what another host has."""
--- a/src/hyssopspring/entry/watches.py
+++ b/src/hyssopspring/entry/watches.py
@@ -10,11 +10,30 @@
 from .mirrors import HistoryLostError
 from .provenance import Channel, Origin
 
-__all__ = ["PrefixWatcher", "StoreContact"]
-
-WATCH_WAIT_SECONDS = 12.0
-"""Time for which a watch call waits for changes. Each call is billed, and a
-silent connection is detected by its own probes well before this time."""
+__all__ = [
+    "LONG_WAIT_SECONDS",
+    "SHORT_WAIT_SECONDS",
+    "PrefixWatcher",
+    "StoreContact",
+]
+
+LONG_WAIT_SECONDS = 30.0
+"""Time for which a watch call waits for changes, the longest that the store
+allows. Each call is billed, and other evidence shows a silent connection well
+before this time."""
+
+SHORT_WAIT_SECONDS = 3.0
+"""Wait of a watch whose changes must be in force within 4 s although its
+connection may be silent and replicas may lag. The timeout of the call and a
+listing come on top."""
+
+OVERDUE_SECONDS = 1.0
+"""Time beyond its wait after which a watch is restarted. A call that started
+while a longer wait applied has a later timeout."""
+
+CONFIRM_INTERVAL_SECONDS = 10.0
+"""Time without a listing after which a newer revision of the store causes one,
+although no change below the prefix has arrived."""
 
 WATCH_PAUSE_SECONDS = 0.2
 """Pause between a watch answer with changes and the next call. Changes come in
@@ -117,6 +136,8 @@
         before_listing: Called with the prefix before a listing; returns a
             callable to call once the mirror reflects it.
         is_starting: Called to find out whether this host has just started.
+        wait_seconds: Called for the time for which a watch call waits for
+            changes, in seconds.
     """
 
     def __init__(
@@ -130,6 +151,7 @@
         on_changes,
         before_listing,
         is_starting,
+        wait_seconds=lambda: LONG_WAIT_SECONDS,
     ):
         self.store = store
         self.prefix = prefix
@@ -140,11 +162,14 @@
         self.on_changes = on_changes
         self.before_listing = before_listing
         self.is_starting = is_starting
+        self.wait_seconds = wait_seconds
         self.after_revision = NOTHING
         self.last_reply_at = NOTHING
         self.pending_watch = NOTHING
         self.watch_started_at = NOTHING
         self.behind_since = NOTHING
+        self.listed_at = 0.0
+        self.current_wait = 0.0
         self.restarting = False
         self.retry_delay = MIN_RETRY_SECONDS
         self.running = True
@@ -194,11 +219,12 @@
     async def step(self):
         """Make one call and apply its answer.
 
-        A watch that ends without an event is followed by a listing. While the
-        store drops its history, watches do not receive the changes made in
-        the meantime, and a watch that resumes from the previous revision waits
-        until the next change although it has missed some. Requests would then
-        be handled with an old configuration, or go to draining servers.
+        A watch that ends without an event is followed by a listing if the
+        revision of the store has risen. While the store drops its history,
+        watches do not receive the changes made in the meantime, and a watch
+        that resumes from the previous revision waits until the next change
+        although it has missed some. Requests would then be handled with an old
+        configuration, or go to draining servers.
         """
         if self.after_revision is NOTHING:
             outage = self.contact.recovering
@@ -207,13 +233,14 @@
             self.record_reply()
             self.apply_listing(listing, outage=outage and self.mirror.loaded)
             self.after_revision = listing.revision
+            self.listed_at = self.clock.seconds()
             listed()
             return
         changes = await self.watch()
         outage = self.contact.recovering
         self.record_reply()
         if not changes.entries and not changes.removals:
-            if changes.revision > self.after_revision:
+            if self.may_have_missed(changes.revision, self.current_wait):
                 self.after_revision = NOTHING
             return
         self.on_changes(self.prefix, changes, outage)
@@ -226,12 +253,27 @@
         )
         await task.deferLater(self.clock, pause)
 
+    def may_have_missed(self, revision, waited):
+        """Return whether to list, as the store is at a newer revision.
+
+        The newer revision is mostly that of a key below another prefix.
+
+        Args:
+            revision: Revision of the store in an answer without a change.
+            waited: Seconds for which the call has waited for changes.
+        """
+        if revision <= self.after_revision:
+            return False
+        age = self.clock.seconds() - self.listed_at
+        return max(age, waited) >= CONFIRM_INTERVAL_SECONDS
+
     async def watch(self):
         """Wait for changes."""
         self.watch_started_at = self.clock.seconds()
+        self.current_wait = self.wait_seconds()
         self.pending_watch = defer.ensureDeferred(
             self.store.watch(
-                self.prefix, self.after_revision, WATCH_WAIT_SECONDS
+                self.prefix, self.after_revision, self.current_wait
             )
         )
         try:
@@ -256,6 +298,10 @@
         """Apply changes that a probe has found in addition to the watch."""
         self.record_reply()
         if not changes.entries and not changes.removals:
+            if self.pending_watch is not NOTHING and self.may_have_missed(
+                changes.revision, 0.0
+            ):
+                self.restart("store has a newer revision")
             return
         outage = self.contact.recovering
         self.on_changes(self.prefix, changes, outage)
@@ -267,9 +313,15 @@
             self.last_reply_at = self.clock.seconds()
 
     def check(self):
-        """Restart the watch if it lacks changes that the mirror has."""
+        """Restart the watch if it is overdue or lacks changes."""
         now = self.clock.seconds()
         if (
+            self.pending_watch is not NOTHING
+            and now - self.watch_started_at
+            >= self.wait_seconds() + OVERDUE_SECONDS
+        ):
+            self.restart("overdue")
+        elif (
             self.pending_watch is NOTHING
             or self.mirror.newest_change_revision <= self.after_revision
         ):
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -32,8 +32,9 @@
 """Timeout of a call. The store responds within milliseconds, and a slow one
 within about 250 ms."""
 
-WATCH_GRACE_SECONDS = 1.5
-"""Time beyond the requested wait after which a watch has failed."""
+WATCH_GRACE_SECONDS = 0.6
+"""Time beyond the requested wait after which a watch has failed. A slow store
+responds within about 250 ms."""
 
 PROBE_TIMEOUT_SECONDS = 0.8
 """Timeout of a probe that complements a watch."""
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -39,6 +39,7 @@
     Attributes:
         down: Whether calls get no answer.
         deaf: Whether watches hear nothing of changes.
+        lag: Seconds by which reads with `allow_stale` lag behind.
         refused: IP addresses whose calls are answered 503.
         era: Number of times that the store came back from a copy.
         wanted: Value by key as last written, whatever a restore has lost.
@@ -55,6 +56,8 @@
         self.down = False
         self.deaf = False
         self.forgotten = 0
+        self.lag = 0.0
+        self.noted_at = {}
         self.refused = set()
         self.era = 0
         self.wanted = {}
@@ -103,6 +106,7 @@
     def note(self, event):
         """Keep an event and tell those who wait."""
         self.history.append(event)
+        self.noted_at[event["revision"]] = self.reactor.seconds()
         if not self.deaf:
             self.wake_all()
 
@@ -160,6 +164,8 @@
             left = until - self.reactor.seconds()
             if self.deaf:
                 events = []
+            if b"allow_stale" in request.args:
+                events = [one for one in events if self.is_replicated(one)]
             if events or left <= 0 or request._disconnected:
                 self.respond(request, 200, {"events": events})
                 return
@@ -170,6 +176,11 @@
             if timer.active():
                 timer.cancel()
 
+    def is_replicated(self, event):
+        """Return whether reads with `allow_stale` show an event by now."""
+        age = self.reactor.seconds() - self.noted_at[event["revision"]]
+        return age >= self.lag
+
     def forget(self):
         """Drop the history, and cut the watches that wait."""
         self.history.clear()
--- a/tests/test_mirrors.py
+++ b/tests/test_mirrors.py
@@ -16,7 +16,11 @@
     Mirror,
     Removal,
 )
-from hyssopspring.entry.watches import PrefixWatcher, StoreContact
+from hyssopspring.entry.watches import (
+    LONG_WAIT_SECONDS,
+    PrefixWatcher,
+    StoreContact,
+)
 from hyssopspring.stores.keyvalues import Entry, Listing
 
 
@@ -74,7 +78,7 @@
 def follow(clock, recorder):
     """Return a function that follows a script to its end."""
 
-    def start(*steps):
+    def start(*steps, wait=LONG_WAIT_SECONDS):
         script = ScriptedStore(steps)
         contact = StoreContact(
             clock, Timeline("h1", HybridClock(clock.seconds))
@@ -89,6 +93,7 @@
             lambda prefix, changes, outage: None,
             lambda prefix: lambda: None,
             lambda: False,
+            lambda: wait,
         )
         watcher.start()
         return script, contact, watcher
@@ -185,6 +190,29 @@
     assert_that(len(script.calls), Equals(3))
 
 
+def test_keys_below_other_prefixes_cause_few_listings(follow):
+    """Guards against a full listing after each short watch."""
+    entry = Entry("a/1", b"x", 1)
+    script, _, _ = follow(
+        Listing((entry,), 1), Changes((), (), 2), Changes((), (), 3), wait=3.0
+    )
+    assert_that(script.calls, Equals([("list", "a/"), *[("watch", 1)] * 3]))
+
+
+def test_a_watch_that_has_become_too_long_is_restarted(follow, clock):
+    """Guards against a first host of a region that keeps a dead watch.
+
+    The watch started with a longer wait, while another host was the first.
+    """
+    script, _, watcher = follow(Listing((Entry("a/1", b"x", 1),), 1))
+    clock.advance(9.0)
+    watcher.check()
+    assert_that(script.calls[-1], Equals(("watch", 1)))
+    watcher.wait_seconds = lambda: 3.0
+    watcher.check()
+    assert_that(script.calls[-1], Equals(("list", "a/")))
+
+
 def test_keys_lost_in_an_outage_are_marked(follow, clock, recorder):
     """Guards against dropping all servers when the store recovers.
 
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -81,6 +81,24 @@
     )
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_replica_that_lags_hides_no_server_that_leaves(proxied_hosts):
+    """Guards against requests to a draining server shown by no probe in time.
+
+    All watches are dead, and the replica lags by longer than servers go on.
+    """
+    await watching(proxied_hosts)
+    proxied_hosts.store.lag = 5.5
+    for proxy in proxied_hosts.proxies.values():
+        proxy.silence(is_watch)
+    proxied_hosts.register_again("plain-north", state="draining")
+    registry = proxied_hosts.processes["h-north"].registry
+    await proxied_hosts.until(
+        lambda: registry.servers["plain-north"].entry.leaving,
+        within=APPLY_SECONDS,
+    )
+
+
 @pytest_twisted.ensureDeferred
 async def test_watches_cut_off_with_all_else_are_not_kept_after_the_cut(
     proxied_hosts,
