Leave the connection of an attempt that has ended alone

What callers saw: nothing so far; found by reading. A request whose caller left while it waited for its second placement aborted the connection of its first attempt, on which another request could be under way by then.

Cause: Attempt.abandon aborted the connection whether or not the attempt was still in progress.

Evidence: test_an_attempt_that_has_ended_leaves_its_connection_alone failed before (the transport was disconnecting).

Change: abandon does nothing for an attempt that has ended. A failed attempt has aborted its connection by itself, and a whole response needs no abort.

Result: the test passes; test_stopping, test_silence, test_truncation and test_crashdetection pass.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -272,13 +272,14 @@
     def abandon(self, reason, *, silent=False):
         """Cancel the attempt and close its connection.
 
-        The close makes the server stop work for which nobody waits.
+        The close makes the server stop work for which nobody waits. The
+        connection of an attempt that has ended may carry another request.
 
         Args:
             reason: The `Reason`.
             silent: Whether the server had been silent for too long by then.
         """
-        if self.abandon_reason is not NOTHING or self.deferred is NOTHING:
+        if self.abandon_reason is not NOTHING or not self.in_progress:
             return
         self.abandon_reason = reason
         self.was_silent = silent
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,12 +1,18 @@
 """Connections that pass no data but stay open, and their detection."""
 
+from types import SimpleNamespace
+
 import pytest
 import pytest_twisted
 from entry_hosts import configuration
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import defer, reactor, task
+from twisted.internet.testing import StringTransport
 
+from hyssopspring.core.outcomes import Answered, Reason
+from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.attempts import Attempt
 from hyssopspring.entry.messages import StoreChange
 from hyssopspring_fakes.proxies import FaultProxy
 
@@ -206,3 +212,26 @@
     proxy.silence()
     status, _, _ = await hosts.send("h-north", "/lookup/a", identifier="r9")
     assert_that(connections.count("plain-2"), Equals(0))
+
+
+def test_an_attempt_that_has_ended_leaves_its_connection_alone():
+    """Guards against an abort that ends another request of the connection."""
+    connection = SimpleNamespace(transport=StringTransport())
+    attempt = Attempt(
+        NOTHING,
+        NOTHING,
+        NOTHING,
+        NOTHING,
+        task.Clock(),
+        on_stream=NOTHING,
+        on_first_data=NOTHING,
+    )
+
+    async def carry_out():
+        attempt.connection = connection
+        return Answered(200)
+
+    attempt.carry_out = carry_out
+    attempt.run()
+    attempt.abandon(Reason.CALLER_GONE)
+    assert not connection.transport.disconnecting
