Do not pass a relaying host's own 400 on as a server's

What callers saw: nothing so far; found by reading. While two releases run side by side, a host that cannot decode the relay header answered 400 without an outcome, and its sender passed that on to the caller, who does not try again.

Cause: read_relay_head took a response without an outcome for one that a server may have given.

Evidence: test_a_relay_header_that_is_not_understood_is_a_refusal[400-headers0] failed before (not_run was False), and so did test_a_host_says_that_it_has_refused_a_relay_header (no outcome header).

Change: a 400 without an outcome means not run; the relaying host states so in its response, for senders of earlier releases.

Result: both pass, and the others of test_remotehosts.py. Not played with two builds.

--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -125,7 +125,10 @@
             reason=reason,
         )
     if outcome != ANSWERED:
-        return ResponseHead()
+        # Without an outcome, a host could not read the relay header.
+        return ResponseHead(
+            not_run=status == 400 and not outcome, reason=Reason.REFUSED
+        )
     head = codec.read_head(status, headers)
     server = first_value(headers, SERVER).decode("latin-1")
     version = first_value(headers, VERSION).decode("latin-1")
@@ -172,7 +175,12 @@
         try:
             parameters = decode_parameters(header[0])
         except ProtocolError as problem:
-            respond_refusal(request, 400, str(problem))
+            respond_refusal(
+                request,
+                400,
+                str(problem),
+                [(OUTCOME, NOT_RUN), (REASON, str(Reason.REFUSED).encode())],
+            )
             return
         relay = Relay(self, request, parameters)
         if self.accepts(parameters):
--- a/tests/test_remotehosts.py
+++ b/tests/test_remotehosts.py
@@ -3,12 +3,21 @@
 import random
 
 import pytest
+import pytest_twisted
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength, Is
-from twisted.internet import task
+from twisted.internet import reactor, task
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
 
 from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.relaying import (
+    OUTCOME,
+    RELAY_HEADER,
+    read_relay_head,
+)
 from hyssopspring.entry.remotehosts import RemoteHosts
+from hyssopspring.platform import headers as platform_headers
 from hyssopspring.traffic.members import Member, Members
 
 
@@ -93,3 +102,38 @@
     assert_that(remote_hosts.choose("west", set()), Is(NOTHING))
     tried = {f"s{number}" for number in range(30)}
     assert_that(remote_hosts.choose("south", tried), Is(NOTHING))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (400, {}, True),
+        (400, {OUTCOME: [b"unknown"]}, False),
+        (500, {}, False),
+    ],
+)
+def test_a_relay_header_that_is_not_understood_is_a_refusal(
+    status, headers, not_run
+):
+    """Guards against a host's own 400 that is passed on as a server's.
+
+    Hosts of another release may not be able to decode the relay header.
+    """
+    head = read_relay_head(platform_headers, status, Headers(headers))
+    assert_that((head.not_run, head.signed), Equals((not_run, False)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_host_says_that_it_has_refused_a_relay_header(hosts):
+    """Guards against the same at a host of an earlier release."""
+    source = hosts.processes["h-north"].settings.address
+    pool = HTTPConnectionPool(reactor, persistent=False)
+    agent = Agent(reactor, pool=pool, bindAddress=source)
+    relay = hosts.processes["h-south"].members.own.relay
+    headers = {RELAY_HEADER.decode(): "["}
+    response = await hosts.request(
+        relay, "/lookup/a", "r1", b"GET", b"", headers, agent
+    )
+    assert_that(response.code, Equals(400))
+    outcome = response.headers.getRawHeaders(OUTCOME)
+    assert_that(outcome, Equals([b"not-run"]))
