Keep a pause while the entry of its server has lapsed

What callers saw: nothing so far; found by reading. A server that had asked for a rest got requests in it after its entry had lapsed and come back.

Cause: a pause was dropped unless its instance was listed, and a lapsed entry looked like another instance.

Evidence: test_a_pause_outlasts_a_lapsed_entry failed before: no server was blocked while s1 was not listed.

Change: only another instance, or its end, ends a pause.

Result: the test passes, and the others of test_retryafter.py.

--- a/src/hyssopspring/traffic/retryafter.py
+++ b/src/hyssopspring/traffic/retryafter.py
@@ -99,13 +99,20 @@
         return True
 
     def pause_of(self, server_id, now):
-        """Return the `RetryAfterPause` of a server, or `NOTHING`."""
+        """Return the `RetryAfterPause` of a server, or `NOTHING`.
+
+        A server whose entry has lapsed may be listed again.
+        """
         pause = self.pauses.get(server_id, NOTHING)
         if pause is NOTHING:
             return NOTHING
-        if pause.is_over(now) or not self.registry.is_current_instance(
-            server_id, pause.instance_id
-        ):
+        replaced = (
+            server_id in self.registry.servers
+            and not self.registry.is_current_instance(
+                server_id, pause.instance_id
+            )
+        )
+        if replaced or pause.is_over(now):
             del self.pauses[server_id]
             return NOTHING
         return pause
--- a/tests/test_retryafter.py
+++ b/tests/test_retryafter.py
@@ -198,6 +198,18 @@
     assert_that(pauses.is_blocked("s1", 4.0), Equals(True))
 
 
+def test_a_pause_outlasts_a_lapsed_entry(pauses, registry):
+    """Guards against requests in a pause whose server was unlisted meanwhile.
+
+    Entries lapse while the store is down, and servers write them again.
+    """
+    pauses.record("s1", "r1", 5.0, 0.0)
+    registry.remove("s1", 1.0, outage=False)
+    assert_that(pauses.blocked(1.0), Equals(["s1"]))
+    registry.put(entry("s1"), 2.0)
+    assert pauses.is_blocked("s1", 2.0)
+
+
 def test_a_pause_ends_with_its_server_instance(pauses, registry):
     """Guards against applying the pause of the former instance."""
     pauses.record("s1", "r1", 5.0, 0.0)
