Soak: send no request on a connection that the host has closed

Hypotheses: the host closes connections with something unread; the accept queue is reset when the port is closed; the host had closed the connection before the request was written, and the driver noticed the end late.

Evidence: the third. Connections on which nothing has arrived may be closed; which of two events the driver handles first depends on its load.

Change: the driver polls the socket before it writes, and sends nothing after the end; such a request counts as not sent, and the report states how many. Requests sent before on the same connection are judged as before.

Why it is as strict: a request written to a connection whose end has not arrived lies in the buffers of the host, which has to read it before it closes.

Result: test_a_request_after_the_end_of_its_connection_is_not_sent failed before (the request was written) and passes.

--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -402,10 +402,12 @@
         )
         asked = self.raw_callers.requests
         ignored = sum(one.after_close and not one.status for one in asked)
+        unsent = sum(one.after_end for one in asked)
         yield (
             f"  plain connections: {self.raw_callers.refused} not accepted, "
             f"requests {dict(Counter(one.status for one in asked))}, "
-            f"{ignored} ignored after an announced end"
+            f"{ignored} ignored after an announced end, "
+            f"{unsent} not sent after an end"
         )
         rules = Counter(one.rule for one in violations)
         yield f"  violations: {dict(rules)}"
--- a/src/hyssopspring_fakes/soakcallers.py
+++ b/src/hyssopspring_fakes/soakcallers.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 import re
+import select
 from collections import deque
 from dataclasses import dataclass
 
@@ -107,9 +108,19 @@
         self.waiting.append(asked)
 
     def send(self, data, sent=()):
-        """Send bytes at once, the last ones of the requests *sent*."""
+        """Send bytes at once, the last ones of the requests *sent*.
+
+        The end of a connection is noticed late if this process is late.
+        Requests that are sent after it have reached nobody.
+        """
+        if not self.open:
+            return
+        if is_closed_by_peer(self.transport.getHandle()):
+            for asked in self.waiting:
+                asked.after_end = asked.sent == math.inf
+            return
         # Bytes that wait for the event loop would leave later than noted.
-        if self.open and self.transport.writeSomeData(data) == len(data):
+        if self.transport.writeSomeData(data) == len(data):
             for asked in sent:
                 asked.sent = self.clock.seconds()
 
@@ -271,6 +282,13 @@
             connection.send(b"x", () if left else asked)
 
 
+def is_closed_by_peer(connection):
+    """Return whether the other side of a socket has closed or reset it."""
+    poll = select.poll()
+    poll.register(connection, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def encode(asked, length):
     """Return the head of a request with a body of *length* bytes."""
     lines = (
--- a/src/hyssopspring_fakes/soakstops.py
+++ b/src/hyssopspring_fakes/soakstops.py
@@ -74,6 +74,8 @@
         after_close: Whether the response before it on its connection
             announced that the connection closes, so that HTTP lets the host
             ignore it.
+        after_end: Whether the host had closed the connection before the last
+            byte was to be sent.
     """
 
     kind: str
@@ -85,6 +87,7 @@
     status: int = 0
     whole: bool = False
     after_close: bool = False
+    after_end: bool = False
 
 
 def check_stops(lives, requests, ran, allowed, began=0.0):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -274,6 +275,32 @@
     )
 
 
+@pytest.mark.parametrize("closed", [False, True])
+def test_a_request_after_the_end_of_its_connection_is_not_sent(closed):
+    """Guards against a verdict on a request that no host could read.
+
+    The driver is late: the host has closed the connection, and the driver has
+    not noticed.
+    """
+    near, far = socket.socketpair()
+    if closed:
+        far.close()
+    connection = RawConnection(task.Clock(), Life("north-0", 1))
+    connection.makeConnection(
+        SimpleNamespace(
+            getHandle=lambda: near, writeSomeData=lambda data: near.send(data)
+        )
+    )
+    asked = Asked("fresh", "r0", "/x", connection.life)
+    connection.expect(asked)
+    connection.send(b"GET / HTTP/1.1\r\n\r\n", [asked])
+    assert_that(
+        (asked.sent == math.inf, asked.after_end), Equals((closed, closed))
+    )
+    near.close()
+    far.close()
+
+
 def test_the_short_soak_stops_hosts_in_all_ways():
     """Guards against a run of CI that draws some stops never."""
     hosts = [f"{region}-{n}" for n in range(2) for region in REGIONS]
