--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -38,6 +38,10 @@
 """Interval at which the driver notes the time, to bound the end of a process
 from below when the event loop is late."""
 
+STALL_SECONDS = 0.25
+"""Time without a tick from which on the driver counts as stalled. What arrives
+meanwhile is read later, by a time that is not known."""
+
 NOTICE_SERVICE = "noticing"
 """Service and route of the servers that say things of themselves."""
 
@@ -283,6 +287,7 @@
     Attributes:
         lives: `Life` of each process.
         ticks: Times at which the driver's loop ran last.
+        stalls: Start and end of each time in which it did not run.
     """
 
     def __init__(self, reactor, folder, hosts):
@@ -298,6 +303,7 @@
         self.backends = {}
         self.lives = []
         self.ticks = deque([reactor.seconds()] * 2, maxlen=2)
+        self.stalls = []
         self.ticker = task.LoopingCall(self.tick)
         self.stopping = False
 
@@ -323,8 +329,11 @@
             host.start()
 
     def tick(self):
-        """Note the time."""
-        self.ticks.append(self.reactor.seconds())
+        """Note the time, and a stall before it."""
+        now = self.reactor.seconds()
+        if now - self.ticks[-1] > STALL_SECONDS:
+            self.stalls.append((self.ticks[-1], now))
+        self.ticks.append(now)
 
     def add_backend(self, name, region, number):
         """Start a plain server and register it."""
