--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -218,7 +218,14 @@
         names = {host.ip: host.name for host in self.fleet.hosts.values()}
         spans = [span for one in self.notifiers for span in one.spans]
         backends = self.fleet.backends.values()
-        return check_notices(backends, spans, names, self.history, self.began)
+        return check_notices(
+            backends,
+            spans,
+            names,
+            self.history,
+            self.began,
+            self.fleet.stalls,
+        )
 
     def check_stops(self):
         """Return each `Violation` of what is owed to requests at stops."""
@@ -428,10 +435,12 @@
         )
         asked = self.raw_callers.requests
         ignored = sum(one.after_close and not one.status for one in asked)
+        unsent = sum(one.after_end for one in asked)
         yield (
             f"  plain connections: {self.raw_callers.refused} not accepted, "
             f"requests {dict(Counter(one.status for one in asked))}, "
-            f"{ignored} ignored after an announced end"
+            f"{ignored} ignored after an announced end, "
+            f"{unsent} not sent after an end"
         )
         yield self.patient_callers.report()
         rules = Counter(one.rule for one in violations)
