Count a second attempt that has ended among those to go on with

What callers saw: a 502 with "superseded" for a whole request of a route with two attempts, whose first server stayed silent and whose second one answered; and a stream that was cut after its last event, if the first server crashed and its crash check still ran as the second one ended.

Cause: the exchange asked whether one more server may run the request before it asked whether a second attempt is there already. Once that attempt had ended, both counted as executions, so that max_attempts forbade to use its response.

Evidence: three cases of tests/test_hedgeends.py failed before: 502 for 200 twice, and ResponseFailed inside the chunked body of a stream.

Why it works: whether the request may go on includes the second attempt that is kept, running or ended; max_attempts limits new attempts only.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -488,7 +488,7 @@
     def is_final(self, outcome):
         """Return whether no further attempt can improve on *outcome*."""
         if isinstance(outcome, Answered):
-            if outcome.status < 500 or not self.may_retry():
+            if outcome.status < 500 or not self.may_go_on():
                 return True
             self.keep_fallback(self.current, outcome)
             return False
@@ -498,7 +498,11 @@
             return self.refused_locally
         if outcome.reason in FINAL_REASONS:
             return True
-        return not self.may_retry()
+        return not self.may_go_on()
+
+    def may_go_on(self):
+        """Return whether another attempt runs or has ended, or may begin."""
+        return self.hedging.hedge is not NOTHING or self.may_retry()
 
     def keep_fallback(self, ended, outcome):
         """Keep an error response, for the case that no other one comes.
--- /dev/null
+++ b/tests/test_hedgeends.py
@@ -0,0 +1,45 @@
+"""Ends of requests of which two attempts run side by side."""
+
+import pytest
+import pytest_twisted
+from entry_hosts import configuration
+from test_silentservers import EVENTS, WHOLE_TIMEOUT, stream, use
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from twisted.internet import defer
+
+from hyssopspring.entry import crashdetection
+
+
+@pytest.mark.parametrize("silence", [3.0, 60.0])
+@pytest_twisted.ensureDeferred
+async def test_a_whole_answer_of_the_last_attempt_is_delivered(hosts, silence):
+    """Guards against a 502 although the second attempt has an answer."""
+    await use(hosts, configuration(2, **WHOLE_TIMEOUT))
+    hosts.backends["plain-north"].silence = silence
+    status, _, body = await hosts.send("h-north", "/lookup/a", identifier="r1")
+    assert_that((status, body), Equals((200, b"whole /lookup/a")))
+
+
+def never(*args, **kwargs):
+    """Return a deferred that never fires."""
+    return defer.Deferred()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_stream_that_ends_beside_a_crash_check_is_whole(
+    hosts, monkeypatch
+):
+    """Guards against a cut after a stream that the second server completed."""
+    monkeypatch.setattr(crashdetection, "MAX_PROBE_WAIT_SECONDS", 1.0)
+    connections = hosts.processes["h-north"].state.connections
+    monkeypatch.setattr(connections, "is_refused", never)
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.silence, south.silence = 60.0, 0.3
+    streaming = defer.ensureDeferred(stream(hosts))
+    await hosts.until(lambda: south.ran == ["r1"])
+    north.crash()
+    assert_that(await streaming, Equals((200, EVENTS)))
