Keep servers usable whose second attempt was not needed

What callers saw: a stream that was cut, although a sound server was there, after its server had been silent, had gone on and had failed later.

Cause: a second attempt that is abandoned since the first one goes on ended like one that had failed. Its server was excluded from all later attempts of the request, and a host of another region counted as tried, so that a region with one host could not be asked again.

Evidence: the test failed before with ResponseFailed inside the chunked body of a stream whose route allows three attempts.

Why it works: only an attempt that failed, or whose server was silent, says anything against its server or host. Such an attempt still counts towards max_attempts, as the server may have run the request.

--- a/src/hyssopspring/entry/tries.py
+++ b/src/hyssopspring/entry/tries.py
@@ -85,6 +85,13 @@
             return self.silent_seconds > STREAM_SILENCE_SECONDS
         return self.silent_seconds > silence_limit(self.predicted)
 
+    @property
+    def is_superfluous(self):
+        """Whether it ended only since another attempt has data."""
+        attempt = self.attempt
+        superseded = attempt.abandon_reason is Reason.SUPERSEDED
+        return superseded and not attempt.was_silent
+
     def abandon(self, reason, *, silent=False):
         """Cancel the attempt if it runs; return whether it had been sent.
 
@@ -147,7 +154,8 @@
         await self.state.crash_detector.examine(
             self.attempt, exchange.request.peer_ip, placed.predicted
         )
-        if not isinstance(outcome, Answered) or outcome.status >= 500:
+        failed = not isinstance(outcome, Answered) or outcome.status >= 500
+        if failed and not self.is_superfluous:
             exchange.excluded.append(placed.server_id)
         if self.attempt.result is AttemptResult.UNREACHED:
             self.state.connections.close_idle(placed.server_id)
@@ -221,6 +229,9 @@
             reject=self.reject_version,
         )
         outcome = await self.run_attempt()
+        if self.is_superfluous:
+            exchange.tried_hosts.discard(member.name)
+            return outcome
         if self.attempt.head_received:
             exchange.responsive_hosts.add(member.name)
         server_id = self.relayed_server()
--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -3,7 +3,13 @@
 import pytest
 import pytest_twisted
 from entry_hosts import configuration
-from test_silentservers import EVENTS, WHOLE_TIMEOUT, stream, use
+from test_silentservers import (
+    EVENTS,
+    SILENCE_SECONDS,
+    WHOLE_TIMEOUT,
+    stream,
+    use,
+)
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import defer
@@ -43,3 +49,22 @@
     await hosts.until(lambda: south.ran == ["r1"])
     north.crash()
     assert_that(await streaming, Equals((200, EVENTS)))
+
+
+THREE_ATTEMPTS = {"quote": {"max_attempts": 3}}
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_second_attempt_in_vain_keeps_its_server_usable(hosts):
+    """Guards against a cut as the only other server helped in vain before."""
+    await use(hosts, configuration(2, **THREE_ATTEMPTS))
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.silence, north.mood, north.cut_after = SILENCE_SECONDS, "cut", 3
+    south.mood = "silent"
+    streaming = defer.ensureDeferred(stream(hosts))
+    await hosts.until(lambda: south.ran == ["r1"])
+    south.mood = "well"
+    assert_that(await streaming, Equals((200, EVENTS)))
