Exclude the silent server of a relayed stream from second attempts

What callers saw: nothing while their server went on. Servers ran the same stream twice beside each other.

Cause: the search for a second server excluded the key of the connection, which is a host for an attempt through another region, and another host of that region was told only of the servers that had failed. It chose the silent server again.

Why it works: the query and what another host is told both name the server of the attempt that runs, which the head of a relayed stream states. Before that head, this host does not know it.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -324,7 +324,7 @@
             patience=self.patience(waited),
             priority=self.permissions.priority,
             outranked=self.permissions.outranked,
-            excluded=tuple(self.excluded),
+            excluded=tuple(self.excluded_servers()),
             regions=self.permissions.homes,
             avoided=tuple(self.avoided),
             may_leave=self.may_leave,
@@ -338,6 +338,13 @@
             version=self.stream_version.required or "",
         )
 
+    def excluded_servers(self):
+        """Return the servers that a further attempt must not use."""
+        current = self.current
+        if current is NOTHING or not current.in_progress:
+            return self.excluded
+        return [*self.excluded, current.server_id]
+
     @property
     def has_begun(self):
         """Whether the caller holds a part of the response."""
@@ -401,7 +408,7 @@
             round(ask.time_left, 4),
             round(ask.patience, 4),
             self.permissions.priority,
-            list(self.excluded),
+            list(ask.excluded),
             self.last_event.decode("latin-1"),
             self.sink.started,
             self.request.peer_ip,
--- a/src/hyssopspring/entry/hedging.py
+++ b/src/hyssopspring/entry/hedging.py
@@ -1,7 +1,5 @@
 """Second attempts of requests whose servers are silent."""
 
-from dataclasses import replace
-
 from twisted.internet import defer
 
 from ..core.events import EventKind
@@ -56,10 +54,8 @@
             silent: The `Try` whose server is silent.
         """
         last_data = silent.last_data
-        ask = self.exchange.ask()
-        key = silent.attempt.endpoint.key
         number, decision = await self.state.coordinator.place(
-            replace(ask, excluded=(*ask.excluded, key))
+            self.exchange.ask()
         )
         self.is_placing = False
         found = isinstance(decision, Placed | PlacedRemotely)
--- a/src/hyssopspring/entry/tries.py
+++ b/src/hyssopspring/entry/tries.py
@@ -85,6 +85,13 @@
             return self.silent_seconds > STREAM_SILENCE_SECONDS
         return self.silent_seconds > silence_limit(self.predicted)
 
+    @property
+    def server_id(self):
+        """Server of the attempt, or "" while it is not known here."""
+        if isinstance(self.decision, Placed):
+            return self.decision.server_id
+        return self.relayed_server()
+
     @property
     def is_superfluous(self):
         """Whether it ended only since another attempt has data."""
--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -7,6 +7,7 @@
     EVENTS,
     SILENCE_SECONDS,
     WHOLE_TIMEOUT,
+    silence,
     stream,
     use,
 )
@@ -68,3 +69,15 @@
     await hosts.until(lambda: south.ran == ["r1"])
     south.mood = "well"
     assert_that(await streaming, Equals((200, EVENTS)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_second_attempt_avoids_the_silent_server_elsewhere(hosts):
+    """Guards against a second run at a silent server of another region."""
+    hosts.register_again("engine-north", state="draining")
+    await hosts.until(lambda: hosts.decoded("server_leaving"))
+    hosts.add_host("h-south-2", "south", 5)
+    await hosts.settled()
+    silence(hosts, "engine-south")
+    assert_that(await stream(hosts), Equals((200, EVENTS)))
+    assert_that(hosts.backends["engine-south"].ran, Equals(["r1"]))
