Move the messages on streams and the own entry to modules of their own

`messages` loses the messages on the versions of streams to `streammessages`, `process` the entry of its host to `hostentries`. Nothing of them changes.

--- a/src/hyssopspring/entry/hostentries.py
+++ b/src/hyssopspring/entry/hostentries.py
@@ -13,6 +13,7 @@
     "encode_host",
     "entry_from_member",
     "member_from_entry",
+    "own_member",
 ]
 
 OWN_PREFIX = "hyssop/"
@@ -90,3 +91,19 @@
         member.capacity,
         member.incarnation,
     )
+
+
+def own_member(settings, incarnation):
+    """Return the `Member` of this host."""
+    first, last = settings.ports
+    return Member(
+        name=settings.host,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        front=settings.front,
+        control=f"{settings.address}:{first}",
+        relay=f"{settings.address}:{last}",
+        capacity=settings.capacity,
+        incarnation=incarnation,
+        knows_eras=True,
+    )
--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -32,9 +32,6 @@
     ServerNoticesMessage,
     ServiceLoad,
     StoreChange,
-    StreamAnswer,
-    StreamQuery,
-    StreamRecordsMessage,
     SuspectsMessage,
     TokenTransfer,
     TokenTransferRequest,
@@ -43,6 +40,11 @@
     WorkspaceLimitMessage,
 )
 from .rosters import Rosters
+from .streammessages import (
+    StreamAnswer,
+    StreamQuery,
+    StreamRecordsMessage,
+)
 
 __all__ = ["Membership"]
 
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -25,7 +25,7 @@
 from ..signals import StopSignals
 from ..traffic.crashes import CrashTracker
 from ..traffic.mechanisms import parse_disabled
-from ..traffic.members import Member, Members
+from ..traffic.members import Members
 from ..traffic.partruns import PartRuns
 from ..traffic.placing import Placer
 from ..traffic.retries import WindowedRetryBudget
@@ -40,6 +40,7 @@
 from .crashsharing import CrashSharing
 from .crashstore import CrashStore
 from .datagrams import MAX_DATAGRAM_BYTES, DatagramEndpoint
+from .hostentries import own_member
 from .limiting import (
     TRANSFER_INTERVAL_SECONDS,
     PlacementShare,
@@ -678,22 +679,6 @@
         self.timeline.note(EventKind.RELOADED)
 
 
-def own_member(settings, incarnation):
-    """Return the `Member` of this host."""
-    first, last = settings.ports
-    return Member(
-        name=settings.host,
-        region=settings.region,
-        data_centre=settings.data_centre,
-        front=settings.front,
-        control=f"{settings.address}:{first}",
-        relay=f"{settings.address}:{last}",
-        capacity=settings.capacity,
-        incarnation=incarnation,
-        knows_eras=True,
-    )
-
-
 def boot_seconds():
     """Return the seconds of a clock that also counts suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -19,7 +19,7 @@
     origin_of,
     stream_of,
 )
-from .messages import (
+from .streammessages import (
     StreamAnswer,
     StreamQuery,
     StreamRecordsMessage,
