Ask a server for its start where its entry may be missing

While the store is away, a server starts again under its identifier, with another version or cold. 19 to 21 streams were complete and held events of two versions; a cold server got 9 requests in a second where 6.3 are allowed and crashed.

Cause, one for both: facts about a process outlive it. A start was known by its entry in the store alone. The version of a stream was taken from the list (`try_server`), and a placing host counted the server as warm (`cold_limit_reached`). Only requests that needed a version asked for `born`.

Change: `ServerStarts`. A start is in doubt after a refused or broken connection, and while entries may be missing. In doubt, each request is written only on a connection on which the server has reported the listed start. Another start replaces the entry (version unknown, cold for `cold_s`, not leaving), drops work, health, speed, cache and counts, and is broadcast in the region, so that the placing host counts.

Why it works: the host that sends asks, by every way a request can take, and nothing is sent before the answer; a connection does not outlive the process at its other end. A stream that begins at an unlisted start has no version and is not resumed elsewhere. `version_of` no longer takes the version of a grant for a server that is listed with an unknown version.

Cost: nothing is asked while the store answers and no connection breaks (test). A message has 45 bytes. A server without a report (4xx) is used as before, without a required version.

`server_restarted` is a new reason and a new event. The stand-in of a server can offer no report.

--- a/src/hyssopspring/core/events.py
+++ b/src/hyssopspring/core/events.py
@@ -66,6 +66,7 @@
     PART_CLEARED = (420, "suspected part of prompts ran without a crash")
     SERVER_LIMITED = (416, "backend server announced or withdrew a limit")
     SERVER_RESTING = (418, "backend server requested a retry-after pause")
+    SERVER_RESTARTED = (421, "backend server runs again, its entry is missing")
     NOTICE_IGNORED = (417, "invalid notice of a backend server ignored")
     PLATFORM_DOWN = (500, "platform does not respond")
     PLATFORM_BACK = (501, "platform responds again")
--- a/src/hyssopspring/core/outcomes.py
+++ b/src/hyssopspring/core/outcomes.py
@@ -39,6 +39,7 @@
     VERSION_UNKNOWN = "stream_version_unknown"
     VERSION_GONE = "stream_version_gone"
     WRONG_VERSION = "wrong_server_version"
+    RESTARTED = "server_restarted"
     CRASHES_SERVERS = "crashes_servers"
     SUSPECTED = "suspected_of_crashes"
     CALLER_GONE = "caller_gone"
--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -316,7 +316,7 @@
         confirmed = await self.confirm(self.connection)
         self.connection.reserved = False
         if not confirmed:
-            raise _RejectedResponse(Reason.WRONG_VERSION)
+            raise _RejectedResponse(Reason.RESTARTED)
 
     def request(self):
         """Write the request; return a deferred of the response's head."""
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from twisted.internet import defer, error, protocol
-from twisted.web._newclient import HTTP11ClientProtocol
+from twisted.web._newclient import BODY, HTTP11ClientProtocol
 
 from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
@@ -57,6 +57,11 @@
     The HTTP client reports a reset and an orderly close alike when a body has
     no announced length. Only an orderly close means that such a body is
     complete.
+
+    Attributes:
+        confirmed_instance: Server instance that is known to be at its other
+            end, or `NOTHING`.
+        on_broken: Called when the other side ends it without an announcement.
     """
 
     def __init__(self, quiescent):
@@ -66,6 +71,8 @@
         self.idle_since = 0.0
         self.idle_limit = UNANNOUNCED_IDLE_SECONDS
         self.expiry = NOTHING
+        self.confirmed_instance = NOTHING
+        self.on_broken = lambda: None
 
     def connectionMade(self):
         """Enable keepalive probes before the connection is used."""
@@ -75,8 +82,21 @@
     def connectionLost(self, reason):
         """Store the reason, then handle the loss as usual."""
         self.lost_reason = reason
+        if self.is_broken(reason):
+            self.on_broken()
         super().connectionLost(reason)
 
+    def is_broken(self, reason):
+        """Return whether the other side ended it without an announcement."""
+        if self.transport.disconnecting or reason.check(
+            error.ConnectionAborted
+        ):
+            return False
+        parser = self._parser
+        in_body = parser is not None and parser.state == BODY
+        ends_body = in_body and self.framing() is Framing.CLOSE
+        return not (ends_body and reason.check(error.ConnectionDone))
+
     def framing(self):
         """Return the `Framing` of the response, or `NOTHING` before it."""
         if self._parser is None:
@@ -141,14 +161,16 @@
 
     noisy = False
 
-    def __init__(self, connected, quiescent):
+    def __init__(self, connected, quiescent, on_broken):
         self.connected = connected
         self.quiescent = quiescent
+        self.on_broken = on_broken
 
     def buildProtocol(self, addr):
         """Return the protocol of the new connection."""
         connection = Connection(self.quiescent)
         connection.factory = self
+        connection.on_broken = self.on_broken
         connected, self.connected = self.connected, NOTHING
         # The transport is attached only after this function returns.
         if connected is not NOTHING:
@@ -165,6 +187,9 @@
         """Report that the connection could not be opened."""
         connected, self.connected = self.connected, NOTHING
         if connected is not NOTHING:
+            if not reason.check(error.UserError):
+                refused = reason.check(error.ConnectionRefusedError)
+                self.on_broken(bool(refused))
             connected.errback(reason)
 
 
@@ -175,11 +200,17 @@
         reactor: The reactor.
         source: IP address from which connections are opened. A host may have
             several addresses; the other hosts identify it by this one.
+
+    Attributes:
+        on_broken: Called with the `Endpoint` of a connection that could not be
+            opened, or was ended by the other side without an announcement, and
+            with whether it was refused.
     """
 
     def __init__(self, reactor, source):
         self.reactor = reactor
         self.source = source
+        self.on_broken = lambda endpoint, refused: None
         self.idle = {}
         self.opened = 0
         self.unopened = 0
@@ -239,7 +270,9 @@
         self.opened += 1
         connected = defer.Deferred(lambda _: connector.disconnect())
         factory = _ConnectionFactory(
-            connected, lambda one: self.keep(endpoint, one)
+            connected,
+            lambda one: self.keep(endpoint, one),
+            lambda refused=False: self.on_broken(endpoint, refused),
         )
         ip, port = split_address(endpoint.address)
         timeout = (
--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -346,10 +346,10 @@
             An empty string if it is not known, or if this host lists another
             version than the placing host.
         """
+        if placed.server_id not in self.registry.servers:
+            return placed.version
         listed = self.registry.version_of(placed.server_id)
-        if placed.version and listed and placed.version != listed:
-            return ""
-        return listed or placed.version
+        return listed if placed.version in ("", listed) else ""
 
     def log_unused_grant(self, ask, placed, member):
         """Log a grant that this host does not use, and why."""
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -29,7 +29,6 @@
     encode_parameters,
     read_relay_head,
 )
-from .serverstarts import start_confirmation
 from .stopping import STOPPING_RETRY_SECONDS
 from .streamversion import StreamVersion
 from .web import respond_refusal
@@ -431,8 +430,8 @@
             on_head=self.state.notices.head_handler(
                 placed.server_id, self.id, number
             ),
-            confirm=start_confirmation(
-                self.state, placed, self.stream_version.required or ""
+            confirm=self.state.starts.confirmation(
+                placed, self.stream_version.required or ""
             ),
         )
         outcome = await self.run_attempt(placed.predicted)
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -10,6 +10,7 @@
 from ..core.exceptions import ProtocolError
 from ..traffic.members import Subscription
 from .hostentries import HostEntry
+from .startmessages import ServerStartsMessage
 from .streammessages import StreamAnswer, StreamQuery, StreamRecordsMessage
 
 __all__ = [
@@ -673,6 +674,7 @@
     | StreamRecordsMessage
     | StreamQuery
     | StreamAnswer
+    | ServerStartsMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -58,6 +58,8 @@
 from .relaying import STOPPING_HEADERS as RELAY_STOPPING_HEADERS
 from .relaying import RelayApi
 from .remotehosts import RemoteHosts
+from .serverstarts import ServerStarts
+from .startmessages import ServerStartsMessage
 from .state import EntryState
 from .stopping import Stopping
 from .storesync import StoreSync
@@ -266,6 +268,16 @@
                     self.membership.heartbeat(), member.control
                 ),
             ),
+            starts=ServerStarts(
+                self.registry,
+                self.coordinator,
+                contact,
+                connections,
+                headers,
+                self.reactor,
+                self.timeline,
+                lambda message: self.membership.broadcast_in_region(message),
+            ),
             codec=headers,
             stopping=Stopping(
                 self.reactor,
@@ -327,6 +339,8 @@
             self.views,
             self.state.stream_origins,
         )
+        handlers = self.membership.handlers
+        handlers[ServerStartsMessage] = self.state.starts.merge
         self.callers = CallerApi(self.state, self.views)
         self.relay = RelayApi(self.state, self.store_sync.replication.snapshot)
         self.pages = DirectoryHandler(self.hosts_for, self.is_ready)
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -19,7 +19,6 @@
 from .connections import Endpoint
 from .crashchecks import SUSPECTED_RETRY_SECONDS, CrashCheck
 from .notices import notice_details
-from .serverstarts import start_confirmation
 from .stopping import STOPPING_RETRY_SECONDS
 from .web import respond_refusal
 
@@ -405,8 +404,8 @@
             on_head=self.state.notices.head_handler(
                 placed.server_id, self.id, number
             ),
-            confirm=start_confirmation(
-                self.state, placed, self.parameters.version
+            confirm=self.state.starts.confirmation(
+                placed, self.parameters.version
             ),
         )
         outcome = self.outcome = await self.attempt.run()
--- /dev/null
+++ b/src/hyssopspring/entry/startmessages.py
@@ -0,0 +1,34 @@
+"""Messages on the starts of backend servers."""
+
+import msgspec
+
+__all__ = ["ServerStartsMessage", "StartRow"]
+
+
+class StartRow(msgspec.Struct, array_like=True, frozen=True):
+    """What a host has found out about a start of a server.
+
+    Attributes:
+        server_id: Identifier of the server.
+        born: Unix time of the start in milliseconds.
+        running: Whether the server has stated this start itself; otherwise
+            it refuses connections, so that the start may have ended.
+    """
+
+    server_id: str
+    born: int
+    running: bool
+
+
+class ServerStartsMessage(
+    msgspec.Struct, array_like=True, tag="j", frozen=True
+):
+    """Report starts of servers to the hosts of the region.
+
+    Attributes:
+        host: Name of the sender.
+        rows: `StartRow` of each server.
+    """
+
+    host: str
+    rows: list[StartRow]
--- a/src/hyssopspring/entry/state.py
+++ b/src/hyssopspring/entry/state.py
@@ -28,6 +28,7 @@
         sharing: The `CrashSharing` of requests that crash servers.
         notices: The `ServerNotices` that servers send in their responses.
         stream_origins: The `StreamOrigins`.
+        starts: The `ServerStarts`.
         codec: Reads and writes the headers of callers and servers.
         stopping: The `Stopping` of this process.
     """
@@ -50,5 +51,6 @@
     sharing: object
     notices: object
     stream_origins: object
+    starts: object
     codec: object
     stopping: object
--- a/src/hyssopspring_fakes/backends.py
+++ b/src/hyssopspring_fakes/backends.py
@@ -67,7 +67,8 @@
         crash_output: What it writes of a stream before it ends, with neither
             length nor chunks, or b"".
         crash_closes: Whether it closes that connection in order as it ends.
-        born: Time of its start as its report states it.
+        born: Time of its start as its report states it; `None` if it offers
+            no report.
         unframed: Whether its streams have neither length nor chunks and end
             with their connection.
         version: Version of its software, which its events state, or "".
@@ -123,8 +124,9 @@
         self.seen.append(headers)
         peer = request.transport.getPeer().host
         if request.path == b"/v1/report":
+            status = 404 if self.born is None else 200
             report = json.dumps({"born": self.born}).encode()
-            self.answer(request, 200, report, {})
+            self.answer(request, status, report, {})
             return
         self.arrived.append((self.reactor.seconds(), peer))
         identifier = headers.get(b"x-request-attempt-id", b"")
