--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -10,6 +10,7 @@
 from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..traffic.members import Subscription
 from .hostentries import HostEntry
+from .startmessages import ServerStartsMessage
 from .streammessages import (
     StreamAnswer,
     StreamQuery,
@@ -681,6 +682,7 @@
     | StreamAnswer
     | VersionHistoryRequest
     | VersionHistoryMessage
+    | ServerStartsMessage
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -109,12 +109,12 @@
         Args:
             attempt: Identifier, as bytes, of the attempt of the caller.
             service: The service.
-            version: Version of the server.
+            version: Version of the server, or "" if it is not known. Such a
+                stream must not go on at a server of any version.
         """
         now = self.clock.seconds()
-        record = StreamRecord(
-            origin_of(service, version), now, own=True, source=self.host
-        )
+        origin = origin_of(service, version) if version else CONFLICT
+        record = StreamRecord(origin, now, own=True, source=self.host)
         stream = stream_of(attempt)
         self.records.add(stream, record)
         self.handover.send_records([(stream, record)], now)
@@ -249,7 +249,8 @@
         else:
             record = self.records.find(message.stream, now)
             if record is not NOTHING:
-                origin, age = record.origin, int(now - record.began_at)
+                origin = record.origin
+                age = max(1, int(now - record.began_at))
         answer = StreamAnswer(self.host, message.stream, origin, age)
         self.send(answer, message.host)
 
@@ -264,6 +265,9 @@
                 self.keep_answer(message)
             found = FoundOrigin(message.origin, message.age, message.host)
             self.end_lookup(lookup, found)
+        elif message.age:
+            # An answer without a record states no age.
+            self.end_lookup(lookup, FoundOrigin(contradicted=True))
         elif not lookup.waiting:
             self.end_lookup(lookup, FoundOrigin())
 
--- a/src/hyssopspring/entry/streamversion.py
+++ b/src/hyssopspring/entry/streamversion.py
@@ -57,8 +57,7 @@
             return
         self.required = version
         self.source = self.origins.host
-        if version:
-            self.origins.record(self.metadata.id, service, version)
+        self.origins.record(self.metadata.id, service, version)
 
     async def resolve(self):
         """Find out which version began a stream that its caller resumes.
--- a/src/hyssopspring/entry/tries.py
+++ b/src/hyssopspring/entry/tries.py
@@ -13,7 +13,6 @@
 from .connections import Endpoint
 from .notices import notice_details
 from .relaying import RELAY_HEADER, encode_parameters, read_relay_head
-from .serverstarts import start_confirmation
 
 __all__ = ["CONNECT_RETRY_SECONDS", "Try"]
 
@@ -149,8 +148,8 @@
             on_head=self.state.notices.head_handler(
                 placed.server_id, exchange.id, self.number
             ),
-            confirm=start_confirmation(
-                self.state, placed, exchange.stream_version.required or ""
+            confirm=self.state.starts.confirmation(
+                placed, exchange.stream_version.required or ""
             ),
         )
         outcome = await self.run_attempt()
