Tell the pauses of callers from silences of their servers

What callers saw: a caller that did not read for a second or more had its sound server given up for another one, which read the prompt again, and each such pause took a retry of the budget and an attempt of the request. The server counted as silent, also if the caller left meanwhile.

Cause: while a caller does not read, this host reads nothing from the server, and the time without data was taken for a silence of the server.

Evidence: the test failed before; the engine of the other region ran the stream of a caller that read 2.5 s late.

Why it works: the producer that passes the backpressure on states whether it is paused, and the silence is measured from the end of the pause.

--- a/src/hyssopspring/entry/tries.py
+++ b/src/hyssopspring/entry/tries.py
@@ -1,6 +1,8 @@
 """One try of a request: its placement and the attempt that is made there."""
 
 from twisted.internet import defer
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
 
 from ..core.events import EventKind
 from ..core.outcomes import Answered, NotRun, Reason
@@ -26,6 +28,39 @@
 time the service registry is up to date or the connection is restored."""
 
 
+@implementer(IPushProducer)
+class StreamProducer:
+    """Pass the backpressure of a caller on to its server.
+
+    Args:
+        transport: Transport of the server's response.
+        on_resumed: Called without arguments when the caller reads again.
+
+    Attributes:
+        paused: Whether the caller does not read at present.
+    """
+
+    def __init__(self, transport, on_resumed):
+        self.transport = transport
+        self.on_resumed = on_resumed
+        self.paused = False
+
+    def pauseProducing(self):
+        """Stop reading from the server."""
+        self.paused = True
+        self.transport.pauseProducing()
+
+    def resumeProducing(self):
+        """Read from the server again."""
+        self.paused = False
+        self.on_resumed()
+        self.transport.resumeProducing()
+
+    def stopProducing(self):
+        """Close the connection to the server."""
+        self.transport.stopProducing()
+
+
 class Try:
     """Carry out one placement of a request.
 
@@ -45,7 +80,7 @@
         served_version: Version of its server as far as this host knows.
         stream_head: `BufferedResponse` without a body that began its stream,
             or `NOTHING`.
-        producer: Transport of that stream, or `NOTHING`.
+        producer: `StreamProducer` of that stream, or `NOTHING`.
     """
 
     def __init__(self, exchange, number, decision):
@@ -81,6 +116,8 @@
     @property
     def is_silent(self):
         """Whether its server sends nothing for longer than expected."""
+        if self.producer is not NOTHING and self.producer.paused:
+            return False
         if self.attempt.events:
             return self.silent_seconds > STREAM_SILENCE_SECONDS
         return self.silent_seconds > silence_limit(self.predicted)
@@ -309,9 +346,13 @@
     def open_stream(self, buffered_response, response):
         """Keep the head of the stream; return the function for its events."""
         self.stream_head = buffered_response
-        self.producer = response._transport
+        self.producer = StreamProducer(response._transport, self.note_resumed)
         return self.forward_events
 
+    def note_resumed(self):
+        """Measure the silence of the server from the caller's pause on."""
+        self.last_data = self.state.clock.seconds()
+
     def forward_events(self, events):
         """Pass events on to the caller of the exchange."""
         self.last_data = self.state.clock.seconds()
--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -1,8 +1,11 @@
 """Ends of requests of which two attempts run side by side."""
 
+import socket
+
 import pytest
 import pytest_twisted
 from entry_hosts import configuration
+from raw_callers import RawCaller
 from test_silentservers import (
     EVENTS,
     SILENCE_SECONDS,
@@ -13,9 +16,10 @@
 )
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from twisted.internet import defer
+from twisted.internet import defer, reactor, task
 
 from hyssopspring.entry import crashdetection
+from hyssopspring_fakes.streamscripts import Framing, StreamScript
 
 
 @pytest.mark.parametrize("silence", [3.0, 60.0])
@@ -81,3 +85,32 @@
     silence(hosts, "engine-south")
     assert_that(await stream(hosts), Equals((200, EVENTS)))
     assert_that(hosts.backends["engine-south"].ran, Equals(["r1"]))
+
+
+async def read_late(hosts, path, seconds):
+    """Request a stream and read it *seconds* later; return the answer."""
+    caller = RawCaller(hosts.processes["h-north"].settings.front)
+    caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    await caller.connect()
+    caller.send(
+        path,
+        headers="x-token-usage: 1,1\r\nx-prompt-prefix: ab:1\r\n"
+        "connection: close\r\n",
+    )
+    await task.deferLater(reactor, seconds)
+    return await caller.receive(4.0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_caller_that_reads_late_makes_no_server_silent(hosts):
+    """Guards against second attempts for the pauses of a slow caller."""
+    events = tuple(
+        b"id: %d\ndata: %s\n\n" % (n, b"x" * 500_000) for n in range(24)
+    )
+    script = StreamScript(events=events, framing=Framing.LENGTH)
+    for name in ("engine-north", "engine-south"):
+        hosts.backends[name].script = script
+    answer = await read_late(hosts, "/quote/a", 2.5)
+    assert_that(answer.count(b"\nid: "), Equals(len(events)))
+    assert_that(hosts.backends["engine-south"].ran, Equals([]))
+    assert_that(hosts.decoded("hedged"), Equals([]))
