Abandon the second attempt once the first one has a response

What callers saw: a response that was cut, although a server had sent it whole.

Cause: a response that ends with its connection waits for the crash check of its server before it is delivered, for 50 ms at most. The second attempt ran on, and its first event began a stream; the first response then no longer fitted it and was cut.

Evidence: the test, in which the check takes longer, failed before with ResponseFailed inside a chunked body.

Why it works: the crash check does not change the outcome, so that the choice is made as the first attempt ends.

--- a/src/hyssopspring/entry/hedging.py
+++ b/src/hyssopspring/entry/hedging.py
@@ -111,16 +111,29 @@
         self.exchange.keep_fallback(hedge, outcome)
         return outcome
 
-    def is_usable(self, outcome, hedge):
-        """Return whether the second attempt has a response to deliver.
+    def handle_outcome(self, ended):
+        """Abandon the second attempt if the first one has a response.
+
+        The exchange delivers it after the crash check. Events of the second
+        attempt must not begin another response meanwhile.
+
+        Args:
+            ended: The `Try` whose attempt has ended.
+        """
+        is_first = ended is self.exchange.current
+        if is_first and self.is_usable(ended.outcome, ended):
+            self.drop(Reason.SUPERSEDED)
+
+    def is_usable(self, outcome, ended):
+        """Return whether an attempt has a response to deliver.
 
         Args:
             outcome: Its outcome.
-            hedge: The `Try`.
+            ended: The `Try`.
         """
         if not isinstance(outcome, Answered) or outcome.status >= 500:
             return False
-        is_stream = hedge.attempt.buffered_response is NOTHING
+        is_stream = ended.attempt.buffered_response is NOTHING
         return is_stream or not self.exchange.sink.started
 
     def select(self, chosen):
--- a/src/hyssopspring/entry/tries.py
+++ b/src/hyssopspring/entry/tries.py
@@ -330,6 +330,7 @@
             exchange.sent_attempts += 1
         if not isinstance(outcome, NotRun):
             exchange.executions += 1
+        exchange.hedging.handle_outcome(self)
         if not isinstance(outcome, Answered):
             self.state.timeline.note(
                 EventKind.ATTEMPT_ENDED,
--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -114,3 +114,43 @@
     assert_that(answer.count(b"\nid: "), Equals(len(events)))
     assert_that(hosts.backends["engine-south"].ran, Equals([]))
     assert_that(hosts.decoded("hedged"), Equals([]))
+
+
+class LateDocument:
+    """A whole response that ends with its connection, after a silence."""
+
+    def __init__(self, transport_seconds):
+        self.seconds = transport_seconds
+        self.head = b""
+
+    def response(self, headers, first):
+        """Return nothing yet; keep the head."""
+        lines = [b"%s: %s\r\n" % row for row in headers.items()]
+        self.head = b"".join(
+            [b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n", *lines]
+        )
+        return b""
+
+    def finish(self, transport):
+        """Send the response later, and close."""
+        reactor.callLater(self.seconds, self.send, transport)
+
+    def send(self, transport):
+        """Send the response, and close."""
+        transport.write(self.head + b"\r\n{}")
+        transport.loseConnection()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_whole_response_ends_the_attempt_beside_it(hosts, monkeypatch):
+    """Guards against a cut of a response that was complete before."""
+    monkeypatch.setattr(crashdetection, "MAX_PROBE_WAIT_SECONDS", 1.0)
+    connections = hosts.processes["h-north"].state.connections
+    monkeypatch.setattr(connections, "is_refused", never)
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.script = LateDocument(1.2)
+    south.paused_until = reactor.seconds() + 1.6
+    assert_that(await stream(hosts), Equals((200, b"{}")))
