Deliver the complete response of a second attempt at the end

What callers saw: a stream that was cut after its last event, as its host stopped or its deadline came while the crash check of its first server still ran, which takes 50 ms at most.

Cause: the end of a request looked at the outcome of the first attempt only.

Evidence: both cases of the test, in which the check takes longer, failed before with ResponseFailed inside the chunked body.

Why it works: a second attempt that has ended with a response is delivered first. A request that has ended asks for no further placement, which would take a retry.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -190,7 +190,8 @@
         self.state.retries.record_request(self.service, now)
         while True:
             outcome = await self.next_try()
-            if self.sink.disconnected or not self.should_retry(outcome):
+            over = self.closed or self.sink.disconnected
+            if over or not self.should_retry(outcome):
                 break
         self.conclude(outcome)
         self.close()
@@ -584,6 +585,8 @@
             reason: The `Reason`.
             retry_after: Seconds after which to retry if it was not run.
         """
+        if self.hedging.has_response():
+            self.deliver_hedge()
         sent = self.hedging.drop(reason)
         outcome = NOTHING
         if self.current is not NOTHING:
@@ -599,6 +602,13 @@
             self.conclude(NotRun(reason, retry_after))
         self.close()
 
+    def deliver_hedge(self):
+        """Deliver the response of the second attempt, which is complete."""
+        first, self.current = self.current, self.hedging.take()
+        self.conclude(self.current.outcome)
+        self.close()
+        first.abandon(Reason.SUPERSEDED)
+
     def conclude(self, outcome):
         """Deliver the final outcome, unless the request has ended."""
         if self.closed:
--- a/src/hyssopspring/entry/hedging.py
+++ b/src/hyssopspring/entry/hedging.py
@@ -136,6 +136,11 @@
         is_stream = ended.attempt.buffered_response is NOTHING
         return is_stream or not self.exchange.sink.started
 
+    def has_response(self):
+        """Return whether the second attempt has ended with a response."""
+        hedge = self.hedge
+        return hedge is not NOTHING and self.is_usable(hedge.outcome, hedge)
+
     def select(self, chosen):
         """Abandon the attempt that runs beside the *chosen* one.
 
--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -18,6 +18,7 @@
 from testtools.matchers import Equals
 from twisted.internet import defer, reactor, task
 
+from hyssopspring.core.outcomes import Answered
 from hyssopspring.entry import crashdetection
 from hyssopspring_fakes.streamscripts import Framing, StreamScript
 
@@ -116,6 +117,33 @@
     assert_that(hosts.decoded("hedged"), Equals([]))
 
 
+@pytest.mark.parametrize("end", ["end_with_host", "at_deadline"])
+@pytest_twisted.ensureDeferred
+async def test_a_complete_second_attempt_is_delivered_at_the_end(
+    hosts, monkeypatch, end
+):
+    """Guards against a cut at the end of a host after the last event."""
+    monkeypatch.setattr(crashdetection, "MAX_PROBE_WAIT_SECONDS", 1.0)
+    process = hosts.processes["h-north"]
+    monkeypatch.setattr(process.state.connections, "is_refused", never)
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.silence, south.silence = 60.0, 0.3
+    streaming = defer.ensureDeferred(stream(hosts))
+    await hosts.until(lambda: south.ran == ["r1"])
+    north.crash()
+    (exchange,) = process.callers.exchanges
+    hedge = exchange.hedging.hedge
+    await hosts.until(lambda: hedge.outcome == Answered(200))
+    if end == "end_with_host":
+        exchange.end_with_host()
+    else:
+        exchange.check(exchange.deadline_at)
+    assert_that(await streaming, Equals((200, EVENTS)))
+
+
 class LateDocument:
     """A whole response that ends with its connection, after a silence."""
 
