--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -1,8 +1,11 @@
 """Ends of requests of which two attempts run side by side."""
 
+import socket
+
 import pytest
 import pytest_twisted
 from entry_hosts import configuration
+from raw_callers import RawCaller
 from test_silentservers import (
     EVENTS,
     SILENCE_SECONDS,
@@ -13,9 +16,11 @@
 )
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from twisted.internet import defer
+from twisted.internet import defer, reactor, task
 
+from hyssopspring.core.outcomes import Answered
 from hyssopspring.entry import crashdetection
+from hyssopspring_fakes.streamscripts import Framing, StreamScript
 
 
 @pytest.mark.parametrize("silence", [3.0, 60.0])
@@ -81,3 +86,99 @@
     silence(hosts, "engine-south")
     assert_that(await stream(hosts), Equals((200, EVENTS)))
     assert_that(hosts.backends["engine-south"].ran, Equals(["r1"]))
+
+
+async def read_late(hosts, path, seconds):
+    """Request a stream and read it *seconds* later; return the answer."""
+    caller = RawCaller(hosts.processes["h-north"].settings.front)
+    caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    await caller.connect()
+    caller.send(
+        path,
+        headers="x-token-usage: 1,1\r\nx-prompt-prefix: ab:1\r\n"
+        "connection: close\r\n",
+    )
+    await task.deferLater(reactor, seconds)
+    return await caller.receive(4.0)
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_caller_that_reads_late_makes_no_server_silent(hosts):
+    """Guards against second attempts for the pauses of a slow caller."""
+    events = tuple(
+        b"id: %d\ndata: %s\n\n" % (n, b"x" * 500_000) for n in range(24)
+    )
+    script = StreamScript(events=events, framing=Framing.LENGTH)
+    for name in ("engine-north", "engine-south"):
+        hosts.backends[name].script = script
+    answer = await read_late(hosts, "/quote/a", 2.5)
+    assert_that(answer.count(b"\nid: "), Equals(len(events)))
+    assert_that(hosts.backends["engine-south"].ran, Equals([]))
+    assert_that(hosts.decoded("hedged"), Equals([]))
+
+
+@pytest.mark.parametrize("end", ["end_with_host", "at_deadline"])
+@pytest_twisted.ensureDeferred
+async def test_a_complete_second_attempt_is_delivered_at_the_end(
+    hosts, monkeypatch, end
+):
+    """Guards against a cut at the end of a host after the last event."""
+    monkeypatch.setattr(crashdetection, "MAX_PROBE_WAIT_SECONDS", 1.0)
+    process = hosts.processes["h-north"]
+    monkeypatch.setattr(process.state.connections, "is_refused", never)
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.silence, south.silence = 60.0, 0.3
+    streaming = defer.ensureDeferred(stream(hosts))
+    await hosts.until(lambda: south.ran == ["r1"])
+    north.crash()
+    (exchange,) = process.callers.exchanges
+    hedge = exchange.hedging.hedge
+    await hosts.until(lambda: hedge.outcome == Answered(200))
+    if end == "end_with_host":
+        exchange.end_with_host()
+    else:
+        exchange.check(exchange.deadline_at)
+    assert_that(await streaming, Equals((200, EVENTS)))
+
+
+class LateDocument:
+    """A whole response that ends with its connection, after a silence."""
+
+    def __init__(self, transport_seconds):
+        self.seconds = transport_seconds
+        self.head = b""
+
+    def response(self, headers, first):
+        """Return nothing yet; keep the head."""
+        lines = [b"%s: %s\r\n" % row for row in headers.items()]
+        self.head = b"".join(
+            [b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n", *lines]
+        )
+        return b""
+
+    def finish(self, transport):
+        """Send the response later, and close."""
+        reactor.callLater(self.seconds, self.send, transport)
+
+    def send(self, transport):
+        """Send the response, and close."""
+        transport.write(self.head + b"\r\n{}")
+        transport.loseConnection()
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_whole_response_ends_the_attempt_beside_it(hosts, monkeypatch):
+    """Guards against a cut of a response that was complete before."""
+    monkeypatch.setattr(crashdetection, "MAX_PROBE_WAIT_SECONDS", 1.0)
+    connections = hosts.processes["h-north"].state.connections
+    monkeypatch.setattr(connections, "is_refused", never)
+    north, south = (
+        hosts.backends["engine-north"],
+        hosts.backends["engine-south"],
+    )
+    north.script = LateDocument(1.2)
+    south.paused_until = reactor.seconds() + 1.6
+    assert_that(await stream(hosts), Equals((200, b"{}")))
