Search only what has arrived for the end of an event

What was seen: a stream whose body is one endless line in chunks of one byte held up the whole process.

Cause: each part of an event was appended by copying all parts before it, and all of it was searched twice for a terminator, up to the maximum of 1 MiB. The time for an event grew with the square of its parts.

Change: the parts are gathered in a mutable buffer, and only the last part, with the few bytes before it that may begin a terminator, is searched.

The event reader of gateways copies in the same way and is not changed.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -15,7 +15,7 @@
 from ..net.inprogress import Wait
 from ..net.sinks import first_value
 from ..traffic.serverhealth import AttemptResult
-from .eventstreams import MAX_EVENT_BYTES, split_events
+from .eventstreams import MAX_EVENT_BYTES, EventBuffer
 
 __all__ = [
     "BufferedResponse",
@@ -608,7 +608,7 @@
     def __init__(self, on_events):
         super().__init__(MAX_EVENT_BYTES)
         self.on_events = on_events
-        self.buffer = b""
+        self.buffer = EventBuffer()
 
     def may_end(self, *, by_close):
         """Return whether no event has begun and not ended.
@@ -618,14 +618,14 @@
         """
         if by_close and not self.size:
             return False
-        return not self.buffer.strip(b"\r\n")
+        return not self.buffer.has_event
 
     def dataReceived(self, data):
         """Forward the events that are complete."""
         if self.overflowed:
             return
         self.size += len(data)
-        events, self.buffer = split_events(self.buffer + data)
+        events = self.buffer.add(data)
         if events:
             self.on_events(events)
         if len(self.buffer) > self.limit:
--- a/src/hyssopspring/entry/eventstreams.py
+++ b/src/hyssopspring/entry/eventstreams.py
@@ -2,9 +2,9 @@
 
 __all__ = [
     "MAX_EVENT_BYTES",
+    "EventBuffer",
     "has_unnumbered_data",
     "last_event_id",
-    "split_events",
 ]
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -12,20 +12,41 @@
 otherwise fill the memory of the host."""
 
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+LONGEST_TERMINATOR = max(map(len, EVENT_TERMINATORS))
 ID_FIELD = b"id:"
 DATA_FIELD = b"data"
 
 
-def split_events(data):
-    """Return the complete events at the start of *data*, and the rest."""
-    if data.endswith(EVENT_TERMINATORS):
-        return data, b""
-    boundary = 0
-    for terminator in EVENT_TERMINATORS:
-        found = data.rfind(terminator)
-        if found >= 0:
-            boundary = max(boundary, found + len(terminator))
-    return data[:boundary], data[boundary:]
+class EventBuffer:
+    """Bytes of a stream that belong to no complete event yet."""
+
+    def __init__(self):
+        self.data = bytearray()
+
+    def __len__(self):
+        return len(self.data)
+
+    @property
+    def has_event(self):
+        """Whether an event has begun."""
+        return bool(self.data.strip(b"\r\n"))
+
+    def add(self, data):
+        """Add bytes; return the events that are complete with them.
+
+        A terminator ends within the added bytes, so that only these are
+        searched, and an event in many small parts costs no more than a whole.
+        """
+        start = max(0, len(self.data) - LONGEST_TERMINATOR + 1)
+        self.data += data
+        end = 0
+        for terminator in EVENT_TERMINATORS:
+            found = self.data.rfind(terminator, start)
+            if found >= 0:
+                end = max(end, found + len(terminator))
+        events = bytes(self.data[:end])
+        del self.data[:end]
+        return events
 
 
 def last_event_id(events):
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,6 +1,7 @@
 """Responses of servers that never end, or never begin."""
 
 import itertools
+import time
 
 import pytest
 import pytest_twisted
@@ -10,7 +11,7 @@
 from twisted.internet import defer, reactor, task
 
 from hyssopspring.entry import largebodies
-from hyssopspring.entry.attempts import BodyCollector
+from hyssopspring.entry.attempts import BodyCollector, _EventReader
 from hyssopspring_fakes.streamscripts import (
     Ending,
     Framing,
@@ -203,3 +204,20 @@
     ended = [await one for one in map(defer.ensureDeferred, asked)]
     assert {status for status, _, _ in ended} <= {502, 504}
     assert_that(max(held), LessThan(11 * MEGABYTE))
+
+
+def seconds_for(size):
+    """Return the processor time of an event in *size* parts of a byte."""
+    taken = []
+    for _ in range(3):
+        reader = _EventReader(lambda events: None)
+        began = time.process_time()
+        for _ in range(size):
+            reader.dataReceived(b"x")
+        taken.append(time.process_time() - began)
+    return min(taken)
+
+
+def test_an_event_in_small_parts_costs_no_more_for_each():
+    """Guards against a server that holds up all requests of a host."""
+    assert_that(seconds_for(160_000) / seconds_for(20_000), LessThan(24))
