Test: a stopping host's 502 bears a server's signature (fails)

Callers saw: a 502 of the host with the headers of a server, among them X-Response-Stamp, though the server had answered 200.

Cause: as the head of a stream arrives, its headers are set on the caller's request, while nothing is sent before the first event. A stop that ends the request then writes its own refusal with these headers. Class: the head of a response is taken for one that has been sent.

Not mended here.

--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -21,6 +21,8 @@
     GreaterThan,
     HasLength,
     LessThan,
+    Not,
+    StartsWith,
 )
 from twisted.internet import defer, reactor
 from twisted.internet.error import ConnectError
@@ -35,6 +37,11 @@
 from hyssopspring.net.clients import read_body
 from hyssopspring.records import cause_of, read_records
 from hyssopspring_fakes.soakfleet import SoakFleet
+from hyssopspring_fakes.streamscripts import (
+    Ending,
+    StreamScript,
+    numbered_events,
+)
 
 APPLY_SECONDS = 4.0
 """Seconds in which every host must apply a change."""
@@ -103,6 +110,23 @@
     assert_that([502, 504], Contains(status))
 
 
+@pytest_twisted.ensureDeferred
+async def test_an_error_of_a_stopping_host_has_no_signature_of_a_server(hosts):
+    """Guards against a 502 with the headers of a stream that never began."""
+    hosts.backends["engine-north"].script = StreamScript(
+        events=numbered_events(1), cut_at=0, ending=Ending.SILENCE
+    )
+    process, stopped = begin_stop(hosts, "h-north")
+    await pause(1.0)
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    caller.send("/review/a", headers="".join(PROMPT_LINES))
+    received = await caller.receive(4.0)
+    await stopped
+    assert_that(received, StartsWith(b"HTTP/1.1 502 "))
+    assert_that(received, Not(Contains(b"X-Response-Stamp")))
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_line_names_what_a_request_waited_for_as_its_host_ended(hosts):
     """Guards against a request that ends with its host without a trace."""
