Forget the work of a former incarnation whoever names the new one first

A host that was killed and back before its heartbeats were missed was told apart from its former process only if its own heartbeat came first. If the store or a roster named the new incarnation before, the first heartbeat matched: its former work still counted as in progress, and it was not sent the state that it needs at once, without which it rejects requests that its own region cannot serve.

Cause: handle_heartbeat compared the heartbeat with the list of members only, which others update as well. Found by reading; no caller was seen to be harmed by it.

Change: Membership keeps the incarnation of the last heartbeat of each host and treats the first one of another incarnation as a restart.

test_work_of_a_host_that_the_store_names_anew_is_forgotten failed before ([] != ['north-0']) and passes. tests/test_rosters.py, test_members.py and test_remotehosts.py pass.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -140,6 +140,7 @@
         self.remote_contacts = []
         self.relayed_regions = set()
         self.previously_live = set()
+        self.heard = {}
         self.rosters = Rosters(members, datagrams, clock)
         self.handlers = {
             Heartbeat: self.handle_heartbeat,
@@ -402,7 +403,8 @@
         for name in live - self.previously_live:
             self.timeline.note(EventKind.PEER_SEEN, peer=name)
         self.previously_live = live
-        self.members.remove_silent(now, FORGET_HOST_SECONDS)
+        for member in self.members.remove_silent(now, FORGET_HOST_SECONDS):
+            self.heard.pop(member.name, None)
 
     def remote_hosts_to_notify(self):
         """Return the remote hosts to notify if this host places, else none."""
@@ -436,16 +438,16 @@
     def handle_heartbeat(self, message):
         """Record that a host is up, and the state that it reports."""
         now = self.clock.seconds()
-        member = self.members.others.get(message.host)
-        if member is None or message.incarnation != member.incarnation:
+        known = self.members.others.get(message.host)
+        if known is None or message.incarnation != known.incarnation:
             self.members.add(member_from_entry(message), announced_at=now)
-            learned = self.members.others.get(message.host)
-            if learned is not member:
-                member = learned
-                self.placer.forget_host(message.host, now)
-                self.send_initial_state(member)
+        member = self.members.others.get(message.host)
         if member is None or message.incarnation != member.incarnation:
             return
+        if member is not known or self.has_restarted(member):
+            self.placer.forget_host(message.host, now)
+            self.send_initial_state(member)
+        self.heard[member.name] = member.incarnation
         member.last_heartbeat_at = now
         leaves = message.leaving and not member.leaving
         subscribes = (
@@ -476,6 +478,14 @@
             self.send_remote_rosters([member], now)
         self.relay_new_regions(now)
 
+    def has_restarted(self, member):
+        """Return whether the last heartbeat was of another incarnation.
+
+        The store or a roster may have named the new one before.
+        """
+        last = self.heard.get(member.name, member.incarnation)
+        return last != member.incarnation
+
     def announce_leaving(self, member, now):
         """Announce at once that a host is shutting down.
 
