Send learned speeds anew to a candidate that has restarted

The host that would place next gets the learned speeds of servers from the one that places. If it restarts under its name and stays the candidate, what it had been sent counted as known: it got four rows a heartbeat in turn, and would have placed by wrong speeds meanwhile.

Cause: SpeedHandover compared recipients by name. Found by reading; a region of two hosts shows it, in larger ones another host is the candidate in between, and what was sent is forgotten.

Change: the recipient is the identifier of the incarnation.

The bound of 16 rows in a heartbeat is unchanged.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -219,7 +219,7 @@
         now = self.clock.seconds()
         speeds = []
         if contacts and self.is_placing(now):
-            speeds = self.speed_handover.rows(contacts[0].name, now)
+            speeds = self.speed_handover.rows(contacts[0].id, now)
         reports = (
             (
                 contacts[:1],
--- a/src/hyssopspring/traffic/speedhandover.py
+++ b/src/hyssopspring/traffic/speedhandover.py
@@ -43,7 +43,8 @@
         """Return the rows for the next heartbeat to *recipient*.
 
         Args:
-            recipient: Name of the host that would take over.
+            recipient: Identifier of the incarnation of the host that would
+                take over.
             now: The time.
 
         Returns:
