Take a close after a mere blank line for a broken stream

What callers saw: 502 with "internal_error" for a stream without a length or chunks, whose server sent a line break and closed.

Cause: the body counted as complete, though without an event, and the check whether it may have been truncated compared the missing time of its first event.

Why it works: such a close comes before the first event, which is no end, as with an empty body; the request may be repeated as its route allows.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -601,7 +601,7 @@
         A close before the first event is no end: a server that fails as it
         begins looks the same.
         """
-        if by_close and not self.size:
+        if by_close and self.size == len(self.buffer):
             return False
         return not self.buffer.strip(b"\r\n")
 
