Soak: allow a stop to end a response that outlasts it

Trace: ended_by_stop names the request, 4.46 of 5.0 s after the signal, with its server at work; it had been sent 2.5 s after the signal. The users' rule allows this: a response may be broken off in the last sixth of the time of a stop if its request came within 3 s of the signal. The check excused the last 0.5 s only.

Change: the check has the bounds of that rule, and both are tested: a request sent 3.1 s after the signal, and a response that ends before the last sixth, are still violations.

--- a/src/hyssopspring_fakes/soakpauses.py
+++ b/src/hyssopspring_fakes/soakpauses.py
@@ -51,6 +51,11 @@
 TIMEOUT_MARGIN = 0.5
 """Seconds by which a host may end a request before its timeout."""
 
+LAST_SHARE = 1 / 6
+LATEST_SENT = 3.0
+"""Last share of the time of a stop in which a response may be broken off, if
+its request was sent at most so many seconds after the signal."""
+
 CALLED = (*[(*PAUSED_SERVICES, STREAM_SERVICE)] * 14, *[ENDLESS_SERVICES] * 2)
 """Services that each caller asks for."""
 
@@ -306,6 +311,8 @@
         return ""
     if is_excused(asked, allowed) or is_disturbed(one):
         return ""
+    if outlasts_stop(asked, allowed):
+        return ""
     if asked.whole and asked.status < 500:
         return ""
     took = asked.ended - asked.sent
@@ -314,6 +321,18 @@
     return "GIVEN-UP"
 
 
+def outlasts_stop(asked, allowed):
+    """Return whether a response ran on until its process had to end it.
+
+    Args:
+        asked: The `Asked`.
+        allowed: Seconds in which a process ends after a stop signal.
+    """
+    stopped = asked.life.stopped
+    latest = stopped + allowed * (1 - LAST_SHARE)
+    return asked.sent <= stopped + LATEST_SENT and asked.ended >= latest
+
+
 def is_disturbed(one):
     """Return whether a process that served a request may have broken it off.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -265,6 +265,9 @@
         ("", 200, {"carrier": SUSPENDED}),
         ("", 200, {"carrier": KILLED}),
         ("", 200, {"service": "endless"}),
+        ("GIVEN-UP", 200, {"life": {"stopped": 9.9, "ended": 15.0}}),
+        ("", 200, {"life": {"stopped": 10.1, "ended": 15.0}, "ended": 14.4}),
+        ("GIVEN-UP", 200, {"life": {"stopped": 10.1}, "ended": 14.2}),
         ("", 200, {"ended": 18.0}),
     ],
 )
