Test that streams of unlisted starts are resumed nowhere

The merge of the fallback for unknown streams with the confirmation of starts would have let such a stream go on at the listed version: the host that began it recorded nothing, and no host knew it.

--- a/tests/test_versionexchange.py
+++ b/tests/test_versionexchange.py
@@ -116,3 +116,15 @@
         record = StreamRecord(origin, network.clock.seconds())
         records.add(stream_of(ATTEMPT), record)
     assert_that(resume(network, "north-0"), Equals(NOTHING))
+
+
+def test_a_stream_of_an_unlisted_start_has_no_version(network):
+    """Guards against a stream that goes on at the version of a former start.
+
+    Its server had started again, with a version that no list shows.
+    """
+    began_at = network.hosts["south-0"].stream_origins
+    began_at.record(ATTEMPT, "s", "")
+    network.run(1.0)
+    for name in ("south-0", "north-0"):
+        assert_that(resume(network, name), Equals(NOTHING))
