Test: keep what a held request waits for

Cause, in the test: the check is replaced by a function that returns a deferred to which nothing else refers. The coroutine that awaits it is then garbage, and if it is collected before the host ends, its finally clause forgets that an attempt was made. In the product such a wait is held by a timer or a connection.

Ruled out: load of the machine, and the end of the call itself.

Change: the test keeps the deferred, and collects garbage before the stop, so that the outcome no longer depends on when that happens. Three other waits that were replaced in the same way keep theirs. No check is changed.

--- a/tests/test_gatewaystop.py
+++ b/tests/test_gatewaystop.py
@@ -1,5 +1,6 @@
 """Requests at a gateway that is told to stop."""
 
+import gc
 import subprocess
 import sys
 
@@ -102,7 +103,9 @@
     """Let no check of a server that gave no valid answer end."""
     set_faults(fleet, "dar", garbage=True)
     detector = fleet.gateways["dar-0"].state.crash_detector
-    detector.check_attempt = lambda *_: defer.Deferred()
+    # Without a reference to it, the waiting coroutine may be collected.
+    endless = defer.Deferred()
+    detector.check_attempt = lambda *_: endless
 
 
 async def hold_at_limit(fleet):
@@ -118,7 +121,8 @@
     """Let the claim of a key never end."""
     claims = fleet.gateways["dar-0"].claims
     claims.owner = lambda shard: NOTHING
-    claims.submit = lambda record, within: defer.Deferred()
+    endless = defer.Deferred()
+    claims.submit = lambda record, within: endless
 
 
 HOLDERS = {
@@ -140,6 +144,7 @@
     held = await hold(fleet)
     asked = defer.ensureDeferred(caller.complete("dar-0", headers=ONCE))
     await pause(0.3)
+    gc.collect()
     gateway, stopped = begin_stop(fleet, "dar-0")
     await stopped
     _, headers, body = await asked
@@ -343,8 +348,9 @@
     fleet, is_held, status
 ):
     """Guards against a write whose operator cannot tell whether it counts."""
+    endless = defer.Deferred()
     if is_held:
-        fleet.admin.api.wait_verdict = lambda *_: defer.Deferred()
+        fleet.admin.api.wait_verdict = lambda *_: endless
     text = "models:\n  small-draft: {}\n"
     asked = defer.ensureDeferred(fleet.put("20-more.yaml", text))
     await fleet.until(lambda: fleet.platform.store.current(FILE_KEY))
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -398,7 +398,8 @@
 async def test_a_relayed_request_that_waits_is_refused_as_its_host_ends(hosts):
     """Guards against an unknown outcome of a request that nothing ran."""
     process = hosts.processes["h-south"]
-    process.coordinator.place = lambda ask: defer.Deferred()
+    endless = defer.Deferred()
+    process.coordinator.place = lambda ask: endless
     asked = relay_to(hosts, process)
     await hosts.until(lambda: process.relay.relayed)
     _, stopped = begin_stop(hosts, "h-south")
