Go on with the first attempt if the second cannot be placed

What callers saw: a stream whose server was silent for more than a second was cut if the placement of a second attempt raised an unexpected error, although the server went on 0.6 s later.

Cause: Hedging.check passed such an error to Exchange.handle_error, which abandons the running attempt. Errors after the placement were passed to Hedging.handle_error, which only logs them. Besides, is_placing stayed set, so that no other placement was asked for. Class: something that works is abandoned for something that is only expected to work.

Change: the error is logged, the first attempt goes on, and the next placement may be asked for after the usual interval.

Result: the new test failed before (response cut) and passes, as do test_silentservers.py, test_hedgeends.py and test_unanswered.py (39 tests together).

--- a/src/hyssopspring/entry/hedging.py
+++ b/src/hyssopspring/entry/hedging.py
@@ -45,7 +45,7 @@
             self.is_placing = True
             self.next_at = now + HEDGE_INTERVAL_SECONDS
             work = defer.ensureDeferred(self.place(current))
-            work.addErrback(self.exchange.handle_error)
+            work.addErrback(self.handle_error)
 
     async def place(self, silent):
         """Place the second attempt, and start it if it is still needed.
@@ -54,10 +54,12 @@
             silent: The `Try` whose server is silent.
         """
         last_data = silent.last_data
-        number, decision = await self.state.coordinator.place(
-            self.exchange.ask()
-        )
-        self.is_placing = False
+        try:
+            number, decision = await self.state.coordinator.place(
+                self.exchange.ask()
+            )
+        finally:
+            self.is_placing = False
         found = isinstance(decision, Placed | PlacedRemotely)
         needed = silent.in_progress and silent.last_data == last_data
         if found and needed and self.exchange.spend_retry():
