End a request whose check fails, and check the others

What callers saw: requests at a silent server got no answer after their time limit of 1.5 s if the periodic check of one other request raised an error.

Cause: CallerApi.check goes through all requests in one call, and an error with one of them skips the rest, at each check anew. Without checks there is neither a deadline nor a second attempt. Class: errors that leave a request to its connection.

Change: the request whose check fails is ended with 502, as after any other unexpected error, and the others are checked.

Result: the new test failed before (four requests, none answered within 4 s) and passes (one 502, three 504).

--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -1,5 +1,7 @@
 """HTTP interface for callers."""
 
+from twisted.python.failure import Failure
+
 from ..core.events import EventKind
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
@@ -235,7 +237,10 @@
         if self.unverified_queue.waiting:
             self.check_unverified(now)
         for exchange in list(self.exchanges):
-            exchange.check(now)
+            try:
+                exchange.check(now)
+            except Exception:  # noqa: BLE001 - all are logged
+                exchange.handle_error(Failure())
 
     def check_unverified(self, now):
         """Serve or deny the requests that wait for verification."""
--- a/tests/test_requesterrors.py
+++ b/tests/test_requesterrors.py
@@ -2,7 +2,7 @@
 
 import pytest_twisted
 from test_silentservers import EVENTS, silence, stream
-from test_unanswered import error_is_logged, fail
+from test_unanswered import answer_to, error_is_logged, fail
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 from twisted.internet import defer
@@ -20,3 +20,19 @@
     monkeypatch.setattr(coordinator, "place", fail)
     assert_that(await streaming, Equals((200, EVENTS)))
     await error_is_logged(hosts)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_error_of_one_check_spares_other_requests(hosts, monkeypatch):
+    """Guards against an error of one request that lifts other time limits."""
+    callers = hosts.processes["h-north"].callers
+    hosts.backends["plain-north"].mood = "silent"
+    answers = [
+        defer.ensureDeferred(answer_to(hosts, "", "/post/a")) for _ in range(4)
+    ]
+    await hosts.until(lambda: len(callers.exchanges) == 4)
+    monkeypatch.setattr(next(iter(callers.exchanges)), "check", fail)
+    found = await defer.gatherResults(answers)
+    statuses = sorted(answer[9:12] for answer in found)
+    assert_that(statuses, Equals([b"502", b"504", b"504", b"504"]))
+    await error_is_logged(hosts)
