Read a newer version from another region without waiting for a heartbeat

Cause: a region that has missed a version reads it from another region once that region has been ahead for 1.5 s, but looked at this only when a heartbeat of it arrived. These are up to 2 s apart, so the read began up to 4 s after the loss, and two seconds later for each heartbeat lost in between. In the first seconds after a start, exchanges of version histories add heartbeats; these hide it in most runs of the test.

Change: the host keeps the remote host that is ahead, and checks each 0.1 s whether to read it. One report leads to at most one read, as before.

The new test lets one heartbeat arrive only; it waited too long before the change and passes now.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -71,8 +71,9 @@
 __all__ = ["EntryProcess", "run_command"]
 
 CHECK_INTERVAL_SECONDS = 0.1
-"""Interval between checks of the requests in progress; a request is answered
-at most this long after its deadline."""
+"""Interval between checks of the requests in progress and of reads from other
+regions that are due; a request is answered at most this long after its
+deadline."""
 
 LOG_FLUSH_INTERVAL_SECONDS = 0.25
 """Interval between writes of log lines."""
@@ -408,6 +409,7 @@
         self.repeat(TRANSFER_INTERVAL_SECONDS, self.limiter.tick)
         self.repeat(CHECK_INTERVAL_SECONDS, self.callers.check)
         self.repeat(CHECK_INTERVAL_SECONDS, self.relay.check)
+        self.repeat(CHECK_INTERVAL_SECONDS, self.store_sync.replication.check)
         self.repeat(LOG_FLUSH_INTERVAL_SECONDS, self.log_writer.flush)
         self.timeline.note(
             EventKind.STARTED,
--- a/src/hyssopspring/entry/replication.py
+++ b/src/hyssopspring/entry/replication.py
@@ -43,8 +43,9 @@
 
 REMOTE_READ_DELAY_SECONDS = 1.5
 """Time for which a host of another region must have a newer configuration
-before its snapshot is read. The store brings a change much sooner, unless it
-has lost the change in a restore."""
+before its snapshot is read. Of the snapshot only the configuration matters
+here. The store brings a change much sooner, unless it has lost the change in a
+restore."""
 
 MAX_NEIGHBOURS_READ = 2
 """Hosts of its region, besides seeds, that a starting host reads from."""
@@ -112,6 +113,7 @@
         self.fetch_due = 0.0
         self.newest_reported_version = 0
         self.newest_reported_at = 0.0
+        self.remote_ahead = NOTHING
 
     def broadcast_changes(self, prefix, changes, outage):
         """Broadcast changes from a watch to the hosts of the region.
@@ -263,14 +265,32 @@
         rejects, would keep an old configuration.
         """
         self.record_behind(member)
+        if member.region != self.state.members.own.region:
+            if member.version > self.state.keeper.version:
+                self.remote_ahead = member
+                self.check()
+            return
         if self.fetching:
             return
+        if self.is_neighbour_due(self.state.clock.seconds()):
+            self.fetching = True
+            self.spawn(self.read_host(member.relay))
+
+    def check(self):
+        """Read a host of another region once this is due.
+
+        Its heartbeats are too far apart to wait for the next one, which may
+        also be lost.
+        """
+        member = self.remote_ahead
+        if member is NOTHING or self.fetching:
+            return
+        if member.version <= self.state.keeper.version:
+            self.remote_ahead = NOTHING
+            return
         now = self.state.clock.seconds()
-        if member.region == self.state.members.own.region:
-            due = self.is_neighbour_due(now)
-        else:
-            due = self.is_remote_due(member, now)
-        if due:
+        if now - self.newest_reported_at > REMOTE_READ_DELAY_SECONDS:
+            self.remote_ahead = NOTHING
             self.fetching = True
             self.spawn(self.read_host(member.relay))
 
@@ -284,17 +304,6 @@
         self.fetch_due = 0.0
         return True
 
-    def is_remote_due(self, member, now):
-        """Return whether to read a host of another region.
-
-        Of its snapshot only the configuration matters here, which the store
-        may have lost.
-        """
-        return (
-            member.version > self.state.keeper.version
-            and now - self.newest_reported_at > REMOTE_READ_DELAY_SECONDS
-        )
-
     async def start(self):
         """Read other hosts' snapshots, to start without the store.
 
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -10,6 +10,7 @@
 
 from hyssopspring.core.revisions import era_of, join_revision
 from hyssopspring.core.sentinels import NOTHING
+from hyssopspring.entry.messages import Heartbeat
 from hyssopspring.entry.mirrors import CARRIED_SECONDS, Changes
 from hyssopspring.stores.keyvalues import Entry
 from hyssopspring.traffic.routes import Configuration
@@ -262,13 +263,7 @@
         hosts.processes[f"h-{name}"] for name in ("north", "south")
     )
     await lose(hosts, 5, version=5)
-    mirror = south.store_sync.operator
-    mirror.entries["op/config"] = Entry(
-        "op/config", json.dumps(configuration(1)).encode(), 1
-    )
-    south.keeper.current = NOTHING
-    south.keeper.offer(Configuration(version=1))
-    south.members.own.version = 1
+    put_older_version_in_force(south)
     await hosts.until(lambda: south.keeper.version == 5, within=APPLY_SECONDS)
     south.log_writer.flush()
     applied = [
@@ -280,6 +275,38 @@
     assert_that(north.keeper.version, Equals(5))
 
 
+@pytest_twisted.ensureDeferred
+async def test_one_report_is_enough_to_take_a_lost_version(hosts):
+    """A region waits for a second heartbeat of the region that is ahead.
+
+    Heartbeats between regions are two seconds apart, and any may be lost.
+    """
+    south = hosts.processes["h-south"]
+    await lose(hosts, 5, version=5)
+    handle = south.membership.handlers[Heartbeat]
+    passed = []
+
+    def pass_first(message):
+        if not passed:
+            passed.append(message)
+            handle(message)
+
+    put_older_version_in_force(south)
+    south.membership.handlers[Heartbeat] = pass_first
+    await hosts.until(lambda: south.keeper.version == 5, within=APPLY_SECONDS)
+    assert_that([message.version for message in passed], Equals([5]))
+
+
+def put_older_version_in_force(process):
+    """Have a host that missed the lost version 5 keep version 1."""
+    process.store_sync.operator.entries["op/config"] = Entry(
+        "op/config", json.dumps(configuration(1)).encode(), 1
+    )
+    process.keeper.current = NOTHING
+    process.keeper.offer(Configuration(version=1))
+    process.members.own.version = 1
+
+
 def is_leaving(process, server_id):
     """Whether a host knows that a server leaves."""
     return process.registry.usability(server_id, 0.0) is Usability.LEAVING
