Check running requests whatever happens to waiting ones

What callers would have seen: after an unexpected error while a request that waits for a configuration or its verification is refused, that request gets no response until its host ends, and no running request is held to its deadline any more.

Cause: the periodic check refuses expired requests first and runs the others only if that raises nothing, and a request that is taken from the queue is refused without the guard that its admission has. Class: an error with one request that reaches others.

Change: running requests are checked first, and a queued one is refused under the guard, which responds with 502.

Elsewhere: the check of relayed requests has the same loop; it is open, as its sender enforces the deadline as well.

Result: both tests failed before (no response within 4 s) and pass.

--- a/src/hyssopspring/entry/callers.py
+++ b/src/hyssopspring/entry/callers.py
@@ -56,13 +56,13 @@
             state.clock,
             MAX_STARTUP_WAIT_SECONDS,
             self.serve_queued,
-            self.refuse_starting,
+            lambda request: request.guard(self.refuse_starting),
         )
         self.unverified_queue = HoldingQueue(
             state.clock,
             MAX_VERIFICATION_SECONDS,
             self.serve_queued,
-            self.refuse_unverified,
+            lambda request: request.guard(self.refuse_unverified),
         )
 
     def handle(self, request):
@@ -233,14 +233,14 @@
     def check(self):
         """Enforce the time limits of queued requests and of those running."""
         now = self.state.clock.seconds()
-        self.startup_queue.refuse_expired(now)
-        if self.unverified_queue.waiting:
-            self.check_unverified(now)
         for exchange in list(self.exchanges):
             try:
                 exchange.check(now)
             except Exception:  # noqa: BLE001 - all are logged
                 exchange.handle_error(Failure())
+        self.startup_queue.refuse_expired(now)
+        if self.unverified_queue.waiting:
+            self.check_unverified(now)
 
     def check_unverified(self, now):
         """Serve or deny the requests that wait for verification."""
--- a/tests/test_requesterrors.py
+++ b/tests/test_requesterrors.py
@@ -5,7 +5,7 @@
 from test_unanswered import answer_to, error_is_logged, fail
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
-from twisted.internet import defer
+from twisted.internet import defer, reactor
 
 
 @pytest_twisted.ensureDeferred
@@ -36,3 +36,34 @@
     statuses = sorted(answer[9:12] for answer in found)
     assert_that(statuses, Equals([b"502", b"504", b"504", b"504"]))
     await error_is_logged(hosts)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_error_of_a_refusal_spares_other_requests(hosts, monkeypatch):
+    """Guards against requests that wait to start and get no response."""
+    process = hosts.processes["h-north"]
+    queue = process.callers.startup_queue
+    monkeypatch.setattr(
+        process.caller_site,
+        "handle",
+        lambda request: queue.enqueue(request, reactor.seconds()),
+    )
+    monkeypatch.setattr(process.callers, "refuse", fail)
+    answers = [
+        defer.ensureDeferred(answer_to(hosts, "", "/post/a")) for _ in range(3)
+    ]
+    found = await defer.gatherResults(answers)
+    statuses = [answer[9:12] for answer in found]
+    assert_that(statuses, Equals([b"502"] * 3))
+    await error_is_logged(hosts)
+
+
+@pytest_twisted.ensureDeferred
+async def test_an_error_of_a_queue_spares_running_requests(hosts, monkeypatch):
+    """Guards against requests that run past their time limit."""
+    callers = hosts.processes["h-north"].callers
+    hosts.backends["plain-north"].mood = "silent"
+    monkeypatch.setattr(callers.startup_queue, "refuse_expired", fail)
+    answer = await answer_to(hosts, "", "/post/a")
+    assert_that(answer[9:12], Equals(b"504"))
+    await error_is_logged(hosts)
