Test: count streams of callers, not runs of servers

What was seen: begin_long_streams once waited too long beside a load of 26.

Cause, likely and not reproduced: it waited until the runs of all engines were exactly 40. A stream whose server is silent for a second runs at two engines, and the sum may pass 40 between two looks.

Change: it counts the callers whose streams an engine has run, with the same time limit and the same number.

--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -211,15 +211,25 @@
     assert_that(whole / len(callers), GreaterThan(GOAL))
 
 
+def callers_served(hosts):
+    """Return the names of the callers whose streams engines have run.
+
+    A hedged stream runs at two engines.
+    """
+    return {
+        identifier.rpartition("-")[0]
+        for backend in engines(hosts)
+        for identifier in backend.ran
+    }
+
+
 async def begin_long_streams(hosts, host="h-north"):
     """Let streams run for a while; return each `Caller` and their end."""
     for backend in engines(hosts):
         backend.gap = 0.1
     callers = [Caller(hosts, number) for number in range(STREAMS)]
     ended = defer.ensureDeferred(all_of(one.call(host) for one in callers))
-    await hosts.until(
-        lambda: sum(len(backend.ran) for backend in engines(hosts)) == STREAMS
-    )
+    await hosts.until(lambda: len(callers_served(hosts)) == STREAMS)
     await task.deferLater(reactor, 0.25)
     return callers, ended
 
