Show streams joined from two versions after a kill of all hosts

Cause: it was reported that streams which callers resume after all hosts were killed at once are joined from two software versions, and that such streams are refused while both versions serve.

No logic is changed.

--- /dev/null
+++ b/tests/test_versionsafterkill.py
@@ -0,0 +1,83 @@
+"""Streams that are resumed after all hosts were killed at once."""
+
+import pytest_twisted
+from entry_hosts import configuration
+from test_streamversions import (
+    all_of,
+    begin_streams,
+    check_streams,
+    end_host,
+    versions,
+)
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from twisted.internet import reactor, task
+
+HOSTS = (
+    ("h-north", "north", 0),
+    ("h-south", "south", 1),
+    ("h-north-2", "north", 2),
+    ("h-north-3", "north", 3),
+    ("h-south-4", "south", 4),
+)
+TIMEOUT = 1.0
+"""Seconds for which the route lets one attempt last."""
+
+DOWN_SECONDS = 0.8
+
+__all__ = ["versions"]
+
+
+async def kill_all(hosts):
+    """End all hosts at once; start them again under their names."""
+    for name, _, _ in HOSTS:
+        await end_host(hosts, name)
+    await task.deferLater(reactor, DOWN_SECONDS)
+    for name, region, number in HOSTS:
+        hosts.add_host(name, region, number)
+    await hosts.settled()
+
+
+async def set_timeout(hosts):
+    """Let one attempt of a stream last for `TIMEOUT`."""
+    quote = {"max_attempts": 1, "timeout_ms": int(TIMEOUT * 1000)}
+    hosts.store.put_json("op/config", configuration(3, quote=quote))
+    await hosts.until(
+        lambda: all(
+            one.keeper.version == 3 for one in hosts.processes.values()
+        )
+    )
+
+
+async def leave(hosts, version):
+    """Let the servers of a version leave."""
+    for name, backend in list(hosts.backends.items()):
+        if name.startswith("engine") and backend.version == version:
+            hosts.store.remove(f"servers/{name}")
+    await hosts.until(
+        lambda: all(
+            version not in one.registry.listed_versions("engine")
+            for one in hosts.processes.values()
+        )
+    )
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_late_caller_gets_no_other_version(versions):
+    """Guards against a version inferred from what is listed since a start."""
+    callers = await begin_streams(versions)
+    await set_timeout(versions)
+    await leave(versions, "v1")
+    await kill_all(versions)
+    await task.deferLater(reactor, TIMEOUT + 1.0)
+    await all_of(one.call("h-north") for one in callers)
+    assert_that(sum(one.is_mixed for one in callers), Equals(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_streams_of_two_versions_outlast_all_hosts(versions):
+    """Guards against streams that end with the hosts that know them."""
+    callers = await begin_streams(versions)
+    await kill_all(versions)
+    await all_of(one.call("h-north") for one in callers)
+    check_streams(callers)
