Keep the versions that each service has ever had in the store

What callers saw: after a kill of all hosts, streams of services with one software version were refused, though new ones began (LOST).

Cause: a host that has just started knows what is listed, not which versions have left before, and no other host remembers. So it can prove nothing.

Change: one key without a lease holds all versions that each service has ever had. It is read with the listing of the hosts at a start, written by the first host of each region when a version appears, with a condition on its revision, and anew after a restore. A key of an earlier era proves nothing to hosts that start later. The line of a resumed stream says what proves its version, or what is missing. The reading of the own keys has moved from storesync and process to storedrecords.

Why it works: the key is complete from the first start of the deployment, a version that is listed at a start is added, and one that left while all hosts were down is in it.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -38,7 +38,6 @@
 from .coordinator import PlacementCoordinator
 from .crashdetection import CrashDetector
 from .crashsharing import CrashSharing
-from .crashstore import CrashStore
 from .datagrams import MAX_DATAGRAM_BYTES, DatagramEndpoint
 from .hostentries import own_member
 from .limiting import (
@@ -62,6 +61,7 @@
 from .startmessages import ServerStartsMessage
 from .state import EntryState
 from .stopping import STOPPING_TEXT, Stopping
+from .storedrecords import StoredRecords
 from .storesync import StoreSync
 from .streamorigins import StreamOrigins
 from .views import ConfirmedView, ViewVerifier
@@ -215,7 +215,7 @@
             self.reactor,
             self.timeline,
             lambda: self.membership.remote_hosts_to_notify(),
-            lambda suspect: self.crash_store.save(suspect),
+            lambda suspect: self.stored.crashes.save(suspect),
         )
         contact = StoreContact(self.reactor, self.timeline)
         self.state = EntryState(
@@ -261,6 +261,8 @@
             ),
             stream_origins=StreamOrigins(
                 self.members,
+                self.registry.history,
+                contact,
                 self.datagrams,
                 self.reactor,
                 lambda member: self.datagrams.send(
@@ -304,15 +306,15 @@
             broadcast=lambda message: self.membership.broadcast_in_region(
                 message
             ),
-            on_crash_found=lambda entry: self.crash_store.load(entry),
+            on_records_read=lambda entries: self.stored.load(entries),
         )
-        self.crash_store = CrashStore(
+        self.stored = StoredRecords(
+            self.state,
             store,
             self.crashes,
-            self.reactor,
             self.wall,
-            self.timeline,
             self.store_sync.spawn,
+            self.store_sync.is_first_watching,
         )
         self.views = ViewVerifier(
             self.state.view,
@@ -358,7 +360,7 @@
     def on_store_restored(self, previous, era):
         """Write again what this host has written, and read what is left."""
         self.store_sync.on_restored(previous, era)
-        self.crash_store.on_restored()
+        self.stored.on_restored()
 
     def on_configuration_applied(self):
         """Announce the new version, and release requests held at the start."""
@@ -470,7 +472,7 @@
         self.views.tick()
         self.state.sharing.tick()
         self.state.notices.tick()
-        self.crash_store.tick()
+        self.stored.tick()
         self.state.stream_origins.tick()
         self.membership.send_heartbeats()
 
--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -9,7 +9,6 @@
 from ..stores.keyvalues import Applied
 from ..traffic.members import PLACER_WARMUP_SECONDS, STARTUP_DISCOVERY_SECONDS
 from ..traffic.servers import LeavingNotice
-from .crashstore import CRASHES_PREFIX, PARTS_PREFIX
 from .hostentries import MEMBERS_PREFIX, OWN_PREFIX, decode_host, encode_host
 from .mirrors import HistoryLostError, Mirror
 from .replication import Replication
@@ -60,8 +59,8 @@
         on_applied: Called when the configuration has changed.
         on_hosts_read: Called when the hosts in the store were read.
         broadcast: Called with a `StoreChange` for the hosts of the region.
-        on_crash_found: Called with the `Entry` of a request that crashes
-            servers.
+        on_records_read: Called with each `Entry` that hosts have written,
+            those of hosts aside.
     """
 
     def __init__(
@@ -72,14 +71,14 @@
         on_applied,
         on_hosts_read,
         broadcast,
-        on_crash_found,
+        on_records_read,
     ):
         self.state = state
         self.store = store
         self.layout = layout
         self.on_applied = on_applied
         self.on_hosts_read = on_hosts_read
-        self.on_crash_found = on_crash_found
+        self.on_records_read = on_records_read
         self.evacuated = set()
         self.lease = NOTHING
         self.renewed_at = NOTHING
@@ -534,24 +533,14 @@
             self.state.contact.record_failure(problem)
             return
         self.state.contact.record_reply()
-        hosts = [
-            entry
-            for entry in listing.entries
-            if entry.key.startswith(MEMBERS_PREFIX)
-        ]
-        self.hosts.replace(hosts, listing.revision)
+        hosts, records = [], []
         for entry in listing.entries:
-            if entry.key.startswith((CRASHES_PREFIX, PARTS_PREFIX)):
-                self.on_crash_written(entry)
+            is_host = entry.key.startswith(MEMBERS_PREFIX)
+            (hosts if is_host else records).append(entry)
+        self.hosts.replace(hosts, listing.revision)
+        self.on_records_read(records)
         self.on_hosts_read()
 
-    def on_crash_written(self, entry):
-        """Record a request or part that crashes servers."""
-        try:
-            self.on_crash_found(entry)
-        except ProtocolError as problem:
-            self.state.timeline.note(EventKind.CRASH_UNREADABLE, why=problem)
-
     def tick(self):
         """Do the periodic work."""
         now = self.state.clock.seconds()
--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -1,12 +1,16 @@
 """Exchange between hosts of the version that began each stream."""
 
+import enum
 from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
 from twisted.internet import defer
 
 from ..core.sentinels import NOTHING
-from ..traffic.members import STARTUP_DISCOVERY_SECONDS
+from ..traffic.members import (
+    MAX_CONTACT_AGE_SECONDS,
+    STARTUP_DISCOVERY_SECONDS,
+)
 from ..traffic.streamrecords import (
     CONFLICT,
     StreamRecord,
@@ -17,7 +21,7 @@
 from .streamhandover import StreamHandover
 from .streammessages import StreamAnswer, StreamQuery
 
-__all__ = ["FoundOrigin", "StreamOrigins"]
+__all__ = ["Evidence", "FoundOrigin", "StreamOrigins"]
 
 LOOKUP_SECONDS = 0.45
 """Seconds after which a lookup ends without a result. A round trip between
@@ -27,6 +31,19 @@
 """Seconds after which hosts that have not answered are asked again."""
 
 
+class Evidence(enum.StrEnum):
+    """How the version of a stream is known, or what is missing for it."""
+
+    RECORD = "record"
+    HISTORY = "history"
+    CONTRADICTION = "contradicting records"
+    NO_RECORD = "no record"
+    NO_ATTEMPT = "no record, first attempt not named"
+    SEVERAL_VERSIONS = "no record, several versions served"
+    NOT_LOADED = "no record, versions not read from the store"
+    NO_CONTACT = "no record, versions not current"
+
+
 @dataclass(frozen=True, slots=True)
 class FoundOrigin:
     """Result of a lookup.
@@ -35,15 +52,15 @@
         origin: Hash of service and version, or `CONFLICT` if it is not known.
         age: Seconds since the first event of the stream.
         source: Host that knew it, or an empty string.
+        evidence: The `Evidence`.
         unanswered: Number of hosts that did not answer in time.
-        contradicted: Whether hosts have stated different origins.
     """
 
     origin: int = CONFLICT
     age: float = 0.0
     source: str = ""
+    evidence: Evidence = Evidence.NO_RECORD
     unanswered: int = 0
-    contradicted: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -68,13 +85,17 @@
 
     Args:
         members: The `Members`.
+        history: The `VersionHistory`.
+        contact: The `StoreContact`.
         datagrams: The `DatagramEndpoint`.
         clock: The runtime's clock.
         announce: Called with a `Member`; makes this host known to it.
     """
 
-    def __init__(self, members, datagrams, clock, announce):
+    def __init__(self, members, history, contact, datagrams, clock, announce):
         self.members = members
+        self.history = history
+        self.contact = contact
         self.datagrams = datagrams
         self.clock = clock
         self.announce = announce
@@ -100,6 +121,7 @@
             version: Version of the server, or "" if it is not known. Such a
                 stream must not go on at a server of any version.
         """
+        self.history.add(service, version)
         now = self.clock.seconds()
         origin = origin_of(service, version) if version else CONFLICT
         record = StreamRecord(origin, now, own=True, source=self.host)
@@ -155,11 +177,35 @@
                     record.origin,
                     now - record.began_at,
                     record.source,
-                    contradicted=record.origin == CONFLICT,
+                    evidence_of(record.origin),
                 )
             )
         return self.start_lookup(StreamQuery(self.host, stream))
 
+    def find_single(self, service, found):
+        """Look up the only version that a service has ever had.
+
+        Args:
+            service: The service.
+            found: `FoundOrigin` of a stream of which no record is known.
+
+        Returns:
+            The `FoundOrigin` with that version, or without one and with what
+            is missing.
+        """
+        if not self.history.is_loaded:
+            return replace(found, evidence=Evidence.NOT_LOADED, unanswered=1)
+        version = self.history.single(service)
+        if not version:
+            return replace(found, evidence=Evidence.SEVERAL_VERSIONS)
+        if self.contact.age > MAX_CONTACT_AGE_SECONDS:
+            return replace(found, evidence=Evidence.NO_CONTACT)
+        return FoundOrigin(
+            origin_of(service, version),
+            source=self.host,
+            evidence=Evidence.HISTORY,
+        )
+
     def start_lookup(self, query):
         """Ask the hosts that may know; return a deferred of the result."""
         lookup = self.lookups.get(query.stream)
@@ -215,11 +261,15 @@
         lookup.waiting.discard(message.host)
         if message.origin != CONFLICT:
             self.keep_answer(message)
-            found = FoundOrigin(message.origin, message.age, message.host)
+            found = FoundOrigin(
+                message.origin, message.age, message.host, Evidence.RECORD
+            )
             self.end_lookup(lookup, found)
         elif message.age:
             # An answer without a record states no age.
-            self.end_lookup(lookup, FoundOrigin(contradicted=True))
+            self.end_lookup(
+                lookup, FoundOrigin(evidence=Evidence.CONTRADICTION)
+            )
         elif not lookup.waiting:
             self.end_lookup(lookup, FoundOrigin())
 
@@ -254,3 +304,9 @@
                 for reason, count in self.refused.items()
             },
         }
+
+
+def evidence_of(origin):
+    """Return the `Evidence` that a record with an origin is."""
+    is_useless = origin == CONFLICT
+    return Evidence.CONTRADICTION if is_useless else Evidence.RECORD
--- a/src/hyssopspring/entry/streamversion.py
+++ b/src/hyssopspring/entry/streamversion.py
@@ -3,7 +3,7 @@
 from ..core.outcomes import NotRun, Reason
 from ..core.sentinels import NOTHING
 from ..traffic.streamrecords import CONFLICT, origin_of
-from .streamorigins import FoundOrigin
+from .streamorigins import Evidence, FoundOrigin
 
 __all__ = ["StreamVersion"]
 
@@ -28,6 +28,8 @@
         service: Service that began a stream that the caller resumes, or an
             empty string.
         source: Host that knew the version.
+        evidence: The `Evidence` of a stream that the caller resumes, or
+            `NOTHING`.
         age: Seconds since the first event when the caller resumed the stream.
     """
 
@@ -39,6 +41,7 @@
         self.required = NOTHING
         self.service = ""
         self.source = ""
+        self.evidence = NOTHING
         self.age = 0.0
 
     @property
@@ -66,22 +69,31 @@
             A `NotRun` if the stream cannot go on, or `NOTHING`.
         """
         services = [share.service for share in self.route.services]
-        found = await self.look_up()
+        found = await self.look_up(services)
+        self.evidence = found.evidence
         if found.origin == CONFLICT:
             return self.refusal(Reason.VERSION_UNKNOWN, found.unanswered)
         self.source, self.age = found.source, found.age
         for service in services:
-            for version in self.registry.known_versions(service):
+            for version in self.registry.history.versions.get(service, ()):
                 if origin_of(service, version) == found.origin:
                     return self.use(service, version)
         # The list of this host may be behind.
         return self.refusal(Reason.VERSION_UNKNOWN, 1)
 
-    async def look_up(self):
-        """Return the `FoundOrigin` of the stream."""
-        if not self.metadata.first_attempt:
-            return FoundOrigin()
-        return await self.origins.find(self.metadata.first_attempt)
+    async def look_up(self, services):
+        """Return the `FoundOrigin` of the stream.
+
+        What no host knows, and a stream of which the caller does not name the
+        first attempt, has the only version that its service has ever had.
+        """
+        found = FoundOrigin(evidence=Evidence.NO_ATTEMPT)
+        if self.metadata.first_attempt:
+            found = await self.origins.find(self.metadata.first_attempt)
+        is_known = found.evidence in (Evidence.RECORD, Evidence.CONTRADICTION)
+        if is_known or len(services) > 1:
+            return found
+        return self.origins.find_single(services[0], found)
 
     def use(self, service, version):
         """Require a version; return a `NotRun` if no server has it."""
@@ -108,6 +120,8 @@
         if self.is_resumed_by_caller:
             found["resumes"] = self.metadata.first_attempt.decode("latin-1")
             found["after_event"] = self.metadata.last_event.decode("latin-1")
+        if self.evidence is not NOTHING:
+            found["stream_evidence"] = self.evidence
         if self.required is not NOTHING:
             found["stream_version"] = self.required
             found["stream_version_from"] = self.source
--- a/src/hyssopspring/platform/store.py
+++ b/src/hyssopspring/platform/store.py
@@ -298,6 +298,41 @@
             return NotApplied()
         return Applied(join_revision(era, decode(data, _Written).revision))
 
+    async def swap(self, key, value, revision):
+        """Write *key* without a lease if it has not changed.
+
+        Args:
+            key: The key.
+            value: Its new value.
+            revision: Revision of its last change; 0 if it must not exist.
+
+        Returns:
+            `Applied`, `NotApplied`, or `WriteUnknown` if no valid response
+            arrived.
+        """
+        row = {"key": key, "value": b64encode(value).decode(), "lease": 0}
+        expected = {"key": key, "revision": number_of(revision)}
+        body = {
+            "expected_revision": [expected],
+            "set_keys": [row],
+            "remove": [],
+        }
+        try:
+            status, data, era = await self.send(
+                "POST", "/v1/kv-txn", body, CALL_TIMEOUT_SECONDS
+            )
+            if status == CONFLICT:
+                items = decode(data, _Page).items
+                present = [one for one in items if one.revision]
+                return NotApplied(
+                    decode_item(present[0], era) if present else NOTHING
+                )
+            if status != 200:
+                return WriteUnknown(f"store returned status {status}")
+            return Applied(join_revision(era, decode(data, _Written).revision))
+        except KeyValueError as problem:
+            return WriteUnknown(str(problem))
+
     async def read(self, path, query, schema, timeout=CALL_TIMEOUT_SECONDS):
         """Return the decoded response to a read, and its era."""
         return await self.call(
--- a/src/hyssopspring/records.py
+++ b/src/hyssopspring/records.py
@@ -186,6 +186,9 @@
             f"its caller resumes {named[-1]['resumes']} after event "
             f"{named[-1]['after_event']}"
         )
+        evidence = named[-1].get("stream_evidence", "")
+        if evidence:
+            texts.append(f"its version is judged by: {evidence}")
     known = [one.details for one in records if "stream_version" in one.details]
     if known and (named or len(known) > 1):
         details = known[-1]
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -5,6 +5,7 @@
 
 from ..core.hashing import hash_text
 from ..core.sentinels import NOTHING
+from .versionhistory import VersionHistory
 
 __all__ = ["LeavingNotice", "Registry", "Server", "ServerEntry", "Usability"]
 
@@ -29,11 +30,6 @@
 seconds after its removal, and another host may list it for longer."""
 
 
-VERSION_RETENTION_SECONDS = 120.0
-"""Seconds for which a version is remembered after its last server is gone.
-Streams that it began may be resumed until then."""
-
-
 class Usability(enum.Enum):
     """Whether requests may be sent to a server."""
 
@@ -131,8 +127,7 @@
         servers: `Server` by identifier.
         removed_at: Time of the removal of each server that was removed
             recently and not listed since.
-        unlisted_at: Time at which the last server of a service and version
-            was removed or replaced, for recent ones.
+        history: The `VersionHistory` of all services.
     """
 
     def __init__(self, regions):
@@ -143,7 +138,7 @@
         self.candidate_cache = {}
         self.leaving_notices = {}
         self.leaving_digest = 0
-        self.unlisted_at = {}
+        self.history = VersionHistory()
 
     def put(self, entry, now):
         """Apply an entry of the registry.
@@ -160,8 +155,7 @@
         server = self.servers.get(entry.id)
         if server is not None and entry.born < server.entry.born:
             return False
-        if server is not None and entry.version != server.entry.version:
-            self.note_unlisted(server.entry, now)
+        self.history.add(entry.service, entry.version)
         is_new = server is None or entry.born > server.entry.born
         if is_new:
             region = self.regions.get(entry.data_centre, entry.data_centre)
@@ -208,7 +202,6 @@
             return
         del self.servers[server_id]
         self.removed_at[server_id] = now
-        self.note_unlisted(server.entry, now)
         self.candidate_cache.clear()
 
     def expire(self, now):
@@ -224,18 +217,12 @@
             for server_id, removed_at in self.removed_at.items()
             if now - removed_at <= REMOVAL_RETENTION_SECONDS
         }
-        self.unlisted_at = {
-            version: at
-            for version, at in self.unlisted_at.items()
-            if now - at <= VERSION_RETENTION_SECONDS
-        }
         gone = [
             server_id
             for server_id, server in self.servers.items()
             if is_terminated(server, now)
         ]
         for server_id in gone:
-            self.note_unlisted(self.servers[server_id].entry, now)
             del self.servers[server_id]
             self.removed_at[server_id] = now
         if gone:
@@ -351,17 +338,6 @@
             if server.entry.service == service
         }
 
-    def known_versions(self, service):
-        """Return the versions that a service has or has had recently."""
-        past = {
-            version for name, version in self.unlisted_at if name == service
-        }
-        return self.listed_versions(service) | past
-
-    def note_unlisted(self, entry, now):
-        """Record that a version of a service was listed until now."""
-        self.unlisted_at[entry.service, entry.version] = now
-
     def is_current_instance(self, server_id, instance_id):
         """Whether an instance of a server is the one that is listed here."""
         server = self.servers.get(server_id)
--- a/src/hyssopspring_fakes/metadata.py
+++ b/src/hyssopspring_fakes/metadata.py
@@ -233,8 +233,14 @@
             done.callback(None)
 
     def transact(self, request):
-        """Write keys under a lease."""
+        """Write keys if those that are expected have not changed."""
         body = msgspec.json.decode(request.content.read())
+        for row in body["expected_revision"]:
+            item = self.items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                found = [item] if item["revision"] else []
+                self.respond(request, 412, {"items": found})
+                return
         for row in body["set_keys"]:
             lease = row.get("lease", 0)
             if lease and lease not in self.leases:
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -7,6 +7,7 @@
 
 import random
 from collections import Counter
+from types import SimpleNamespace
 
 from twisted.internet import task
 
@@ -189,6 +190,8 @@
         )
         self.stream_origins = StreamOrigins(
             self.members,
+            self.registry.history,
+            SimpleNamespace(age=0.0),
             self.datagrams,
             network.clock,
             lambda member: self.datagrams.send(
