Read a history again that a restore has made old

Cause: a host that starts within a second of a restore read the versions of services before a host that outlasts it had written them anew, took them to have a gap, and wrote that to the store for good: all streams would have needed records from then on.

Change: a history of an earlier era is read once more 2 s later, and only then counts as having a gap. Records are packed sorted, in the layout of an array. A gauge has the records that wait to be written.

Result: test_a_host_that_starts_right_after_a_restore_waits failed before.

--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -386,6 +386,7 @@
         """Return the gauges of streams that callers resume, by name."""
         return {
             "stream_records": len(self.records),
+            "stream_records_unwritten": len(self.archive.pending),
             "streams_resumed_total": self.resumed,
             **{
                 f"streams_refused_{reason}_total": count
--- a/src/hyssopspring/entry/versionstore.py
+++ b/src/hyssopspring/entry/versionstore.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..core.events import EventKind
-from ..core.exceptions import UNDECODABLE, ProtocolError
+from ..core.exceptions import UNDECODABLE, KeyValueError, ProtocolError
 from ..core.sentinels import NOTHING
 from ..stores.keyvalues import Applied, NotApplied
 from .hostentries import OWN_PREFIX
@@ -21,6 +21,11 @@
 listing are written at once."""
 
 
+RECHECK_SECONDS = 2.0
+"""Seconds after which a history of an earlier era is read again. Hosts that
+have outlasted the restore write it anew by then."""
+
+
 class StoredVersions(msgspec.Struct, frozen=True):
     """Stored versions of all services.
 
@@ -97,12 +102,41 @@
                 f"invalid versions at {entry.key}: {problem}"
             ) from None
         self.stored = stored
-        is_outdated = stored.era < (self.store.era or 0)
-        unproven = is_outdated and not self.history.is_loaded
-        self.history.merge(stored.services, has_gap=stored.has_gap or unproven)
+        self.history.merge(stored.services, has_gap=stored.has_gap)
+
+    @property
+    def is_outdated(self):
+        """Whether the store was restored since the history was written."""
+        stored = self.stored
+        return stored is not NOTHING and stored.era < (self.store.era or 0)
 
     def on_listed(self):
-        """Trust the history, as the key was read or does not exist."""
+        """Trust the history if it is current or does not exist."""
+        if self.history.is_loaded:
+            return
+        if not self.is_outdated:
+            self.history.is_loaded = True
+            return
+        self.clock.callLater(RECHECK_SECONDS, self.recheck)
+
+    def recheck(self):
+        """Read the history again, unless that has been done meanwhile."""
+        if not self.history.is_loaded:
+            self.spawn(self.read_again())
+
+    async def read_again(self):
+        """Read the history again; what it may lack then remains unknown."""
+        try:
+            listing = await self.store.list(VERSIONS_KEY)
+            for entry in listing.entries:
+                self.load(entry)
+        except KeyValueError as problem:
+            self.timeline.note(EventKind.STREAMS_UNREADABLE, why=problem)
+            self.clock.callLater(RECHECK_SECONDS, self.recheck)
+            return
+        except ProtocolError as problem:
+            self.timeline.note(EventKind.STREAMS_UNREADABLE, why=problem)
+        self.history.has_gap |= self.is_outdated
         self.history.is_loaded = True
 
     def current(self):
--- a/src/hyssopspring/traffic/streamarchive.py
+++ b/src/hyssopspring/traffic/streamarchive.py
@@ -1,10 +1,12 @@
 """Records of streams that are kept in the store, and those read from it."""
 
+import sys
 from array import array
 from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass
 
+from ..core.exceptions import ProtocolError
 from ..core.sentinels import NOTHING
 from .streamrecords import CONFLICT, RETENTION_SECONDS
 
@@ -14,8 +16,6 @@
 """Maximum number of records that wait to be written. The first host of one of
 17 regions receives 8,400 in 120 s at 1,200 streams a second in all."""
 
-HASH_BYTES = 8
-
 
 @dataclass(frozen=True, slots=True)
 class ArchivedStream:
@@ -75,9 +75,12 @@
             streams: Packed hashes of streams by origin.
             age: Seconds since they were written.
             now: The time.
+
+        Raises:
+            ProtocolError: The hashes are invalid.
         """
         arrays = {
-            origin: array("Q", sorted(unpack_streams(packed)))
+            origin: unpack_streams(packed)
             for origin, packed in streams.items()
         }
         self.segments[key] = Segment(now, now - age, arrays)
@@ -110,16 +113,36 @@
 
 
 def pack_streams(rows):
-    """Return the packed hashes of rows of stream and origin, by origin."""
-    packed = defaultdict(bytearray)
+    """Return the sorted and packed hashes of streams, by origin.
+
+    Args:
+        rows: Rows of stream and origin.
+    """
+    by_origin = defaultdict(list)
     for stream, origin in rows:
-        packed[origin] += stream.to_bytes(HASH_BYTES)
-    return {origin: bytes(hashes) for origin, hashes in packed.items()}
+        by_origin[origin].append(stream)
+    return {
+        origin: in_byte_order(array("Q", sorted(streams))).tobytes()
+        for origin, streams in by_origin.items()
+    }
 
 
 def unpack_streams(packed):
-    """Return the hashes that were packed, without an incomplete last one."""
-    return [
-        int.from_bytes(packed[first : first + HASH_BYTES])
-        for first in range(0, len(packed) - HASH_BYTES + 1, HASH_BYTES)
-    ]
+    """Return the sorted array of hashes that was packed.
+
+    Raises:
+        ProtocolError: There is an incomplete hash.
+    """
+    streams = array("Q")
+    try:
+        streams.frombytes(packed)
+    except ValueError as problem:
+        raise ProtocolError(f"invalid hashes: {problem}") from None
+    return in_byte_order(streams)
+
+
+def in_byte_order(streams):
+    """Convert an array between the order of this machine and little-endian."""
+    if sys.byteorder == "big":
+        streams.byteswap()
+    return streams
--- a/tests/test_versionstore.py
+++ b/tests/test_versionstore.py
@@ -16,6 +16,7 @@
 from hyssopspring.stores.keyvalues import (
     Applied,
     Entry,
+    Listing,
     NotApplied,
     WriteUnknown,
 )
@@ -49,6 +50,11 @@
             return WriteUnknown("lost")
         return Applied(self.entry.revision)
 
+    async def list(self, prefix):
+        """Return the key."""
+        entries = () if self.entry is NOTHING else (self.entry,)
+        return Listing(entries, 0)
+
 
 class Writer:
     """A host that writes the history to a store."""
@@ -141,11 +147,26 @@
     writer.tick()
     store.era = 1
     later = Writer(store)
+    later.tick(10)
+    assert later.history.is_loaded
     assert_that(later.history.single("s"), Equals(""))
-    later.tick()
     assert_that(Writer(store).history.single("s"), Equals(""))
 
 
+def test_a_host_that_starts_right_after_a_restore_waits(store):
+    """Guards against a gap that no version has fallen into."""
+    writer = Writer(store)
+    writer.history.add("s", "v1")
+    writer.tick()
+    store.era = 1
+    later = Writer(store)
+    assert_that(later.history.single("s"), Equals(""))
+    writer.store.on_restored()
+    writer.tick()
+    later.tick(10)
+    assert_that(later.history.single("s"), Equals("v1"))
+
+
 def test_an_unreadable_history_proves_nothing(store):
     """Guards against a guess from a history that another program wrote."""
     store.entry = Entry(VERSIONS_KEY, b"[]", 7)
