Read the versions of services before one is inferred

Cause: a host took its own history for complete while its last contact with the store was less than 5 s old: again a time bound that is not the bound of the thing. A store restored to before the first write had no key, which counted as a deployment without a past, and the revision of an earlier era was compared with one of this era.

Change: before a version is inferred the key is read, unless that was done within 0.2 s; without an answer the caller is told when to return. A missing key of a restored store is a gap. After a restore the key is read before it is written. The versions that are listed are known too, when the history of a service has pushed them out.

Cost: one call for the unknown streams of 0.2 s at a host; none otherwise.

--- a/src/hyssopspring/entry/streamversion.py
+++ b/src/hyssopspring/entry/streamversion.py
@@ -88,7 +88,7 @@
             return self.refusal(Reason.VERSION_UNKNOWN, found.unanswered)
         self.source, self.age = found.source, found.age
         for service in services:
-            for version in self.registry.history.versions.get(service, ()):
+            for version in self.registry.known_versions(service):
                 if origin_of(service, version) == found.origin:
                     return self.use(service, version)
         # The list of this host may be behind.
@@ -110,7 +110,7 @@
         is_known = found.evidence in CONCLUSIVE
         if is_known or len(services) > 1:
             return found
-        return self.origins.find_single(services[0], found)
+        return await self.origins.find_single(services[0], found)
 
     def use(self, service, version):
         """Require a version; return a `NotRun` if no server has it."""
--- a/src/hyssopspring/entry/versionstore.py
+++ b/src/hyssopspring/entry/versionstore.py
@@ -26,6 +26,10 @@
 have outlasted the restore write it anew by then."""
 
 
+CONFIRMED_SECONDS = 0.2
+"""Seconds for which a history that was read counts as current."""
+
+
 class StoredVersions(msgspec.Struct, frozen=True):
     """Stored versions of all services.
 
@@ -61,6 +65,9 @@
     Attributes:
         stored: What the store has, as far as this host knows, or `NOTHING`.
         revision: Its revision; 0 if the key does not exist.
+        confirmed_at: Time at which the history was read last to confirm it,
+            or `NOTHING`.
+        must_read: Whether the revision may be that of another era.
     """
 
     def __init__(self, store, history, clock, timeline, spawn, is_writer):
@@ -73,7 +80,10 @@
         self.stored = NOTHING
         self.revision = 0
         self.saving = False
+        self.confirmed_at = NOTHING
+        self.must_read = False
         history.on_added = self.on_added
+        history.confirm = self.confirm
 
     def on_added(self):
         """Write a new version soon."""
@@ -83,6 +93,42 @@
     def on_restored(self):
         """Write the history again, as the store may lack a part of it."""
         self.stored = NOTHING
+        self.must_read = True
+
+    async def confirm(self):
+        """Read the history unless that was done just now.
+
+        A host may be late to hear of a version at which others serve.
+
+        Returns:
+            Whether the store has a history that is not of an earlier era.
+        """
+        now = self.clock.seconds()
+        at = self.confirmed_at
+        if at is not NOTHING and now - at < CONFIRMED_SECONDS:
+            return True
+        try:
+            await self.read()
+        except (KeyValueError, ProtocolError) as problem:
+            self.timeline.note(EventKind.STREAMS_UNREADABLE, why=problem)
+            return False
+        if self.stored is NOTHING or self.is_outdated:
+            return False
+        self.confirmed_at = now
+        return True
+
+    async def read(self):
+        """Add what the store has, which may be nothing.
+
+        Raises:
+            KeyValueError: The store did not respond.
+            ProtocolError: The value cannot be decoded.
+        """
+        listing = await self.store.list(VERSIONS_KEY)
+        self.stored, self.revision = NOTHING, 0
+        for entry in listing.entries:
+            self.load(entry)
+        self.must_read = False
 
     def load(self, entry):
         """Add the history that is read from the store.
@@ -106,9 +152,12 @@
 
     @property
     def is_outdated(self):
-        """Whether the store was restored since the history was written."""
-        stored = self.stored
-        return stored is not NOTHING and stored.era < (self.store.era or 0)
+        """Whether the store was restored since the history was written.
+
+        A store that was never restored has the era 0.
+        """
+        era = self.store.era or 0
+        return era > 0 if self.stored is NOTHING else self.stored.era < era
 
     def on_listed(self):
         """Trust the history if it is current or does not exist."""
@@ -127,9 +176,7 @@
     async def read_again(self):
         """Read the history again; what it may lack then remains unknown."""
         try:
-            listing = await self.store.list(VERSIONS_KEY)
-            for entry in listing.entries:
-                self.load(entry)
+            await self.read()
         except KeyValueError as problem:
             self.timeline.note(EventKind.STREAMS_UNREADABLE, why=problem)
             self.clock.callLater(RECHECK_SECONDS, self.recheck)
@@ -175,8 +222,11 @@
 
     async def save(self, current):
         """Write a history, or read the one that another host has written."""
-        value = msgspec.json.encode(current)
         try:
+            if self.must_read:
+                await self.read()
+                current = self.current()
+            value = msgspec.json.encode(current)
             result = await self.store.swap(VERSIONS_KEY, value, self.revision)
             if isinstance(result, Applied):
                 self.revision = result.revision
@@ -186,7 +236,7 @@
                 self.reload(result.current)
             else:
                 self.timeline.note(EventKind.VERSIONS_UNSAVED, why=result)
-        except ProtocolError as problem:
+        except (KeyValueError, ProtocolError) as problem:
             self.timeline.note(EventKind.VERSIONS_UNSAVED, why=problem)
         finally:
             self.saving = False
--- a/src/hyssopspring/traffic/servers.py
+++ b/src/hyssopspring/traffic/servers.py
@@ -338,6 +338,11 @@
             if server.entry.service == service
         }
 
+    def known_versions(self, service):
+        """Return the versions that a service has or has ever had."""
+        past = self.history.versions.get(service, ())
+        return self.listed_versions(service).union(past)
+
     def is_current_instance(self, server_id, instance_id):
         """Whether an instance of a server is the one that is listed here."""
         server = self.servers.get(server_id)
--- a/src/hyssopspring/traffic/versionhistory.py
+++ b/src/hyssopspring/traffic/versionhistory.py
@@ -6,6 +6,11 @@
 """Versions that are remembered for each service, the newest last."""
 
 
+async def confirm_nothing():
+    """Return that a history which only this host writes is complete."""
+    return True
+
+
 class VersionHistory:
     """Versions of each service since the deployment began.
 
@@ -19,6 +24,8 @@
         has_gap: Whether versions may be missing, so that no service counts as
             one with a single version.
         on_added: Called without arguments after a version was added.
+        confirm: Called without arguments; returns an awaitable of whether
+            what all hosts have added until now is in it.
     """
 
     def __init__(self):
@@ -26,6 +33,7 @@
         self.is_loaded = False
         self.has_gap = False
         self.on_added = lambda: None
+        self.confirm = confirm_nothing
 
     def add(self, service, version):
         """Add a version that a server of a service has, or "" if unknown."""
--- a/tests/networks.py
+++ b/tests/networks.py
@@ -188,6 +188,7 @@
             self.quiet,
             lambda message: self.membership.broadcast_in_region(message),
         )
+        self.registry.history.confirm = self.confirm_history
         self.stream_origins = StreamOrigins(
             self.members,
             self.registry.history,
@@ -213,6 +214,10 @@
             self.stream_origins,
         )
 
+    async def confirm_history(self):
+        """Return whether the host reaches the store."""
+        return self not in self.network.cut
+
     def take_version(self, version):
         """Put a version of the configuration in force."""
         self.keeper.offer(
