Hand records of streams on when the first host of a region changes

What callers would have seen: streams refused after a kill of all hosts (0 of 40), as the first host of their region had ended shortly before.

Cause: records were sent once to the first host, which may be gone, or about to stop with records unwritten. Streams that ran for over 30 s were left out when their service got a second version, and one server of unknown version counted as a version of its service for good.

Change: what was sent within 30 s is sent again to the next first host; one that stops hands on what it has not written; a second version has all records of the last 120 s written. A stream of unknown version is recorded as such, and the history of its service is not touched.

Left out, open in the postmortem: a version that serves while writes fail, and a route that has moved to another service.

--- a/src/hyssopspring/entry/streamorigins.py
+++ b/src/hyssopspring/entry/streamorigins.py
@@ -14,6 +14,7 @@
 from ..traffic.streamarchive import StreamArchive
 from ..traffic.streamrecords import (
     CONFLICT,
+    RETENTION_SECONDS,
     StreamRecord,
     StreamRecords,
     origin_of,
@@ -116,6 +117,7 @@
         self.records = StreamRecords()
         self.archive = StreamArchive()
         self.archived_services = set()
+        self.archived_at = members.own.id
         self.handover = StreamHandover(
             members, self.records, datagrams, clock, announce
         )
@@ -138,15 +140,22 @@
                 stream must not go on at a server of any version.
             is_split: Whether its route has several services.
         """
-        self.history.add(service, version)
         now = self.clock.seconds()
         origin = origin_of(service, version) if version else CONFLICT
-        record = StreamRecord(origin, now, own=True, source=self.host)
+        if version:
+            self.history.add(service, version)
+        needs_archive = (
+            is_split
+            or origin == CONFLICT
+            or self.history.may_have_several(service)
+        )
+        record = StreamRecord(
+            origin, now, own=True, archived=needs_archive, source=self.host
+        )
         stream = stream_of(attempt)
         self.records.add(stream, record)
         self.handover.send_records([(stream, record)], now)
-        needs_record = is_split or self.history.may_have_several(service)
-        if needs_record and origin != CONFLICT:
+        if needs_archive:
             self.archive_records([(stream, record)], now)
 
     def archive_records(self, rows, now):
@@ -154,7 +163,11 @@
         first = self.members.placers(now)[0]
         if first is self.members.own:
             self.archive.add([(stream, one.origin) for stream, one in rows])
-            return
+        else:
+            self.send_to_archive(first, rows, now)
+
+    def send_to_archive(self, first, rows, now):
+        """Let another host of the region write records to the store."""
         self.handover.introduce(first, now)
         for start in range(0, len(rows), MAX_ROWS_PER_DATAGRAM):
             batch = [
@@ -167,7 +180,10 @@
             self.datagrams.send(message, first.control)
 
     def archive_running(self):
-        """Write the streams of services that have got a second version."""
+        """Write the streams of services that have got a second version.
+
+        What was sent to a first host that is gone is sent to the next one.
+        """
         services = {
             service
             for service in self.history.versions
@@ -179,14 +195,18 @@
             for version in self.history.versions[service]
         }
         self.archived_services |= services
-        if not origins:
-            return
         now = self.clock.seconds()
-        rows = [
-            row
-            for row in self.records.since(now - RESEND_AGE_SECONDS)
-            if row[1].own and row[1].origin in origins
-        ]
+        first = self.members.placers(now)[0]
+        is_other = first.id != self.archived_at
+        self.archived_at = first.id
+        rows = []
+        for stream, record in self.records.since(now - RETENTION_SECONDS):
+            is_new = record.origin in origins and not record.archived
+            is_recent = now - record.began_at <= RESEND_AGE_SECONDS
+            is_lost = record.archived and is_other and is_recent
+            if record.own and (is_new or is_lost):
+                record.archived = True
+                rows.append((stream, record))
         if rows:
             self.archive_records(rows, now)
 
@@ -221,8 +241,23 @@
         self.archive_running()
 
     def hand_over(self):
-        """Send all records to the keepers that follow this host."""
+        """Send all records to the keepers that follow this host.
+
+        What this host has still to write, the next one of the region writes.
+        """
         self.handover.hand_over()
+        now = self.clock.seconds()
+        others = [
+            one
+            for one in self.members.placers(now)
+            if one is not self.members.own
+        ]
+        rows = [
+            (stream, StreamRecord(origin, now))
+            for stream, origin in self.archive.pending
+        ]
+        if others and rows:
+            self.send_to_archive(others[0], rows, now)
 
     def find(self, attempt):
         """Look up the version that began a stream.
@@ -268,7 +303,7 @@
             evidence_of(archived.origin, Evidence.STORED_RECORD),
         )
 
-    def find_single(self, service, found):
+    async def find_single(self, service, found):
         """Look up the only version that a service has ever had.
 
         Args:
@@ -281,11 +316,14 @@
         """
         if not self.history.is_loaded:
             return replace(found, evidence=Evidence.NOT_LOADED, unanswered=1)
+        if not self.history.single(service):
+            return replace(found, evidence=Evidence.SEVERAL_VERSIONS)
+        is_current = self.contact.age <= MAX_CONTACT_AGE_SECONDS
+        if not is_current or not await self.history.confirm():
+            return replace(found, evidence=Evidence.NO_CONTACT, unanswered=1)
         version = self.history.single(service)
         if not version:
             return replace(found, evidence=Evidence.SEVERAL_VERSIONS)
-        if self.contact.age > MAX_CONTACT_AGE_SECONDS:
-            return replace(found, evidence=Evidence.NO_CONTACT)
         return FoundOrigin(
             origin_of(service, version),
             source=self.host,
--- a/src/hyssopspring/traffic/streamrecords.py
+++ b/src/hyssopspring/traffic/streamrecords.py
@@ -34,6 +34,8 @@
         origin: Hash of the service and the version, or `CONFLICT`.
         began_at: Time of its first event.
         own: Whether this host has passed that event on.
+        archived: Whether it has been given to the host that writes it to the
+            store.
         source: Name of the host from which it was received, or "".
         source_id: Identifier of the incarnation of that host.
         keepers: Identifiers of the incarnations to which this host has sent
@@ -43,6 +45,7 @@
     origin: int
     began_at: float
     own: bool = False
+    archived: bool = False
     source: str = ""
     source_id: int = 0
     keepers: tuple = ()
--- a/tests/test_versionsafterkill.py
+++ b/tests/test_versionsafterkill.py
@@ -28,6 +28,9 @@
 
 DOWN_SECONDS = 0.8
 
+WRITTEN_SECONDS = 0.5
+"""Seconds in which records are in the store."""
+
 __all__ = ["versions"]
 
 
@@ -39,13 +42,15 @@
 
 
 async def end_all(hosts):
-    """End all hosts at once."""
+    """End all hosts at once; what they still send is not written."""
+    hosts.store.down = True
     for name, _, _ in HOSTS:
         await end_host(hosts, name)
 
 
 async def start_all(hosts):
     """Start all hosts under their names."""
+    hosts.store.down = False
     for name, region, number in HOSTS:
         hosts.add_host(name, region, number)
     await hosts.settled()
@@ -127,6 +132,7 @@
 async def test_streams_of_two_versions_outlast_all_hosts(versions, kills):
     """Guards against streams that end with the hosts that know them."""
     callers = await begin_streams(versions)
+    await task.deferLater(reactor, WRITTEN_SECONDS)
     for _ in range(kills):
         await kill_all(versions)
     await all_of(one.call("h-north") for one in callers)
