Kill all hosts at once in the soak, and judge streams after it

The soak did not see it: it killed all hosts rarely, its callers came back within 0.3 s, no version served alone afterwards, and hosts are not judged for 6 s after any fault, so streams lost by such a kill were never counted.

Now a run kills all hosts up to twice, drawn apart from the other faults so that a seed keeps those it had.

The check of versions is unchanged (one mixed stream is a violation). LOST has two more cases, both without an exception for such a kill: of 12 or more streams that are resumed while two servers of their version serve, at least half the share of new streams that begin must go on; once for all, once for those with a kill of all hosts between.

--- a/src/hyssopspring_fakes/soak.py
+++ b/src/hyssopspring_fakes/soak.py
@@ -39,7 +39,7 @@
 from .soakpauses import PatientCallers, Pauses, add_server, check_pauses
 from .soakplan import Fault, draw_plan
 from .soakstops import check_stops
-from .soakstreams import Release, StreamCaller, check_streams
+from .soakstreams import Release, StreamCaller, check_streams, shares
 
 __all__ = ["FAULTS", "Soak", "main", "run_soak"]
 
@@ -49,6 +49,9 @@
 STREAM_CALLERS = 6
 """Callers that ask for streams, one after the other."""
 
+LATE_CALLERS = 30
+"""Callers that leave streams, and come back later."""
+
 PART_CALLERS = 6
 """Callers that send prompts of which some crash servers."""
 
@@ -188,6 +191,11 @@
             StreamCaller(self, rng, f"stream-{self.seed}-{number}")
             for number in range(STREAM_CALLERS)
         ]
+        late = random.Random(f"{self.seed} late")
+        self.stream_callers += [
+            StreamCaller(self, late, f"late-{self.seed}-{number}", late=True)
+            for number in range(LATE_CALLERS)
+        ]
         for region in REGIONS:
             PartServers(self, region, self.parts)
             for service in ENDLESS_SERVICES:
@@ -201,6 +209,13 @@
             for number in range(PART_CALLERS)
         ]
 
+    def unify_servers(self, in_place):
+        """Replace all servers of streams by those of the usual version."""
+        backends = [b for one in self.releases for b in one.backends]
+        usual, _ = Counter(one.version for one in backends).most_common(1)[0]
+        for one in self.releases:
+            one.unify(usual, in_place)
+
     def servers_of(self, version):
         """Return how many servers of a version take streams."""
         return sum(
@@ -289,10 +304,11 @@
                 self.now(),
                 math.inf,
                 planned=step.fault.planned,
+                kills_all=step.fault is Fault.KILL_ALL,
             )
             for host in hosts
         ]
-        chosen = hosts[:1] if step.fault.at_store else hosts
+        chosen = hosts[:1] if step.fault.at_once else hosts
         await defer.DeferredList(
             [
                 defer.ensureDeferred(
@@ -423,6 +439,11 @@
             f"{sum(one.went_on for one in resumed)}, refused "
             f"{sum(one.refused for one in resumed)}"
         )
+        judged = [
+            f"{sum(share)} of {len(share)}"
+            for share in shares(streams, self.history, Bounds().stable)
+        ]
+        yield f"  new streams, resumed ones, those after kills: {judged}"
         crashes = self.parts.crashes
         sound = [status == 200 for _, _, status in self.parts.sound]
         yield (
--- a/src/hyssopspring_fakes/soakchecks.py
+++ b/src/hyssopspring_fakes/soakchecks.py
@@ -118,11 +118,13 @@
         start: Its start.
         end: Its end; infinite while it lasts.
         planned: Whether it is planned work, which must lose nothing.
+        kills_all: Whether all hosts were killed at once.
     """
 
     start: float
     end: float
     planned: bool = False
+    kills_all: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,9 +159,9 @@
         self.ran = []
         self.disturbed = {}
 
-    def disturb(self, host, start, end, *, planned=False):
+    def disturb(self, host, start, end, *, planned=False, kills_all=False):
         """Note that a host is disturbed; return the `Disturbance`."""
-        noted = Disturbance(start, end, planned)
+        noted = Disturbance(start, end, planned, kills_all)
         self.disturbed.setdefault(host, []).append(noted)
         return noted
 
@@ -175,6 +177,13 @@
         """Whether a host was undisturbed from before *start* to *end*."""
         return not self.around(host, start, end, stable)
 
+    def kills(self, host, start, end):
+        """Return how often a host was killed with all others in a time."""
+        return sum(
+            one.kills_all and start < one.start and one.end < end
+            for one in self.disturbed.get(host, ())
+        )
+
     def newest(self, at):
         """Return the newest version acknowledged at a time, or 0."""
         return bisect_right(self.acknowledged, at)
--- a/src/hyssopspring_fakes/soakfaults.py
+++ b/src/hyssopspring_fakes/soakfaults.py
@@ -1,5 +1,6 @@
 """What a soak does to hosts, by kind of fault."""
 
+import random
 import signal
 from functools import partial
 
@@ -13,6 +14,9 @@
 REWRITE_WITHIN = 1.8
 """Most seconds after a restore in which what was lost is written again."""
 
+RELEASE_AROUND = 0.3
+"""Most seconds between a kill of all hosts and the release beside it."""
+
 FAULTS = {}
 """Coroutine function that does a fault to a host, by `Fault`."""
 
@@ -39,6 +43,22 @@
         soak.restart(host)
 
 
+@fault(Fault.KILL_ALL)
+async def kill_all(soak, host, seconds):
+    """Kill all processes beside a release, and start them again together."""
+    rng = random.Random(f"{soak.seed} {seconds}")
+    in_place = rng.choice((True, False, None))
+    if in_place is not None:
+        at = rng.uniform(0.0, 2 * RELEASE_AROUND)
+        soak.reactor.callLater(at, soak.unify_servers, in_place)
+    await soak.sleep(RELEASE_AROUND)
+    hosts = soak.fleet.hosts.values()
+    await defer.gatherResults([one.kill() for one in hosts])
+    await soak.sleep(seconds)
+    for one in hosts:
+        soak.restart(one)
+
+
 @fault(Fault.STOP)
 async def stop(soak, host, seconds):
     """Tell a process to stop, and start it again once it has ended."""
--- a/src/hyssopspring_fakes/soakfleet.py
+++ b/src/hyssopspring_fakes/soakfleet.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer, protocol, task
 
 from .backends import FakeBackend
+from .listening import cut_connections
 from .metadata import FakeMetadata
 from .ports import free_ports
 from .proxies import FaultProxy
@@ -387,7 +388,18 @@
 
     def add_stream_backend(self, name, region, version):
         """Start a server of streams of a version; return it."""
-        return self.register(name, region, STREAM_SERVICE, version)
+        backend = self.register(name, region, STREAM_SERVICE, version)
+        self.restart_backend(backend, version)
+        return backend
+
+    def restart_backend(self, backend, version):
+        """Let a server start under its identifier, as a version."""
+        cut_connections(backend.port)
+        backend.version = version
+        backend.born = int(self.reactor.seconds() * 1000)
+        key = f"servers/{backend.name}"
+        started = {"version": version, "born": backend.born}
+        self.store.put_json(key, {**self.store.get_json(key), **started})
 
     def add_prompt_backend(self, name, region):
         """Start a server of prompts; return it."""
--- a/src/hyssopspring_fakes/soakplan.py
+++ b/src/hyssopspring_fakes/soakplan.py
@@ -18,6 +18,11 @@
 EVERYWHERE = 0.15
 """Chance that a fault strikes all hosts at the same moment."""
 
+FIRST_KILL = 2.0
+LONGEST_BETWEEN_KILLS = 3.0
+"""Seconds from the start to the first kill of all hosts at the earliest, and
+most seconds from the return of the hosts to the next one."""
+
 
 class Fault(enum.Enum):
     """A kind of fault, and its shortest and longest time in seconds."""
@@ -44,6 +49,7 @@
     STORE_DOWN = ("store down", 1.0, 5.0)
     FORGET = ("forget history", 1.0, 1.0)
     RESTORE = ("restore", 0.2, 3.0)
+    KILL_ALL = ("kill all", 0.3, 2.0)
 
     @property
     def shortest(self):
@@ -61,9 +67,10 @@
         return self is Fault.RELOAD or self in STOPS
 
     @property
-    def at_store(self):
-        """Whether it strikes the store, and so all hosts."""
-        return self in (Fault.STORE_DOWN, Fault.FORGET, Fault.RESTORE)
+    def at_once(self):
+        """Whether it strikes all hosts at once, most often at the store."""
+        store = (Fault.STORE_DOWN, Fault.FORGET, Fault.RESTORE)
+        return self in store or self is Fault.KILL_ALL
 
 
 STOPS = frozenset(
@@ -100,9 +107,26 @@
     """
     rng = random.Random(seed)
     steps, now = [], SETTLING
-    while now < seconds:
-        steps.append(draw_step(rng, now, hosts, faults))
+    drawn = tuple(one for one in faults if one is not Fault.KILL_ALL)
+    while drawn and now < seconds:
+        steps.append(draw_step(rng, now, hosts, drawn))
         now += rng.uniform(0.0, LONGEST_PAUSE)
+    if Fault.KILL_ALL in faults:
+        steps += draw_kills(random.Random(f"{seed} kills"), seconds, hosts)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def draw_kills(rng, seconds, hosts):
+    """Return up to two steps that kill all hosts, one soon after the other.
+
+    They are few, as no host is in touch for some time after one.
+    """
+    steps, now = [], rng.uniform(FIRST_KILL, max(FIRST_KILL, seconds / 2))
+    for _ in range(rng.choice((0, 1, 2))):
+        down = rng.uniform(Fault.KILL_ALL.shortest, Fault.KILL_ALL.longest)
+        struck, down = tuple(hosts), round(down, 2)
+        steps.append(Step(round(now, 2), Fault.KILL_ALL, struck, down))
+        now += down + rng.uniform(0.5, LONGEST_BETWEEN_KILLS)
     return steps
 
 
@@ -113,7 +137,7 @@
     if fault is Fault.STOP_REGION:
         region = region_of(rng.choice(hosts))
         struck = tuple(one for one in hosts if region_of(one) == region)
-    elif fault.at_store or draw < EVERYWHERE:
+    elif fault.at_once or draw < EVERYWHERE:
         struck = tuple(hosts)
     elif draw < EVERYWHERE + SERIES:
         struck = tuple(rng.sample(hosts, rng.randint(1, len(hosts))))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,6 +40,7 @@
 from hyssopspring_fakes.soakpauses import Paused, check_pauses
 from hyssopspring_fakes.soakplan import STOPS, Fault, draw_plan
 from hyssopspring_fakes.soakstops import Asked, Life, check_stops
+from hyssopspring_fakes.soakstreams import Resumption, Stream, check_streams
 
 SHORT_SEED, SHORT_SECONDS = 642, 24.0
 """Run of CI, in which hosts are stopped in all ways."""
@@ -186,6 +187,53 @@
     assert_that([one.rule for one in found], Equals(["LOST"]))
 
 
+def stream_rules(history, versions=("v1",), went_on=0, tries=12, **changes):
+    """Return the rules that streams break: new ones, and one per try."""
+    opened = [Resumption("north-0", 5.0, True, False)] * 12
+    made = [Stream(opened=opened)]
+    for number in range(tries):
+        is_on = number < went_on
+        values = {"sent": 9.0, "servers": 2, **changes}
+        one = Resumption("north-0", went_on=is_on, refused=not is_on, **values)
+        events = [(at, versions[at % len(versions)]) for at in range(4)]
+        made.append(Stream("r0", events, began=5.0, resumed=[one]))
+    found = check_streams(made, history, Bounds().stable)
+    return sorted({one.rule for one in found})
+
+
+@pytest.mark.parametrize(
+    ("rules", "case"),
+    [
+        ([], {"went_on": 6}),
+        (["LOST"], {"went_on": 5}),
+        ([], {"went_on": 5, "tries": 11}),
+        ([], {"went_on": 5, "servers": 1}),
+        (["VERSIONS"], {"went_on": 6, "versions": ("v1", "v2")}),
+        (["VERSIONS"], {"tries": 1, "versions": ("v1", "v2")}),
+    ],
+)
+@pytest.mark.parametrize("kills", [0, 1, 2])
+def test_streams_lost_or_mixed_by_a_kill_are_found(
+    history, kills, rules, case
+):
+    """Guards against a soak that excuses streams by a kill of all hosts."""
+    for number in range(kills):
+        start = 6.0 + number
+        history.disturb("north-0", start, start + 0.5, kills_all=True)
+    assert_that(stream_rules(history, **case), Equals(rules))
+
+
+def test_streams_after_a_kill_are_judged_by_themselves(history):
+    """Guards against losses at a kill that many calm tries outweigh."""
+    history.disturb("north-0", 6.0, 7.0, kills_all=True)
+    calm = Resumption("north-0", 5.5, True, False, 2)
+    lost = Resumption("north-0", 9.0, False, True, 2)
+    made = Stream("r0", [(0, "v1")], began=5.0, opened=[calm])
+    made.resumed = [calm] * 50 + [lost] * 12
+    found = check_streams([made], history, Bounds().stable)
+    assert_that([one.rule for one in found], Equals(["LOST"]))
+
+
 def stop_rules(status=0, whole=False, ran=(), life=None, **asked):
     """Return the rules that one request breaks; the stop begins at 10 s."""
     made = Life(
@@ -371,6 +419,23 @@
     assert overlaps, "faults must overlap"
 
 
+def test_a_plan_kills_all_hosts_up_to_twice():
+    """Guards against kills of all hosts that no run plays, or all play."""
+    hosts, counts = ("a-0", "b-0", "c-0"), set()
+    rest = tuple(one for one in Fault if one is not Fault.KILL_ALL)
+    for seed in (*range(20), SHORT_SEED):
+        steps = draw_plan(seed, 12.0, hosts)
+        kills = [one for one in steps if one.fault is Fault.KILL_ALL]
+        others = [one for one in steps if one not in kills]
+        assert_that(draw_plan(seed, 12.0, hosts, rest), Equals(others))
+        assert all(one.hosts == hosts for one in kills)
+        for one, after in zip(kills, kills[1:], strict=False):
+            assert 0.3 <= one.seconds < after.at - one.at
+        counts.add(len(kills))
+    assert_that(counts, Equals({0, 1, 2}))
+    assert kills, "the run of CI has none"
+
+
 def test_a_short_soak_breaks_no_promise(tmp_path):
     """Guards against what shows only with real processes and sockets."""
     words = ("--seed", str(SHORT_SEED), "--seconds", str(SHORT_SECONDS))
