List the records of hosts again after a failure

Callers who came back to a host that had just started could be refused with stream_version_unknown for as long as that host ran.

Cause: hosts, crashes, versions and stream records are listed once, after the first write of the host's entry. If this listing failed, the lease was already held, later renewals only renewed it, and nothing listed them again.

The new test answers the first such listing with 503: without the change it waits in vain for the records, with it it passes.

Now a renewal lists them until a listing has succeeded.

--- a/src/hyssopspring/entry/storesync.py
+++ b/src/hyssopspring/entry/storesync.py
@@ -83,6 +83,7 @@
         self.lease = NOTHING
         self.renewed_at = NOTHING
         self.renewing = False
+        self.own_prefix_read = False
         self.reading = False
         self.probing = False
         self.last_probe_at = 0.0
@@ -533,6 +534,7 @@
             self.state.contact.record_failure(problem)
             return
         self.state.contact.record_reply()
+        self.own_prefix_read = True
         hosts, records = [], []
         for entry in listing.entries:
             is_host = entry.key.startswith(MEMBERS_PREFIX)
@@ -584,6 +586,8 @@
         """Renew the lease, or write the entry under a new one."""
         if self.lease is not NOTHING:
             if await self.store.renew_lease(self.lease):
+                if not self.own_prefix_read:
+                    await self.read_own_prefix()
                 return
             self.lease = NOTHING
         if self.state.members.own.leaving:
--- a/tests/test_versionsafterkill.py
+++ b/tests/test_versionsafterkill.py
@@ -16,6 +16,8 @@
 from testtools.matchers import Equals
 from twisted.internet import reactor, task
 
+from hyssopspring.entry.hostentries import OWN_PREFIX
+
 HOSTS = (
     ("h-north", "north", 0),
     ("h-south", "south", 1),
@@ -160,3 +162,23 @@
     await all_of(one.call("h-north") for one in callers)
     check_streams(callers)
     assert_that(hosts.store.items["hyssop/versions"]["lease"], Equals(0))
+
+
+@pytest_twisted.ensureDeferred
+async def test_records_are_read_after_a_listing_that_failed(hosts):
+    """Guards against a host that refuses streams as long as it runs."""
+    failed = []
+
+    def fail_once(request):
+        own = request.args[b"prefix"][0] == OWN_PREFIX.encode()
+        if own and not failed:
+            failed.append(request)
+            hosts.store.respond(request, 503, {})
+        else:
+            answer(request)
+
+    answer, hosts.store.list = hosts.store.list, fail_once
+    hosts.add_host("h-north-2", "north", 2)
+    history = hosts.processes["h-north-2"].registry.history
+    await hosts.until(lambda: failed)
+    await hosts.until(lambda: history.is_loaded)
