Share the extra retries among all known hosts, seen or not

What servers saw: while hosts were cut off from each other, or right after a start of all hosts, more retries than the budget allows over all hosts (BUDGET): up to 221 with three of six hosts cut off and 333 right after a start, where 54 are allowed beside the ratio.

Cause: the extra retries were divided by the number of hosts seen within the last 2.6 s. A host that sees no other one took all of them for itself, though the others served on. What is not seen was inferred to be gone.

Change: they are divided by the number of hosts in the membership list, which are kept for 30 s after the last message. A host that has just started and has read of no other one uses none, for 3 s at most; the ratio applies as before.

Why it works: each host divides by at least the number of hosts that may be retrying, whichever of them it sees. Not covered: cuts of more than 30 s, after which a host forgets the others, and the moment in which a host has read only a part of the list.

--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -553,7 +553,7 @@
     def spend_retry(self):
         """Take a retry from the retry budget; return whether there was one."""
         now = self.state.clock.seconds()
-        hosts = len(self.state.members.live(now))
+        hosts = self.state.members.count_known()
         return self.state.retries.spend(self.service, now, hosts)
 
     def check(self, now):
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -242,6 +242,20 @@
             found = [one for one in found if one.region == region]
         return found
 
+    def count_known(self):
+        """Return the number of hosts, whether they seem to be up or not.
+
+        A host that is not seen may be cut off and still serve.
+
+        Returns:
+            The number, or `NOTHING` if this host has just started and has
+            read of no other one yet.
+        """
+        starting = self.own.up_seconds < STARTUP_DISCOVERY_SECONDS
+        if starting and not self.others:
+            return NOTHING
+        return 1 + len(self.others)
+
     def listed(self, now, region=NOTHING):
         """Return the hosts that the directory gives to callers."""
         found = [one for one in self.live(now, region=region) if one.version]
--- a/src/hyssopspring/traffic/retries.py
+++ b/src/hyssopspring/traffic/retries.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from ..core.sentinels import NOTHING
+
 __all__ = ["WindowedRetryBudget"]
 
 RATIO_FRACTION = 0.75
@@ -44,7 +46,8 @@
         Args:
             service: The service.
             now: The time.
-            hosts: Number of hosts that share the extra retries.
+            hosts: Number of hosts that share the extra retries, or `NOTHING`
+                if it is unknown.
 
         Returns:
             Whether the budget allowed it.
@@ -53,7 +56,9 @@
         repeats = self.repeats.setdefault(service, deque())
         self.trim(requests, now)
         self.trim(repeats, now)
-        allowed = self.ratio * len(requests) + self.extra / max(1, hosts)
+        allowed = self.ratio * len(requests)
+        if hosts is not NOTHING:
+            allowed += self.extra / hosts
         if len(repeats) + 1 > allowed:
             return False
         repeats.append(now)
