Keep the limit of a server whose entry is missing for a moment

Cause: a server that is not listed was taken for gone. The placing host drops the state of such servers five times a second, the limit included, and other hosts after 5 s since the last answer. The entry returns while the same instance runs, and until its next answers it counted as unlimited. What happens to an entry does not bound how long a limit applies.

Change: a limit ends with the server instance that named it. It is dropped if another instance is listed, and kept while the registry remembers the removal (60 s); only limits of servers that were never listed end after 5 s. An entry that lapsed and comes back with another start has no limit.

Why it works: the instance identifier tells whether the same process is listed again, as for the pauses that servers request. A longer lapse than 60 s is not covered.

Tests: test_a_limit_outlasts_a_lapsed_entry fails without the change (31 and 28 requests instead of 14 at most); test_a_limit_belongs_to_one_instance and test_the_limit_of_a_server_that_is_gone_is_forgotten are new. test_serverlimits, test_notices, test_leaving, test_incarnations, test_registry, test_serverstarts, test_placing and test_coordinator pass.

Cost: none per request. A host that starts within 60 s of the removal of a limited server hears its limit again with each heartbeat that differs, once a second at most.

--- a/src/hyssopspring/entry/notices.py
+++ b/src/hyssopspring/entry/notices.py
@@ -289,7 +289,7 @@
         for table in (self.ignored_at, self.broadcast_at):
             for server_id in [one for one in table if one not in known]:
                 del table[server_id]
-        self.limits.forget_unknown(known, now)
+        self.limits.forget_gone(self.registry, now)
 
 
 def limit_row(notice, now):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -827,7 +827,7 @@
         self.speeds.forget(server_id)
         self.views.clear()
         self.cold_rates.forget(server_id)
-        self.limits.forget(server_id)
+        self.limits.forget_former(server_id, self.registry)
 
     def sweep(self, now):
         """Remove servers that are gone, and placements past any timeout."""
--- a/src/hyssopspring/traffic/serverlimits.py
+++ b/src/hyssopspring/traffic/serverlimits.py
@@ -48,8 +48,8 @@
 """Seconds since the last read after which a bucket counts as idle."""
 
 UNKNOWN_SERVER_RETENTION_SECONDS = 5.0
-"""Seconds for which the limit of a server without an entry is kept; the notice
-may arrive before the entry."""
+"""Seconds for which the limit of a server that was never listed is kept; the
+notice may arrive before the entry."""
 
 ENDED_LIMIT_RETENTION_SECONDS = 10.0
 """Seconds for which the end of a limit is remembered, so that a host that
@@ -205,20 +205,38 @@
         return [state.newest for state in self.by_server.values()]
 
     def forget(self, server_id):
-        """Drop the limit of a server that is gone or has restarted."""
+        """Drop the limit of a server."""
         if self.by_server.pop(server_id, None) is not None:
             self.update_digest()
 
-    def forget_unknown(self, known, now):
-        """Drop the limits of servers that are gone.
+    def forget_former(self, server_id, registry):
+        """Drop the limit of a former instance of a listed server.
+
+        The limit of a server that is not listed stays: its entry may lapse
+        and come back.
+        """
+        state = self.by_server.get(server_id)
+        if (
+            state is not None
+            and server_id in registry.servers
+            and not registry.is_current_instance(
+                server_id, state.newest.instance_id
+            )
+        ):
+            self.forget(server_id)
+
+    def forget_gone(self, registry, now):
+        """Drop the limits of server instances that are gone.
 
         Args:
-            known: Identifiers of the listed servers.
+            registry: The `Registry`.
             now: The time.
         """
         for server_id, state in list(self.by_server.items()):
+            self.forget_former(server_id, registry)
             if (
-                server_id not in known
+                server_id not in registry.servers
+                and server_id not in registry.removed_at
                 and now - state.newest.at > UNKNOWN_SERVER_RETENTION_SECONDS
             ):
                 self.forget(server_id)
--- a/tests/test_serverlimits.py
+++ b/tests/test_serverlimits.py
@@ -1,6 +1,7 @@
 """Limits that servers announce apply to all hosts together."""
 
 import random
+from dataclasses import replace
 
 import pytest
 import pytest_twisted
@@ -17,6 +18,7 @@
 )
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, GreaterThan, LessThan
+from twisted.internet import defer, reactor, task
 
 from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.traffic.decisions import Placed, PlacementQuery
@@ -32,15 +34,21 @@
 WINDOW_SECONDS = 4.0
 """Seconds over which requests to a server are counted."""
 
+BORN = 1_700_000_000_000
+"""Time of the start of servers in milliseconds."""
+
+ANSWER_SECONDS = 0.5
+"""Seconds after which slow servers answer."""
+
 
 def most_allowed(limit):
     """Return the largest number of requests allowed in a window."""
     return 1.5 * limit * WINDOW_SECONDS + 5
 
 
-def most_arrived(backend):
+def most_arrived(backend, *, since=0.0):
     """Return the largest number of requests received in a window."""
-    times = [at for at, _ in backend.arrived]
+    times = [at for at, _ in backend.arrived if at >= since]
     return max(
         sum(begin <= at < begin + WINDOW_SECONDS for at in times)
         for begin in times
@@ -66,6 +74,35 @@
         assert_that(most_arrived(backend), LessThan(most_allowed(limit) + 1))
 
 
+@pytest.mark.parametrize("unreadable", [False, True])
+@pytest_twisted.ensureDeferred
+async def test_a_limit_outlasts_a_lapsed_entry(hosts, unreadable):
+    """Guards against a limit that is forgotten while an entry is missing."""
+    limit = 1.5
+    backends = [hosts.backends[f"plain-{r}"] for r in ("north", "south")]
+    for backend in backends:
+        hosts.register_again(backend.name, born=BORN)
+        backend.told = {b"server-limit": b"%.1f" % limit}
+        backend.born, backend.silence = BORN, ANSWER_SECONDS
+    sent = defer.ensureDeferred(send_for(hosts, 11.0, "/lookup/"))
+    await task.deferLater(reactor, 5.0)
+    since = reactor.seconds()
+    for backend in backends * 2:
+        key = f"servers/{backend.name}"
+        entry = hosts.store.get_json(key)
+        if unreadable:
+            hosts.store.put_json(key, {"service": 3})
+        else:
+            hosts.store.remove(key)
+        await task.deferLater(reactor, 1.0)
+        hosts.store.put_json(key, entry)
+    await sent
+    for backend in backends:
+        arrived = most_arrived(backend, since=since)
+        assert_that(arrived, GreaterThan(2))
+        assert_that(arrived, LessThan(most_allowed(limit) + 1))
+
+
 @settings(max_examples=40, phases=[Phase.explicit, Phase.generate])
 @given(
     st.lists(
@@ -230,6 +267,41 @@
     assert_that(limits.digest, Equals(0))
 
 
+def test_a_limit_belongs_to_one_instance_of_a_server():
+    """Guards against the limit of an instance whose entry has lapsed."""
+    registry = Registry({"north-a": "north"})
+    entry = ServerEntry(
+        id="s1", service="plain", address="a:1", data_centre="north-a", born=5
+    )
+    registry.put(entry, 0.0)
+    limits = make_limits()
+    limits.apply_notice(notice(1.0, 0.0, "s1/5"), 0.0)
+    registry.remove("s1", 50.0, outage=False)
+    limits.forget_gone(registry, 51.0)
+    registry.put(entry, 52.0)
+    limits.forget_gone(registry, 52.0)
+    assert_that(limits.limit_of("s1", 52.0), Equals(1.0))
+    registry.remove("s1", 60.0, outage=False)
+    registry.put(replace(entry, born=6), 61.0)
+    limits.forget_gone(registry, 61.0)
+    assert_that(limits.limit_of("s1", 61.0), Equals(NOTHING))
+
+
+def test_the_limit_of_a_server_that_is_gone_is_forgotten():
+    """Guards against limits that pile up as servers are replaced."""
+    registry = Registry({"north-a": "north"})
+    entry = ServerEntry(
+        id="s1", service="plain", address="a:1", data_centre="north-a", born=5
+    )
+    registry.put(entry, 0.0)
+    limits = make_limits()
+    limits.apply_notice(notice(1.0, 0.0, "s1/5"), 0.0)
+    registry.remove("s1", 1.0, outage=False)
+    registry.expire(62.0)
+    limits.forget_gone(registry, 62.0)
+    assert_that(limits.by_server, Equals({}))
+
+
 def test_a_server_that_takes_nothing_is_asked_now_and_then():
     """Guards against missing that a server accepts requests again."""
     limits = make_limits()
