--- a/tests/test_hedgeends.py
+++ b/tests/test_hedgeends.py
@@ -1,6 +1,7 @@
 """Ends of requests of which two attempts run side by side."""
 
 import socket
+from types import SimpleNamespace
 
 import pytest
 import pytest_twisted
@@ -20,6 +21,9 @@
 
 from hyssopspring.core.outcomes import Answered
 from hyssopspring.entry import crashdetection
+from hyssopspring.entry.hedging import Hedging
+from hyssopspring.traffic.decisions import Placed
+from hyssopspring.traffic.serverhealth import AttemptResult
 from hyssopspring_fakes.streamscripts import Framing, StreamScript
 
 
@@ -182,3 +186,30 @@
     north.script = LateDocument(1.2)
     south.paused_until = reactor.seconds() + 1.6
     assert_that(await stream(hosts), Equals((200, b"{}")))
+
+
+@pytest.mark.parametrize("goes_on", [False, True])
+def test_a_placement_that_comes_too_late_is_released(goes_on):
+    """Guards against a placement kept for an attempt that is not started."""
+    released, placed = [], defer.Deferred()
+    silent = SimpleNamespace(is_silent=True, in_progress=True, last_data=1.0)
+    coordinator = SimpleNamespace(
+        place=lambda ask: placed,
+        record_attempt_end=lambda *end: released.append(end),
+    )
+    exchange = SimpleNamespace(
+        state=SimpleNamespace(coordinator=coordinator),
+        current=silent,
+        may_hedge=lambda: True,
+        ask=lambda: None,
+        spend_retry=lambda: True,
+    )
+    hedging = Hedging(exchange)
+    hedging.check(2.0)
+    if goes_on:
+        silent.last_data = 2.1
+    else:
+        silent.in_progress = False
+    placed.callback((7, Placed("s1", "a:1", 0, 0.1)))
+    assert_that(released, Equals([(7, AttemptResult.UNUSED)]))
+    assert_that(hedging.is_placing, Equals(False))
