Refuse a request whose body cannot be stored

Callers saw the connection closed without a byte after a whole request: a body of 100 kB or more, or of unknown length, is kept in a temporary file while it arrives. An error of that file (no descriptor, no space) left dataReceived of the channel, which closes the connection, with all that was behind the request.

The error is now logged as unexpected, the rest of the body is read and dropped, and the request is refused with 503 (not run). The connection goes on. Gateways and admin servers use the same class and refuse in the same way.

--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -6,7 +6,7 @@
 
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
-from ..net.channels import ClosingRequest, ClosingSite
+from ..net.channels import BODY_LOST_TEXT, ClosingRequest, ClosingSite
 from .stopping import STOPPING_RETRY_SECONDS, STOPPING_TEXT
 
 __all__ = [
@@ -65,6 +65,9 @@
             self.close_after()
             respond_refusal(self, 413, "the request body is too long")
             return
+        if self.body_lost:
+            respond_refusal(self, 503, BODY_LOST_TEXT)
+            return
         self.guard(site.handle)
 
     def guard(self, handle, *args):
@@ -91,7 +94,8 @@
 
     Args:
         handle: Called with each `WebRequest`.
-        on_error: Called with the `Failure` of a handler that raised.
+        on_error: Called with the `Failure` of a handler that raised, or of
+            reading a request.
         reactor: The reactor.
         in_progress: The `InProgress` that tracks the requests.
         max_idle_seconds: Returns the maximum number of seconds for which a
--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -1,14 +1,22 @@
 """Listeners whose connections close without losing a request or response."""
 
+import io
 import socket
 
 from twisted.internet import error, task
+from twisted.python import log
 from twisted.python.failure import Failure
 from twisted.web import http
 
 from ..core.sentinels import NOTHING
 
-__all__ = ["Channel", "ClosingRequest", "ClosingSite", "Listeners"]
+__all__ = [
+    "BODY_LOST_TEXT",
+    "Channel",
+    "ClosingRequest",
+    "ClosingSite",
+    "Listeners",
+]
 
 FIRST_REQUEST_SECONDS = 0.25
 """Seconds for which a new connection without a request is not closed. The
@@ -24,6 +32,9 @@
 )
 """Response to a request whose first line, or a header line, is too long."""
 
+BODY_LOST_TEXT = "the request body could not be stored"
+"""Text of the refusal of a request whose body could not be stored."""
+
 CLOSE_INTERVAL_SECONDS = 0.02
 """Interval between checks whether connections have closed."""
 
@@ -162,7 +173,47 @@
 
 
 class ClosingRequest(http.Request):
-    """Request whose response announces that a stopping host closes."""
+    """Request whose response announces that a stopping host closes.
+
+    A large body is stored in a temporary file. If that fails, the rest of the
+    body is read and dropped, so that the request can be refused.
+
+    Attributes:
+        body_lost: Whether its body could not be stored.
+    """
+
+    body_lost = False
+
+    def gotLength(self, length):
+        """Prepare to store the body."""
+        try:
+            super().gotLength(length)
+        except OSError:
+            self.lose_body()
+
+    def handleContentChunk(self, data):
+        """Store a part of the body."""
+        if self.body_lost:
+            return
+        try:
+            super().handleContentChunk(data)
+        except OSError:
+            self.lose_body()
+
+    def requestReceived(self, command, path, version):
+        """Process the request, of which all has been received."""
+        try:
+            self.content.seek(0)
+            self.content.seek(0, io.SEEK_END)
+        except OSError:
+            self.lose_body()
+        super().requestReceived(command, path, version)
+
+    def lose_body(self):
+        """Log that the body could not be stored, and drop it."""
+        self.channel.site.on_error(Failure())
+        self.body_lost = True
+        self.content = io.BytesIO()
 
     def write(self, data):
         """Write a part of the body, after the head.
@@ -203,6 +254,10 @@
         channel.site = self
         return channel
 
+    def on_error(self, failure):
+        """Log an unexpected error with a request that is being read."""
+        log.err(failure)
+
     def close_idle(self):
         """Close the connections that carry no request at present."""
         now = self.reactor.seconds()
--- a/src/hyssopspring/net/serving.py
+++ b/src/hyssopspring/net/serving.py
@@ -8,7 +8,7 @@
 from ..core.exceptions import HyssopError, ProtocolError
 from ..core.outcomes import Reason
 from ..core.sentinels import NOTHING
-from .channels import ClosingRequest, ClosingSite
+from .channels import BODY_LOST_TEXT, ClosingRequest, ClosingSite
 
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
 """Default limit of the size of a request body."""
@@ -99,6 +99,16 @@
         in_progress = self.channel.site.in_progress
         if in_progress is not NOTHING:
             self.tracked = in_progress.add(self)
+        if self.body_lost:
+            respond_error(
+                self,
+                503,
+                Reason.INTERNAL_ERROR,
+                BODY_LOST_TEXT,
+                kind="not_run",
+                headers=[("hyssop-outcome", "not-run")],
+            )
+            return
         super().process()
 
     def refuse(self):
--- a/tests/test_lateends.py
+++ b/tests/test_lateends.py
@@ -108,3 +108,17 @@
     assert_that(hosts.backends["plain-north"].ran, Equals(["r1"] * 3))
     await hosts.until(lambda: len(hosts.decoded("unexpected")) == len(files))
     hosts.lines = [one for one in hosts.lines if "OSError" not in one]
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_gateway_refuses_a_body_that_it_cannot_store(
+    fleet, monkeypatch
+):
+    """Guards against a close without a byte as a gateway reads a request."""
+    monkeypatch.setattr(tempfile, "TemporaryFile", no_space)
+    caller = RawCaller(fleet.gateways["dar-0"].settings.listen)
+    await caller.connect()
+    caller.socket.send(CHUNKED)
+    answer = await caller.receive(0.5)
+    assert_that(answer, StartsWith(b"HTTP/1.1 503"))
+    assert_that(answer.lower(), Contains(b"hyssop-outcome: not-run"))
