Write the line of an error that ends a stop

On call could not see why a stop had failed: the line of an unexpected error was queued, and the process ended before the next write of the log, so that neither it nor the line of the stop was written. Requests in progress are answered in that case as well, which the new test shows.

The line is now written at once.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -461,9 +461,7 @@
         try:
             work()
         except Exception:  # noqa: BLE001 - all are logged
-            self.timeline.note(
-                EventKind.UNEXPECTED, error=Failure().getTraceback()
-            )
+            self.log_failure(Failure())
 
     def on_heartbeat_interval(self):
         """Do the work of one heartbeat interval."""
@@ -561,8 +559,9 @@
         return frozenset.intersection(*bound) if bound else frozenset()
 
     def log_failure(self, failure):
-        """Log an unexpected error."""
+        """Log an unexpected error at once, as the process may end with it."""
         self.timeline.note(EventKind.UNEXPECTED, error=failure.getTraceback())
+        self.log_writer.flush()
 
     async def stop(self):
         """Stop gracefully, without aborting requests in progress.
--- a/tests/test_lateends.py
+++ b/tests/test_lateends.py
@@ -9,9 +9,10 @@
 import pytest_twisted
 from raw_callers import RawCaller, pause
 from test_stopping import PROMPT_LINES, begin_stop
+from test_unanswered import error_is_logged, fail
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, StartsWith
-from twisted.internet import reactor
+from twisted.internet import defer, reactor
 
 SHORTLY_BEFORE = 0.4
 """Seconds before the end of the requests of a stopping host."""
@@ -70,6 +71,20 @@
     await stopped
 
 
+@pytest_twisted.ensureDeferred
+async def test_an_error_of_the_stop_takes_no_response(hosts, monkeypatch):
+    """Guards against an error whose line and responses are lost."""
+    held = await hold_stream(hosts)
+    process = hosts.processes.pop("h-north")
+    monkeypatch.setattr(process.listeners, "end_lingering", fail)
+    stopped = defer.ensureDeferred(process.stop())
+    stopped.addErrback(process.log_failure)
+    stopped.addCallback(lambda _: defer.ensureDeferred(process.close()))
+    assert_that(await held.receive(4.0), StartsWith(b"HTTP/1.1 502"))
+    await stopped
+    await error_is_logged(hosts)
+
+
 class FullDisk(io.BytesIO):
     """A file to which nothing can be written."""
 
