--- a/tests/test_lateends.py
+++ b/tests/test_lateends.py
@@ -14,6 +14,8 @@
 from testtools.matchers import Contains, Equals, StartsWith
 from twisted.internet import defer, reactor
 
+from hyssopspring.entry import exchanges
+
 SHORTLY_BEFORE = 0.4
 """Seconds before the end of the requests of a stopping host."""
 
@@ -137,3 +139,22 @@
     answer = await caller.receive(0.5)
     assert_that(answer, StartsWith(b"HTTP/1.1 503"))
     assert_that(answer.lower(), Contains(b"hyssop-outcome: not-run"))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_request_left_by_an_error_is_answered_by_the_stop(
+    hosts, monkeypatch
+):
+    """Guards against a close without a byte after an error of a refusal."""
+    for server in hosts.backends.values():
+        server.mood = "full"
+    process = hosts.processes["h-north"]
+    monkeypatch.setattr(exchanges, "respond_failure", fail)
+    caller = RawCaller(process.settings.front)
+    await caller.connect()
+    caller.send("/post/a")
+    await error_is_logged(hosts)
+    process, stopped = begin_stop(hosts, "h-north")
+    assert_that(await caller.receive(5.0), StartsWith(b"HTTP/1.1 502"))
+    await stopped
+    hosts.lines = [one for one in hosts.lines if "RuntimeError" not in one]
