Write the responses of the last requests as a process ends

Evidence: the host read and refused the request 0.10 s after it had ended all others, and logged 'stopped' 0.07 s later with 320 unsent bytes.

Cause: at the end of its time the process looked at the clock only. Timers come before sockets in the event loop, so that a process which is late ends with requests unread, and with responses that the loop has not written. Class: a bound in time is checked, not what is left to do.

Change: after its time the process lets the loop read once more, and writes what is unsent without the loop. Hosts, gateways and admin servers end by the same list.

Why it works: what has arrived by then is refused in that pass, and a response of some hundred bytes fits into the socket; 0.4 s of the time allowed are left.

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -91,6 +91,11 @@
         written = len(transport.dataBuffer) - transport.offset
         return written + transport._tempDataLen
 
+    def write_unsent(self):
+        """Write what the socket takes, without the event loop."""
+        if self.unsent_bytes:
+            self.transport.doWrite()
+
     def has_unread_input(self):
         """Return whether data waits in the socket."""
         try:
@@ -337,6 +342,10 @@
             self.end_lingering()
             self.close_idle()
             await task.deferLater(self.reactor, CLOSE_INTERVAL_SECONDS)
+        # Timers come before sockets, so that requests may be unread.
+        await task.deferLater(self.reactor, 0)
+        for channel in self.channels:
+            channel.write_unsent()
 
     def abort(self):
         """Abort all connections."""
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -256,6 +256,34 @@
     await stopped
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_request_that_is_read_as_the_time_ends_is_answered(hosts):
+    """Guards against a process that ends before it writes its last response.
+
+    It is suspended over the end of its time, and timers come before sockets.
+    """
+    hosts.backends["engine-north"].mood = "silent"
+    process, stopped = begin_stop(hosts, "h-north")
+    stopping = process.state.stopping
+    asked = defer.ensureDeferred(
+        status_of(hosts, process, "/review/a", method=b"POST", **USAGE)
+    )
+    callers = [RawCaller(process.settings.front) for _ in range(4)]
+    await pause(stopping.ends_at - reactor.seconds() - 0.1)
+    for caller in callers:
+        caller.begin_connect()
+    await hosts.until(lambda: stopping.refusing)
+    # Resumes in an event of a socket, so that timers are next.
+    await hosts.page("h-south", "/v1/ready")
+    for caller in callers:
+        caller.send("/lookup/a")
+    suspend(stopping.exits_at - reactor.seconds() + 0.05)
+    for caller in callers:
+        assert_that(await caller.receive(0.5), Contains(b"HTTP/1.1 503"))
+    await stopped
+    await asked
+
+
 @pytest_twisted.ensureDeferred
 async def test_the_first_request_of_a_new_connection_is_answered(hosts):
     """Guards against a close of a connection before its first request."""
