Reject responses whose status line is malformed

What callers saw: a server in trouble sent a response with status 000, and its caller received it as the response (status 0, stamp and body included).

Cause: the parser of the HTTP client takes whatever int() accepts for a status (000, 20, 0200, -200, +200, 2_00, 600) and any protocol name for HTTP. A signed response with a status below 300 counts as a success, so 000 and -200 did, and the head was passed on. The gateway uses the same parser.

Ruled out: the host's own writing of the head (the status is the one parsed) and the check of the stamp (the responses were signed).

Change: one client protocol, net/clientprotocol.py, checks the status line: the protocol name HTTP/1.x, and three digits from 100 to 599. The connections of entry hosts to servers, other hosts and the store are of this class, and so are those of the agent that all other clients use (gateway, admin server, command lines). A malformed line fails as other malformed heads did before: the request is retried at another server if it may be, and ends with 502 otherwise.

The tests failed before: 22 of 24, at once and through a host of another region, plain and streaming, retried, and at the gateway. The other two hold valid lines that must be accepted. All 24 pass after.

--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -11,12 +11,12 @@
     BODY,
     HEADER,
     STATUS,
-    HTTP11ClientProtocol,
     ParseError,
 )
 
 from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
+from ..net.clientprotocol import ClientProtocol
 from .largebodies import LargeBodies
 
 __all__ = ["Connections", "Connection", "Framing", "enable_keepalive"]
@@ -69,7 +69,7 @@
     CLOSE = "close"
 
 
-class Connection(HTTP11ClientProtocol):
+class Connection(ClientProtocol):
     """Connection that records how it ended and how long it may be idle.
 
     The HTTP client reports a reset and an orderly close alike when a body has
--- /dev/null
+++ b/src/hyssopspring/net/clientprotocol.py
@@ -0,0 +1,42 @@
+"""HTTP client protocol that accepts no malformed response."""
+
+import re
+
+from twisted.web._newclient import (
+    HTTP11ClientProtocol,
+    HTTPClientParser,
+    ParseError,
+)
+
+__all__ = ["ClientProtocol"]
+
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9][0-9]( .*)?")
+"""Status line of HTTP/1, of which the reason phrase may be missing."""
+
+
+class ClientProtocol(HTTP11ClientProtocol):
+    """Client protocol whose parser checks what a response may consist of."""
+
+    def request(self, request):
+        """Send a request; return a deferred of its response."""
+        response = super().request(request)
+        # The base class has no argument for the class of its parser.
+        if self._parser is not None:
+            self._parser.__class__ = ResponseParser
+        return response
+
+
+class ResponseParser(HTTPClientParser):
+    """Parser that fails for responses that RFC 9112 does not allow."""
+
+    def statusReceived(self, status):
+        """Parse the status line.
+
+        The base class takes any number for a status and any protocol name.
+
+        Raises:
+            ParseError: It is malformed.
+        """
+        if not STATUS_LINE.fullmatch(status):
+            raise ParseError("malformed status line", status)
+        super().statusReceived(status)
--- a/src/hyssopspring/net/clients.py
+++ b/src/hyssopspring/net/clients.py
@@ -16,6 +16,7 @@
 
 from ..core.exceptions import NoAnswerError, ProtocolError
 from ..core.sentinels import NOTHING
+from .clientprotocol import ClientProtocol
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Default time limit for opening a connection."""
@@ -40,6 +41,21 @@
 """Exceptions of a request that received no complete response."""
 
 
+class _ClientFactory(protocol.Factory):
+    """Make the connections of a pool."""
+
+    def __init__(self, quiescent, description):
+        self.quiescent = quiescent
+        self.description = description
+
+    def __repr__(self):
+        return f"_ClientFactory({self.description})"
+
+    def buildProtocol(self, addr):
+        """Return the protocol of a new connection."""
+        return ClientProtocol(self.quiescent)
+
+
 def make_agent(
     reactor, *, persistent=True, connect_timeout=CONNECT_TIMEOUT_SECONDS
 ):
@@ -55,6 +71,7 @@
         connect_timeout: Time limit for opening a connection, in seconds.
     """
     pool = HTTPConnectionPool(reactor, persistent=persistent)
+    pool._factory = _ClientFactory
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = MAX_POOLED_CONNECTIONS
     agent = Agent(reactor, connectTimeout=connect_timeout, pool=pool)
--- /dev/null
+++ b/tests/test_malformedresponses.py
@@ -0,0 +1,147 @@
+"""Responses with a malformed head do not reach callers."""
+
+import pytest
+import pytest_twisted
+from entry_hosts import USAGE
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+from twisted.internet import protocol, reactor
+
+from hyssopspring.core.outcomes import Reason, Unknown
+from hyssopspring.net.backends import BackendClient, OutgoingRequest
+from hyssopspring.net.clients import make_agent
+
+BODY = b"id: 0\ndata: event 0\n\n"
+"""A whole body, of a plain response as well as of a stream."""
+
+MALFORMED_STATUS_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 0200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1 \t200 OK",
+    b"HTTP/2.0 200 OK",
+    b"SMTP/1.1 200 OK",
+)
+
+
+def respond_with(backend, status_line, fields=b""):
+    """Let a stand-in answer each request with the same head and body."""
+
+    def respond(request, stamp):
+        rows = [b"%s: %s\r\n" % row for row in stamp.items()]
+        head = [status_line, b"\r\n", *rows, fields]
+        head.append(b"Content-Type: text/event-stream\r\n")
+        head.append(b"Content-Length: %d\r\n\r\n" % len(BODY))
+        request.transport.write(b"".join(head) + BODY)
+
+    backend.answer = lambda request, _, body, stamp: respond(request, stamp)
+    backend.stream = lambda request, stamp, _: respond(request, stamp)
+
+
+async def statuses(hosts):
+    """Request a plain response and a stream; return both statuses."""
+    plain, _, _ = await hosts.send(
+        "h-north", "/post/a", identifier="r1", method=b"POST"
+    )
+    stream, _, _ = await hosts.send(
+        "h-north", "/review/a", identifier="r2", method=b"POST", **USAGE
+    )
+    return plain, stream
+
+
+def use_head(hosts, status_line, fields=b""):
+    """Let the servers of the north respond with a head."""
+    for name in ("plain-north", "engine-north"):
+        respond_with(hosts.backends[name], status_line, fields)
+
+
+@pytest.mark.parametrize("line", [b"HTTP/1.1 200", b"HTTP/1.0 201 Made"])
+@pytest_twisted.ensureDeferred
+async def test_a_valid_status_line_is_accepted(hosts, line):
+    """The reason phrase may be missing, and the version older."""
+    use_head(hosts, line)
+    status = int(line[9:12])
+    assert_that(await statuses(hosts), Equals((status, status)))
+
+
+@pytest.mark.parametrize("line", MALFORMED_STATUS_LINES)
+@pytest_twisted.ensureDeferred
+async def test_a_malformed_status_line_is_no_response(hosts, line):
+    """Guards against a status of no meaning that a caller receives."""
+    use_head(hosts, line)
+    assert_that(await statuses(hosts), Equals((502, 502)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_another_server_responds_in_place_of_a_malformed_one(hosts):
+    """Guards against an idempotent request that ends with status 000."""
+    use_head(hosts, MALFORMED_STATUS_LINES[0])
+    status, headers, _ = await hosts.send(
+        "h-north", "/lookup/a", identifier="r1"
+    )
+    stamps = headers.getRawHeaders("x-response-stamp")
+    assert_that((status, stamps), Equals((200, ["stamp-plain-south"])))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_relayed_malformed_response_is_refused(hosts):
+    """Guards against a status 000 that a host of another region passes on."""
+    for service in ("plain", "engine"):
+        hosts.register_again(f"{service}-north", state="draining")
+        backend = hosts.backends[f"{service}-south"]
+        respond_with(backend, MALFORMED_STATUS_LINES[0])
+    await hosts.until(lambda: len(hosts.decoded("server_leaving")) == 4)
+    assert_that(await statuses(hosts), Equals((502, 502)))
+
+
+class RawServer(protocol.Protocol):
+    """Send fixed bytes as the response to a request, and close."""
+
+    def dataReceived(self, data):
+        """Respond to the first bytes of a request."""
+        self.transport.write(self.factory.response)
+        self.transport.loseConnection()
+
+
+async def send_to_raw_server(response):
+    """Send a request of the gateway; return its outcome."""
+    factory = protocol.Factory.forProtocol(RawServer)
+    factory.response = response
+    port = reactor.listenTCP(0, factory, interface="127.0.0.5")
+    agent = make_agent(reactor, persistent=False)
+    client = BackendClient(agent, agent, reactor, timeline=None)
+    outgoing = OutgoingRequest(
+        id="r1",
+        method=b"POST",
+        url=b"http://127.0.0.5:%d/" % port.getHost().port,
+        headers=(),
+        body=b"{}",
+        stream=False,
+        repeatable=False,
+    )
+    outcome = await client.send(
+        outgoing, StartedSink(), deadline=reactor.seconds() + 5, on_load=None
+    )
+    await port.stopListening()
+    return outcome
+
+
+class StartedSink:
+    """Sink that accepts no response."""
+
+    def start(self, status, headers, length=None):
+        """Fail, since the caller must not receive a head."""
+        raise AssertionError(f"response with status {status}")
+
+
+@pytest.mark.parametrize("line", MALFORMED_STATUS_LINES)
+@pytest_twisted.ensureDeferred
+async def test_the_gateway_accepts_no_malformed_status_line(line):
+    """Guards against a status 000 that the gateway passes on."""
+    head = line + b"\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\n"
+    outcome = await send_to_raw_server(head + b"{}")
+    assert_that(outcome, Equals(Unknown(Reason.CONNECTION_LOST)))
