Reject responses with a control byte in their head

What callers saw (tried from outside): a header with a NUL, a backspace or a DEL in its value was passed on as it was, and one with a bare CR as one line in which a space replaced the CR. At the gateway, "Content-Length:<VT>2" counted as a length of 2.

Cause: the parser strips and replaces some control bytes, and keeps the others. It splits lines at LF alone, so the text after a bare CR belongs to the value.

Ruled out, and held by a test that passed before: names of headers with a blank, a control byte, a byte beyond ASCII or a blank before the colon, empty names and lines without a colon, 11 kinds at an entry host and at the gateway. The parser's headers accept tokens only.

Change: each line of a head is searched for control bytes before it is parsed; a tab is valid. The failure is handled like that of a malformed status line.

--- a/src/hyssopspring/net/clientprotocol.py
+++ b/src/hyssopspring/net/clientprotocol.py
@@ -13,6 +13,9 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9][0-9]( .*)?")
 """Status line of HTTP/1, of which the reason phrase may be missing."""
 
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Byte that no line of a head may contain; a tab may."""
+
 
 class ClientProtocol(HTTP11ClientProtocol):
     """Client protocol whose parser checks what a response may consist of."""
@@ -29,6 +32,19 @@
 class ResponseParser(HTTPClientParser):
     """Parser that fails for responses that RFC 9112 does not allow."""
 
+    def lineReceived(self, line):
+        """Parse one line of a head.
+
+        The base class replaces some control bytes of a header by spaces,
+        strips others, and keeps the rest.
+
+        Raises:
+            ParseError: It contains a control byte.
+        """
+        if CONTROL_BYTE.search(line.removesuffix(b"\r")):
+            raise ParseError("control byte in a head", line)
+        super().lineReceived(line)
+
     def statusReceived(self, status):
         """Parse the status line.
 
--- a/tests/test_malformedresponses.py
+++ b/tests/test_malformedresponses.py
@@ -11,6 +11,7 @@
 from hyssopspring.net.backends import BackendClient, OutgoingRequest
 from hyssopspring.net.clients import make_agent
 
+OK = b"HTTP/1.1 200 OK"
 BODY = b"id: 0\ndata: event 0\n\n"
 """A whole body, of a plain response as well as of a stream."""
 
@@ -27,6 +28,31 @@
     b"SMTP/1.1 200 OK",
 )
 
+MALFORMED_FIELDS = (
+    b"X Odd: 1\r\n",
+    b"X\tOdd: 1\r\n",
+    b"X\x01Odd: 1\r\n",
+    b"X\rOdd: 1\r\n",
+    b"X-Odd : 1\r\n",
+    b"X-Odd\r\n : 1\r\n",
+    b"X-\xe9: 1\r\n",
+    b": 1\r\n",
+    b"X-Odd\r\n",
+    b"Content-Length : 2\r\n",
+    b"Transfer-Encoding : chunked\r\n",
+)
+"""Header lines whose name is missing or not a token, or without a colon."""
+
+CONTROL_BYTES = (
+    b"X-Odd: a\x00b\r\n",
+    b"X-Odd: a\x08b\r\n",
+    b"X-Odd: a\x7fb\r\n",
+    b"X-Odd: a\rContent-Length: 2\r\n",
+    b"X-Odd: a\r\n b\x00\r\n",
+    b"Content-Length:\x0b2\r\n",
+)
+"""Header lines with control bytes in their value."""
+
 
 def respond_with(backend, status_line, fields=b""):
     """Let a stand-in answer each request with the same head and body."""
@@ -76,6 +102,36 @@
     assert_that(await statuses(hosts), Equals((502, 502)))
 
 
+@pytest.mark.parametrize("fields", MALFORMED_FIELDS)
+@pytest_twisted.ensureDeferred
+async def test_a_malformed_header_name_is_no_response(hosts, fields):
+    """Guards against a malformed header line that a caller receives."""
+    use_head(hosts, OK, fields)
+    assert_that(await statuses(hosts), Equals((502, 502)))
+
+
+@pytest.mark.parametrize("fields", CONTROL_BYTES)
+@pytest_twisted.ensureDeferred
+async def test_a_control_byte_in_a_head_is_no_response(hosts, fields):
+    """Guards against a NUL or CR in a header that a caller receives."""
+    use_head(hosts, OK, fields)
+    assert_that(await statuses(hosts), Equals((502, 502)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_a_control_byte_in_a_reason_phrase_is_no_response(hosts):
+    """The whole head is checked, the status line included."""
+    use_head(hosts, b"HTTP/1.1 200 O\x00K")
+    assert_that(await statuses(hosts), Equals((502, 502)))
+
+
+@pytest_twisted.ensureDeferred
+async def test_tabs_and_bytes_beyond_ascii_may_stand_in_a_value(hosts):
+    """Such values are valid; a folded line is joined."""
+    use_head(hosts, OK, b"X-Odd: a\tb \xe9\r\n\tc\r\n")
+    assert_that(await statuses(hosts), Equals((200, 200)))
+
+
 @pytest_twisted.ensureDeferred
 async def test_another_server_responds_in_place_of_a_malformed_one(hosts):
     """Guards against an idempotent request that ends with status 000."""
@@ -138,9 +194,16 @@
         raise AssertionError(f"response with status {status}")
 
 
-@pytest.mark.parametrize("line", MALFORMED_STATUS_LINES)
+@pytest.mark.parametrize(
+    "line",
+    [
+        *MALFORMED_STATUS_LINES,
+        *(OK + b"\r\n" + fields[:-2] for fields in MALFORMED_FIELDS),
+        *(OK + b"\r\n" + fields[:-2] for fields in CONTROL_BYTES),
+    ],
+)
 @pytest_twisted.ensureDeferred
-async def test_the_gateway_accepts_no_malformed_status_line(line):
+async def test_the_gateway_accepts_no_malformed_head(line):
     """Guards against a status 000 that the gateway passes on."""
     head = line + b"\r\nX-Request-Id: r1\r\nContent-Length: 2\r\n\r\n"
     outcome = await send_to_raw_server(head + b"{}")
