Bound the numbers in entries and reports of servers

What callers saw: nothing at once. An entry of another writer whose slots exceed 64 bits was taken for one of a server, and from then on no host of its region could send a load report: each of them ended with OverflowError, five a second and host, for as long as the entry existed. Regions that get no reports send no requests to each other. A start time of that size ended the messages about a restarted server, and the announcement of a refused connection, in the same way.

Cause: the decoder accepts integers of any size, and the encoder of messages between hosts does not. Hosts neither ended nor stopped following the store.

Ruled out, and held by a test that passed before: entries that are nested too deeply; UNDECODABLE covers them.

Change: slots are at most 100,000, as in reported loads, and a start time lies between 1970 and the end of the year 9999, in entries and in reports of servers (whose start time is sent to other hosts as well). What is beyond is an entry that cannot be read, and a report without a start time.

--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -1,6 +1,7 @@
 """Decode and encode the HTTP headers of callers and backend servers."""
 
 import re
+from typing import Annotated
 
 import msgspec
 from twisted.web.http_headers import Headers
@@ -15,7 +16,9 @@
 from ..traffic.work import Demand
 
 __all__ = [
+    "MAX_REPORTED_REQUESTS",
     "REPORT_PATH",
+    "StartTime",
     "read_caller",
     "read_head",
     "read_start_time",
@@ -57,6 +60,10 @@
 """Running or waiting requests, or slots, above which a reported load is
 treated as invalid."""
 
+MAX_START_TIME = 253_402_300_799_999
+"""Unix time in milliseconds of the end of the year 9999. A start that is later
+is treated as invalid."""
+
 MAX_TOKENS = 10**9
 """Tokens above which a token usage header, or the number of tokens of a prompt
 part, is treated as invalid."""
@@ -245,10 +252,14 @@
     )
 
 
+StartTime = Annotated[int, msgspec.Meta(ge=0, le=MAX_START_TIME)]
+"""Unix time in milliseconds; 0 if it is not known."""
+
+
 class _Report(msgspec.Struct):
     """The field of a server's report on itself that is used."""
 
-    born: int = 0
+    born: StartTime = 0
 
 
 _REPORT = msgspec.json.Decoder(_Report)
--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -8,6 +8,7 @@
 from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.sentinels import NOTHING
 from ..traffic.servers import ServerEntry
+from .headers import MAX_REPORTED_REQUESTS, StartTime
 
 __all__ = ["SERVERS_PREFIX", "decode_server", "server_id"]
 
@@ -27,11 +28,11 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_REPORTED_REQUESTS)]
     state: Literal["ready", "draining"]
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
     seq: int
-    born: int = 0
+    born: StartTime = 0
     time_left_ms: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,5 +1,7 @@
 """Decoding and encoding of the users' platform by its adapter."""
 
+import json
+
 import msgspec
 import pytest
 from testtools.assertions import assert_that
@@ -212,6 +214,10 @@
         {"born": 1.5},
         {"born": "1780000000000"},
         {"seq": True},
+        {"slots": 100_001},
+        {"slots": 10**15},
+        {"born": -1},
+        {"born": 10**15},
     ],
     ids=str,
 )
@@ -262,6 +268,20 @@
         decode_server("servers/i-1", with_field(value))
 
 
+def with_number(name, value):
+    """Return the entry of a server with any integer in a field."""
+    return json.dumps({**GOOD_ROW, name: value}).encode()
+
+
+@pytest.mark.parametrize("name", ["slots", "born"])
+def test_a_number_that_no_message_can_carry_names_no_server(name):
+    """Guards against an entry of which hosts can send no message."""
+    entry = with_number(name, 10**30)
+    with pytest.raises(ProtocolError):
+        decode_server("servers/i-1", entry)
+    assert_that(read_start_time(with_number("born", 10**30)), Equals(0))
+
+
 def test_headers_that_only_the_system_sets_do_not_pass():
     """Internal and hop-by-hop headers of a caller are not forwarded.
 
