Accept only IP addresses with a valid port in entries of servers

What callers saw: nothing but a delay. An entry of another writer with port 99999, or with a name in place of an IP address, was taken for one of a server. Requests were tried there and then at another server; with no other one they were refused after the attempts. A name was looked up in a thread.

Cause: the address was only split at its colon and its port read by int(), which takes any size, signs, blanks and underscores. Evidence: attempt_ended with OverflowError('connect_ex(): port must be 0-65535.') and DNSLookupError, then 200 from the other region. No host ended or stopped following the store.

Change: is_ip_address checks the address as the settings already did, and the settings use it too. An entry with another address cannot be read: it is logged and names no server to use, as the users' rule on odd entries says.

--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.addresses import split_address
+from ..core.addresses import is_ip_address
 from ..core.exceptions import UNDECODABLE, ProtocolError
 from ..core.sentinels import NOTHING
 from ..traffic.servers import ServerEntry
@@ -57,9 +57,13 @@
     try:
         # The decoder does not check the text of fields that it skips.
         row = _DECODER.decode(value.decode())
-        split_address(row.address)
-    except (*UNDECODABLE, ValueError) as problem:
+    except UNDECODABLE as problem:
         raise ProtocolError(f"invalid server entry {key}: {problem}") from None
+    if not is_ip_address(row.address):
+        raise ProtocolError(
+            f"invalid server entry {key}: {row.address!r} is no IP address "
+            "with a port"
+        )
     terminates_in = NOTHING
     if row.time_left_ms is not None:
         terminates_in = row.time_left_ms / 1000
--- a/src/hyssopspring/settings.py
+++ b/src/hyssopspring/settings.py
@@ -1,13 +1,15 @@
 """Settings of a process: loading from a YAML file and validation."""
 
-import ipaddress
 import sys
 
 import click
 import msgspec
 import yaml
 
-from .core.addresses import split_address  # noqa: F401 - re-exported
+from .core.addresses import (
+    is_ip_address,
+    split_address,  # noqa: F401 - re-exported
+)
 from .core.exceptions import EXIT_BAD_SETTINGS, SettingsError
 
 
@@ -158,13 +160,7 @@
     Raises:
         SettingsError: The value is not a valid address.
     """
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-        is_valid = 0 <= int(port) <= 65535
-    except ValueError:
-        is_valid = False
-    if not is_valid:
+    if not is_ip_address(text, lowest_port=0):
         raise SettingsError(
             f"{path}: {key}: expected an IP address and a port such as "
             f"127.0.0.1:8100, got {text!r}"
--- a/tests/test_oddentries.py
+++ b/tests/test_oddentries.py
@@ -22,8 +22,13 @@
 
 @pytest.mark.parametrize(
     "changes",
-    [{"unknown": NESTED}, {"slots": HUGE}, {"born": HUGE}],
-    ids=["nested", "slots", "born"],
+    [
+        {"unknown": NESTED},
+        {"slots": HUGE},
+        {"born": HUGE},
+        {"address": '"127.0.0.5:99999"'},
+    ],
+    ids=["nested", "slots", "born", "port"],
 )
 @pytest_twisted.ensureDeferred
 async def test_an_odd_entry_keeps_no_host_from_its_work(hosts, changes):
