Reject responses with several Transfer-Encoding headers

What callers saw (found by a look at the other places that read responses): a response with "Transfer-Encoding: chunked" and then "Transfer-Encoding: gzip" was passed on without its chunks but still compressed, and without either header, so as a body that its server did not mean.

Cause: the parser decodes the first of these headers and ignores the others. One header with two encodings was refused before.

Change: a head with more than one is malformed, which is handled as before.

Three tests failed before (gzip, identity and chunked as the second encoding) and pass after.

--- a/src/hyssopspring/net/clientprotocol.py
+++ b/src/hyssopspring/net/clientprotocol.py
@@ -56,3 +56,18 @@
         if not STATUS_LINE.fullmatch(status):
             raise ParseError("malformed status line", status)
         super().statusReceived(status)
+
+    def allHeadersReceived(self):
+        """Prepare to parse the body.
+
+        The base class decodes the first encoding only.
+
+        Raises:
+            ParseError: The body has several transfer encodings.
+        """
+        encodings = self.connHeaders.getRawHeaders(b"transfer-encoding", ())
+        if len(encodings) > 1:
+            raise ParseError(
+                "several transfer encodings", b",".join(encodings)
+            )
+        super().allHeadersReceived()
--- a/tests/test_malformedresponses.py
+++ b/tests/test_malformedresponses.py
@@ -126,6 +126,18 @@
     assert_that(await statuses(hosts), Equals((502, 502)))
 
 
+@pytest.mark.parametrize("second", [b"gzip", b"identity", b"chunked"])
+@pytest_twisted.ensureDeferred
+async def test_a_body_with_two_encodings_is_no_response(raw_server, second):
+    """Guards against a body of which only one encoding is decoded."""
+    raw_server.response = (
+        OK + b"\r\nX-Request-Attempt-Id: r1\r\nX-Response-Stamp: s\r\n"
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: " + second
+    ) + b"\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+    outcome = await send_by_entry_host(raw_server)
+    assert_that(outcome, Equals(Unknown(Reason.CONNECTION_LOST)))
+
+
 @pytest_twisted.ensureDeferred
 async def test_tabs_and_bytes_beyond_ascii_may_stand_in_a_value(hosts):
     """Such values are valid; a folded line is joined."""
