Bound the causes of failed attempts in log lines

A malformed response is quoted in the cause of its attempt, up to 16 kB of it, and each attempt logs two lines.

Change: a cause has 300 characters at most. Failures of connections and time limits are shorter.

test_a_log_line_quotes_only_the_beginning_of_a_response fails without the bound (a status line of 10 kB) and passes with it.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -28,6 +28,10 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum size of a response that is buffered whole in memory."""
 
+MAX_CAUSE_CHARACTERS = 300
+"""Maximum size of the cause of a failure in a log line. A malformed response
+is quoted there."""
+
 MIN_SILENCE_SECONDS = 0.9
 SILENCE_FACTOR = 3.0
 """A server counts as silent if its response has not started after three times
@@ -479,7 +483,7 @@
 
     def handle_failure(self, failure):
         """Return the outcome that can be concluded from a failure."""
-        self.cause = repr(failure.value)
+        self.cause = repr(failure.value)[:MAX_CAUSE_CHARACTERS]
         self.ended_at = self.clock.seconds()
         if self.connection is not NOTHING:
             self.connection.transport.abortConnection()
--- a/tests/test_malformedresponses.py
+++ b/tests/test_malformedresponses.py
@@ -5,10 +5,11 @@
 from entry_hosts import USAGE
 from raw_servers import attempt_at, listen_raw
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals, LessThan
 from twisted.internet import protocol, reactor
 
 from hyssopspring.core.outcomes import Reason, Unknown
+from hyssopspring.entry.attempts import MAX_CAUSE_CHARACTERS
 from hyssopspring.net.backends import BackendClient, OutgoingRequest
 from hyssopspring.net.clients import make_agent
 
@@ -145,6 +146,16 @@
     assert_that(await statuses(hosts), Equals((200, 200)))
 
 
+@pytest_twisted.ensureDeferred
+async def test_a_log_line_quotes_only_the_beginning_of_a_response(hosts):
+    """Guards against log lines as long as a server likes."""
+    use_head(hosts, b"HTTP/1.1 000 " + b"x" * 10_000)
+    assert_that(await statuses(hosts), Equals((502, 502)))
+    ended = await hosts.logged("attempt_ended")
+    assert_that(ended["cause"], Contains("HTTP/1.1 000"))
+    assert_that(len(ended["cause"]), LessThan(MAX_CAUSE_CHARACTERS + 1))
+
+
 @pytest_twisted.ensureDeferred
 async def test_another_server_responds_in_place_of_a_malformed_one(hosts):
     """Guards against an idempotent request that ends with status 000."""
