Check each address of a server once; bound the buffer of a test's server

An entry is decoded at each of its changes, for up to 2,300 servers; addresses rarely change. The check is cached like the split form of an address.

The server of test_earlyresponses.py must leave a part of 300 kB unacknowledged, which depended on the receive buffers of the machine. Its buffer is set.

--- a/src/hyssopspring/core/addresses.py
+++ b/src/hyssopspring/core/addresses.py
@@ -20,6 +20,7 @@
     return host, int(port)
 
 
+@lru_cache(CACHED_ADDRESSES)
 def is_ip_address(text, *, lowest_port=1):
     """Return whether *text* is an IP address with a port number.
 
--- a/tests/test_earlyresponses.py
+++ b/tests/test_earlyresponses.py
@@ -18,6 +18,9 @@
 """Sizes of uploads, of which a server reads only the beginning: one fits into
 the buffers of the system, of the other a part stays in the host's process."""
 
+RECEIVE_BUFFER = 16 * 1024
+"""Receive buffer of the server's socket in bytes."""
+
 PART = b"x" * 400
 END_AFTER_SECONDS = 0.05
 RESET_AFTER_SECONDS = 0.2
@@ -35,8 +38,11 @@
     """Respond to the first bytes of a request, and read no further."""
 
     def connectionMade(self):
-        """Note that nothing has been received."""
+        """Keep the system from receiving much of the request."""
         self.received = b""
+        self.transport.getHandle().setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
+        )
 
     def dataReceived(self, data):
         """Respond once the head has been received."""
