Bound the size of addresses, and accept no scope identifiers

Found by a second reading of: the results of the check are cached by address, those of refused ones included, so entries of another writer could fill the cache with addresses of any size; and an IPv6 address may carry a scope identifier, which may be any text.

Change: an address has at most 64 characters and no scope identifier.

--- a/src/hyssopspring/core/addresses.py
+++ b/src/hyssopspring/core/addresses.py
@@ -32,6 +32,9 @@
     # int() takes signs, blanks and underscores as well.
     if not (port.isascii() and port.isdigit() and len(port) <= MAX_DIGITS):
         return False
+    # A scope identifier may contain any text.
+    if "%" in host:
+        return False
     try:
         ipaddress.ip_address(host)
     except ValueError:
--- a/src/hyssopspring/net/clients.py
+++ b/src/hyssopspring/net/clients.py
@@ -71,6 +71,7 @@
         connect_timeout: Time limit for opening a connection, in seconds.
     """
     pool = HTTPConnectionPool(reactor, persistent=persistent)
+    # The pool has no argument for its factory.
     pool._factory = _ClientFactory
     pool.retryAutomatically = False
     pool.maxPersistentPerHost = MAX_POOLED_CONNECTIONS
--- a/src/hyssopspring/platform/registry.py
+++ b/src/hyssopspring/platform/registry.py
@@ -15,6 +15,10 @@
 SERVERS_PREFIX = "servers/"
 DRAINING_STATE = "draining"
 
+MAX_ADDRESS_CHARACTERS = 64
+"""Maximum size of an address. An IPv6 address with a port has 51 characters at
+most."""
+
 
 class _Server(msgspec.Struct):
     """An entry in the form and with the field types that servers write.
@@ -25,7 +29,7 @@
     """
 
     service: str
-    address: str
+    address: Annotated[str, msgspec.Meta(max_length=MAX_ADDRESS_CHARACTERS)]
     zone: str
     version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_REPORTED_REQUESTS)]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -220,6 +220,7 @@
         {"address": "127.0.0.999:80"},
         {"address": "server.example:80"},
         {"address": ":80"},
+        {"address": "::1%a b:80"},
         {"born": 1.5},
         {"born": "1780000000000"},
         {"seq": True},
