Bound the memory of responses that clients do not read

What callers saw: as for bodies, the host ends, or answers 502, beside clients that ask for long responses and read them slowly.

Cause: responses below 1 MB were not counted while they were received, and none was once it had been written for a client. The next of several pipelined requests was handled although the response before it was unread. Reference cycles of an attempt kept the body of its response, and the parts of which it was joined, until a garbage collection.

Change: the account counts responses that are received whole, at entry hosts and the gateway, with the copy that is made to write them, and what is unsent. A pipelined request waits until the response before it was read. Attempts drop bodies that were passed on.

--- a/src/hyssopspring/entry/attempts.py
+++ b/src/hyssopspring/entry/attempts.py
@@ -135,6 +135,14 @@
     body: bytes
     head: ResponseHead = field(default_factory=ResponseHead)
 
+    def take_body(self):
+        """Return the body and drop it.
+
+        Reference cycles of the attempt would keep it until they are collected.
+        """
+        body, self.body = self.body, b""
+        return body
+
 
 @implementer(IBodyProducer)
 class BytesProducer:
@@ -460,7 +468,7 @@
             raise reader.overflow_error
         if not self.is_complete(reader):
             raise _TruncatedResponse
-        return reader.body
+        return reader.take_body()
 
     def is_complete(self, reader):
         """Return whether a body has ended where its server meant it to end.
@@ -573,6 +581,12 @@
         """Body received so far."""
         return b"".join(self.parts)
 
+    def take_body(self):
+        """Return the body and drop its parts."""
+        body = self.body
+        self.parts.clear()
+        return body
+
     def may_end(self, *, by_close):
         """Return whether the content may end here; any body may.
 
--- a/src/hyssopspring/entry/connections.py
+++ b/src/hyssopspring/entry/connections.py
@@ -1,10 +1,8 @@
 """Pool of connections to backend servers and other hosts."""
 
 import enum
-import fcntl
 import math
 import socket
-import termios
 from dataclasses import dataclass
 
 from twisted.internet import defer, error, protocol
@@ -20,6 +18,7 @@
 
 from ..core.addresses import split_address
 from ..core.sentinels import NOTHING
+from ..net.clientaccounts import unacknowledged_bytes
 from ..net.clientprotocol import ClientProtocol
 from .largebodies import LargeBodies
 
@@ -233,8 +232,7 @@
     handle = transport.getHandle()
     if handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
         return True
-    unacknowledged = fcntl.ioctl(handle, termios.TIOCOUTQ, bytes(4))
-    return any(unacknowledged)
+    return unacknowledged_bytes(transport) > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -299,6 +297,7 @@
         reactor: The reactor.
         source: IP address from which connections are opened. A host may have
             several addresses; the other hosts identify it by this one.
+        account: `ClientAccount` of the process.
 
     Attributes:
         large_bodies: The `LargeBodies` that are received over them.
@@ -307,12 +306,12 @@
             with whether it was refused.
     """
 
-    def __init__(self, reactor, source):
+    def __init__(self, reactor, source, account):
         self.reactor = reactor
         self.source = source
         self.on_broken = lambda endpoint, refused: None
         self.idle = {}
-        self.large_bodies = LargeBodies()
+        self.large_bodies = LargeBodies(account)
         self.opened = 0
         self.unopened = 0
 
--- a/src/hyssopspring/entry/exchanges.py
+++ b/src/hyssopspring/entry/exchanges.py
@@ -645,7 +645,7 @@
         self.sink.send_whole(
             buffered_response.status,
             buffered_response.headers,
-            buffered_response.body,
+            buffered_response.take_body(),
         )
         self.log_end("answered", buffered_response.status)
 
--- a/src/hyssopspring/entry/largebodies.py
+++ b/src/hyssopspring/entry/largebodies.py
@@ -1,35 +1,60 @@
-"""Memory of large response bodies that are received whole."""
+"""Memory of response bodies that are received whole."""
+
+from ..net.clientaccounts import BODY_COPIES
 
 __all__ = ["LargeBodies"]
 
 LARGE_BODY_BYTES = 1024 * 1024
-"""Size from which a body counts as large. Smaller ones are never ended for the
-memory that others take."""
+"""Size from which a body counts as large. Smaller ones are ended only if there
+is no large one."""
 
 MAX_LARGE_BYTES = 32 * 1024 * 1024
 """Maximum sum of the sizes of the large bodies that are being received."""
 
 
 class LargeBodies:
-    """Large bodies that a process is receiving.
+    """Bodies that a process is receiving whole.
 
-    Above the maximum sum, the largest one is ended. A body without an end
+    Above a maximum sum, the largest one is ended. A body without an end
     grows to that position, and sound ones go on.
+
+    Args:
+        account: `ClientAccount` of the process.
     """
 
-    def __init__(self):
+    def __init__(self, account):
+        self.account = account
         self.receiving = set()
+        self.large = set()
 
     def note(self, body):
         """Count a `BodyCollector` that has grown."""
+        if not self.account.allows(
+            body, body.size * BODY_COPIES - self.held(body)
+        ):
+            self.end_largest(self.receiving | {body})
+            if body.overflowed:
+                return
+        self.receiving.add(body)
+        self.account.count(body, body.size * BODY_COPIES)
         if body.size < LARGE_BODY_BYTES:
             return
-        self.receiving.add(body)
-        if sum(one.size for one in self.receiving) > MAX_LARGE_BYTES:
-            largest = max(self.receiving, key=lambda one: one.size)
-            self.receiving.discard(largest)
-            largest.overflow()
+        self.large.add(body)
+        if sum(one.size for one in self.large) > MAX_LARGE_BYTES:
+            self.end_largest(self.large)
+
+    def held(self, body):
+        """Return the bytes that the account counts for a body."""
+        return self.account.counted.get(body, 0)
+
+    def end_largest(self, bodies):
+        """End the largest of some bodies."""
+        largest = max(bodies, key=lambda one: one.size)
+        self.discard(largest)
+        largest.overflow()
 
     def discard(self, body):
         """Stop counting a `BodyCollector` that has ended."""
         self.receiving.discard(body)
+        self.large.discard(body)
+        self.account.count(body, 0)
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -206,7 +206,9 @@
             self.retry_after_pauses,
             self.run_guarded,
         )
-        connections = Connections(self.reactor, settings.address)
+        connections = Connections(
+            self.reactor, settings.address, self.listeners.account
+        )
         view = ConfirmedView(
             boot_clock, settings.revocation, settings.apply_seconds
         )
--- a/src/hyssopspring/entry/relaying.py
+++ b/src/hyssopspring/entry/relaying.py
@@ -516,7 +516,7 @@
         self.sink.send_whole(
             buffered_response.status,
             self.relay_headers(buffered_response.headers),
-            buffered_response.body,
+            buffered_response.take_body(),
         )
 
     def refuse(self, outcome, predicted=0.0, evidence="", **details):
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -153,7 +153,11 @@
     def create_apis(self):
         """Create the HTTP APIs for callers and for other hosts."""
         client = BackendClient(
-            self.pooled_agent, self.unpooled_agent, self.reactor, self.timeline
+            self.pooled_agent,
+            self.unpooled_agent,
+            self.reactor,
+            self.timeline,
+            self.listeners.account,
         )
         self.dispatcher = Dispatcher(self.state, client, self.signer)
         self.claims = Claims(
--- a/src/hyssopspring/net/backends.py
+++ b/src/hyssopspring/net/backends.py
@@ -95,13 +95,15 @@
         unpooled: Agent that opens a connection for each request.
         clock: The clock (the reactor).
         timeline: The `Timeline`, the event log.
+        account: `ClientAccount` of the process, or `NOTHING`.
     """
 
-    def __init__(self, pooled, unpooled, clock, timeline):
+    def __init__(self, pooled, unpooled, clock, timeline, account=NOTHING):
         self.pooled = pooled
         self.unpooled = unpooled
         self.clock = clock
         self.timeline = timeline
+        self.account = account
 
     def send(self, outgoing, sink, *, deadline, on_load):
         """Execute one attempt.
@@ -219,7 +221,7 @@
 
     async def receive_whole(self, response):
         """Buffer the response, check it and write it to the sink."""
-        body = await read_body(response)
+        body = await read_body(response, account=self.client.account)
         self.complete = True
         if self.outgoing.resume_url and not is_json(body):
             raise ProtocolError("the response body is not JSON")
--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -60,9 +60,12 @@
         half_closed_at: Time at which the sending side was closed, or
             `NOTHING`.
         holding: `Holding` of its client.
+        is_behind: Whether the next request waits until the client has read
+            the response before it.
     """
 
     half_closed_at = NOTHING
+    is_behind = False
 
     def connectionMade(self):
         """Register the connection with its site."""
@@ -91,9 +94,37 @@
         self.holding.note_written(len(data))
 
     def requestDone(self, request):
-        """Release the body of a request, and go on with the next one."""
+        """Go on with the next request once the client has read enough.
+
+        Responses to requests behind one another would otherwise accumulate
+        for a client that does not read.
+        """
         request.release_body()
-        super().requestDone(request)
+        may_go_on = not self._waitingForTransport or self.site.closing
+        if may_go_on or not self.persistent:
+            super().requestDone(request)
+            return
+        self.requests.remove(request)
+        self.is_behind = True
+
+    def resumeProducing(self):
+        """Go on after the client has read what was written."""
+        super().resumeProducing()
+        self.handle_next()
+
+    def handle_next(self):
+        """Handle the data behind a response that the client has read."""
+        if not self.is_behind:
+            return
+        self.is_behind = False
+        self._handlingRequest = False
+        if self._savedTimeOut:
+            self.setTimeout(self._savedTimeOut)
+        if not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+        data = b"".join(self._dataBuffer)
+        self._dataBuffer = []
+        self.setLineMode(data)
 
     @property
     def buffered_bytes(self):
@@ -441,6 +472,8 @@
         """Let responses announce that their connections are closed."""
         for site in self.sites:
             site.closing = True
+            for channel in list(site.channels):
+                channel.handle_next()
 
     def close_idle(self):
         """Close the connections that carry no request at present."""
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -14,6 +14,7 @@
 from ..core.sentinels import NOTHING
 
 __all__ = [
+    "BODY_COPIES",
     "CHECK_INTERVAL_SECONDS",
     "RETRY_SECONDS",
     "ClientAccount",
@@ -59,6 +60,9 @@
 """Longest time that a check counts, since the process may have been
 suspended."""
 
+BODY_COPIES = 2
+"""Copies of a body while it is joined, or written to a server or client."""
+
 RECLAIM_INTERVAL_SECONDS = 0.05
 """Shortest interval between two searches for clients to end."""
 
--- a/src/hyssopspring/net/clients.py
+++ b/src/hyssopspring/net/clients.py
@@ -16,6 +16,7 @@
 
 from ..core.exceptions import NoAnswerError, ProtocolError
 from ..core.sentinels import NOTHING
+from .clientaccounts import BODY_COPIES
 from .clientprotocol import ClientProtocol
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -158,13 +159,20 @@
     return agent.request(b"POST", url.encode(), headers, body)
 
 
-def read_body(response, limit=MAX_RESPONSE_BYTES):
+def read_body(response, limit=MAX_RESPONSE_BYTES, account=NOTHING):
     """Return a deferred of the whole body of *response*.
 
-    The deferred fails if the body ends before its Content-Length, or if
-    it is longer than *limit* bytes. Cancelling it closes the connection.
+    The deferred fails if the body ends before its Content-Length, if it is
+    longer than *limit* bytes, or if clients hold too much. Cancelling it
+    closes the connection.
+
+    Args:
+        response: The response.
+        limit: Largest body, in bytes.
+        account: `ClientAccount` of the process if a client is to receive the
+            body, or `NOTHING`.
     """
-    reader = BodyReader(limit)
+    reader = BodyReader(limit, account)
     response.deliverBody(reader)
     return reader.done
 
@@ -174,10 +182,12 @@
 
     Args:
         limit: Largest body, in bytes.
+        account: `ClientAccount` that counts it, or `NOTHING`.
     """
 
-    def __init__(self, limit):
+    def __init__(self, limit, account=NOTHING):
         self.limit = limit
+        self.account = account
         self.size = 0
         self.parts = []
         self.done = defer.Deferred(self.cancel)
@@ -188,13 +198,26 @@
         self.size += len(data)
         if self.size > self.limit:
             self.fail(ProtocolError("response body is too large"))
+        elif self.account is not NOTHING and not self.count(len(data)):
+            self.fail(ProtocolError("clients hold too much memory"))
+
+    def count(self, size):
+        """Count further bytes; return whether the account allows them."""
+        if not self.account.allows(self, size * BODY_COPIES):
+            return False
+        self.account.count(self, self.size * BODY_COPIES)
+        return True
 
     def connectionLost(self, reason):
         """Fire *done* with the body if it is complete, else with *reason*."""
+        if self.account is not NOTHING:
+            self.account.count(self, 0)
         if self.done.called:
             return
+        body = b"".join(self.parts)
+        self.parts.clear()
         if reason.check(ResponseDone):
-            self.done.callback(b"".join(self.parts))
+            self.done.callback(body)
         else:
             self.done.errback(reason)
 
@@ -205,6 +228,7 @@
 
     def fail(self, failure):
         """Fail with *failure* and close the connection."""
+        self.parts.clear()
         if not self.done.called:
             self.done.errback(failure)
             self.transport.loseConnection()
--- a/tests/raw_servers.py
+++ b/tests/raw_servers.py
@@ -6,6 +6,7 @@
 
 from hyssopspring.entry.attempts import Attempt, OutgoingRequest
 from hyssopspring.entry.connections import Connections, Endpoint
+from hyssopspring.net.clientaccounts import ClientAccount
 from hyssopspring.platform.headers import read_head
 
 IDENTIFIER = b"r1"
@@ -27,7 +28,7 @@
 async def attempt_at(address, body=b""):
     """Make an attempt of a plain request; return its outcome."""
     attempt = Attempt(
-        Connections(reactor, "127.0.0.5"),
+        Connections(reactor, "127.0.0.5", ClientAccount(reactor)),
         Endpoint("s", address),
         OutgoingRequest(
             id=IDENTIFIER,
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -106,6 +106,14 @@
     await check(host, [Crowd(host.front, 120, whole) for _ in range(3)])
 
 
+@pytest.mark.parametrize(("count", "pipelined"), [(120, 1), (20, 10)])
+@pytest_twisted.ensureDeferred
+async def test_unread_responses_stay_within_the_memory(host, count, pipelined):
+    """Guards against responses that clients do not read."""
+    asked = request("GET", "/lookup/long") * pipelined
+    await check(host, [Crowd(host.front, count, asked) for _ in range(2)])
+
+
 @pytest.mark.parametrize("count", [1, 4])
 @pytest_twisted.ensureDeferred
 async def test_large_requests_and_responses_are_served(tmp_path, count):
--- a/tests/test_truncation.py
+++ b/tests/test_truncation.py
@@ -24,6 +24,7 @@
 from hyssopspring.entry.fetching import fetch
 from hyssopspring.net.backends import BackendClient
 from hyssopspring.net.backends import OutgoingRequest as GatewayRequest
+from hyssopspring.net.clientaccounts import ClientAccount
 from hyssopspring.net.clients import make_agent
 from hyssopspring.platform.headers import read_head
 from hyssopspring.traffic.serverhealth import AttemptResult
@@ -73,7 +74,7 @@
     server.script = script
     received = []
     attempt = Attempt(
-        Connections(reactor, "127.0.0.5"),
+        Connections(reactor, "127.0.0.5", ClientAccount(reactor)),
         server.endpoint,
         OutgoingRequest(
             id=b"r1",
@@ -378,7 +379,7 @@
     """Guards against a part of a listing that counts as the whole."""
     server.answer = PlainScript(100).serve
     call = fetch(
-        Connections(reactor, "127.0.0.5"),
+        Connections(reactor, "127.0.0.5", ClientAccount(reactor)),
         server.endpoint,
         b"GET",
         b"/v1/kv-range",
