Close idle connections before a listener has too many

What callers saw: beside many idle connections new ones were reset until the idle timeout.

Cause: limits.max_fds was not read, and each listener accepted connections until the process had no descriptor left.

With more connections, those that have been idle for longest are closed, then slow ones; else the new one is closed.

Now the process stays below 300, and an ordinary caller is answered beside them.

--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -442,6 +442,7 @@
             max_idle_seconds=lambda: idle or self.limits().idle_seconds,
             max_body_bytes=lambda: self.limits().body_bytes,
             account=self.listeners.account,
+            for_callers=address == self.settings.front,
             **options,
         )
         ip, port = split_address(address)
--- a/src/hyssopspring/entry/web.py
+++ b/src/hyssopspring/entry/web.py
@@ -145,6 +145,8 @@
         """Return the protocol of a new connection."""
         self.timeOut = self.max_idle_seconds()
         channel = super().buildProtocol(addr)
+        if channel is None:
+            return None
         channel.requestFactory = WebRequest
         channel.abortTimeout = ABORT_AFTER_SECONDS
         return channel
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -253,6 +253,7 @@
             reactor=self.reactor,
             in_progress=self.in_progress,
             account=self.listeners.account,
+            for_callers=address == self.settings.listen,
         )
         host, port = split_address(address)
         listening = self.reactor.listenTCP(
--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -394,6 +394,7 @@
     Args:
         account: `ClientAccount` of the process, or `NOTHING` for one of its
             own.
+        for_callers: Whether callers connect to it.
 
     Attributes:
         closing: Whether connections are closed after their responses.
@@ -402,16 +403,24 @@
 
     protocol = Channel
 
-    def __init__(self, *args, account=NOTHING, **kwargs):
+    def __init__(self, *args, account=NOTHING, for_callers=True, **kwargs):
         super().__init__(*args, **kwargs)
         if account is NOTHING:
             account = ClientAccount(self.reactor)
         self.account = account
+        limits = account.limits
+        self.max_connections = (
+            limits.caller_connections
+            if for_callers
+            else limits.other_connections
+        )
         self.closing = False
         self.channels = set()
 
     def buildProtocol(self, addr):
-        """Return the protocol of a new connection."""
+        """Return the protocol of a new connection, or None to close it."""
+        if not self.account.admits(self.channels, self.max_connections):
+            return None
         channel = super().buildProtocol(addr)
         channel.site = self
         return channel
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -74,6 +74,9 @@
 """A client counts as slow from the first time on if it would take the second
 one to send or read as much as it holds."""
 
+CLOSED_AT_ONCE = 32
+"""Idle connections that are closed when a listener has too many."""
+
 RETRY_SECONDS = 1.0
 """Retry-After of a request whose body was not kept. Slow clients are ended
 within this time."""
@@ -125,7 +128,9 @@
         holdings: The `Holding` of each open connection.
         files: Temporary files that bodies occupy.
         bodies_refused: Bodies that were dropped for lack of memory.
-        connections_ended: Connections that were ended as they were slow.
+        connections_ended: Connections that were ended as they were slow, or
+            idle while a listener had too many.
+        connections_refused: New connections that were closed at once.
     """
 
     def __init__(self, clock, limits=NOTHING, note=lambda **gauges: None):
@@ -138,8 +143,10 @@
         self.holdings = set()
         self.files = 0
         self.next_reclaim = 0.0
+        self.next_close = 0.0
         self.bodies_refused = 0
         self.connections_ended = 0
+        self.connections_refused = 0
 
     def count(self, holder, size):
         """Count *size* bytes for a holder, instead of what was counted."""
@@ -189,11 +196,54 @@
 
     def note_changes(self):
         """Report what was refused or ended since the last check."""
-        total = self.bodies_refused + self.connections_ended
+        total = (
+            self.bodies_refused
+            + self.connections_ended
+            + self.connections_refused
+        )
         if total != self.noted:
             self.noted = total
             self.note(**self.gauges())
 
+    def admits(self, channels, maximum):
+        """Return whether a listener may accept a further connection.
+
+        The connections that have been idle for longest are closed if it has
+        too many.
+
+        Args:
+            channels: Its open connections.
+            maximum: How many it may have.
+        """
+        if len(channels) < maximum:
+            return True
+        kept = [one for one in channels if not one.is_closing]
+        if len(kept) >= maximum and self.clock.seconds() >= self.next_close:
+            kept = self.close_idle(kept)
+        if len(kept) < maximum:
+            return True
+        self.connections_refused += 1
+        return False
+
+    def close_idle(self, channels):
+        """Close a few idle or slow connections; return the others."""
+        now = self.clock.seconds()
+        closed = 0
+        for channel in sorted(channels, key=lambda one: one.holding.active_at):
+            if closed >= CLOSED_AT_ONCE:
+                break
+            if channel.may_close(now):
+                channel.loseConnection()
+            elif channel.holding.is_slow(now):
+                channel.end_slow()
+            else:
+                continue
+            closed += 1
+        self.connections_ended += closed
+        if not closed:
+            self.next_close = now + RECLAIM_INTERVAL_SECONDS
+        return [one for one in channels if not one.is_closing]
+
     def gauges(self):
         """Return the current values of the gauges, by name."""
         return {
@@ -201,6 +251,7 @@
             "client_connections": len(self.holdings),
             "client_bodies_refused_total": self.bodies_refused,
             "client_connections_ended_total": self.connections_ended,
+            "client_connections_refused_total": self.connections_refused,
         }
 
 
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -157,6 +157,20 @@
     assert_that((closed, statuses), Equals((True, {408})))
 
 
+@pytest_twisted.ensureDeferred
+async def test_idle_connections_leave_descriptors(tmp_path):
+    """Guards against ordinary callers that find no descriptor left."""
+    host = MeasuredHost(tmp_path, body_bytes=MEGABYTE, max_fds=MAX_FDS)
+    await host.start()
+    crowd = Crowd(host.front, 400, b"")
+    await task.deferLater(reactor, 1.0)
+    is_answered = await host.answers()
+    await host.stop()
+    assert is_answered
+    assert_that(host.usage.descriptors, LessThan(MAX_FDS))
+    crowd.close()
+
+
 class MeasuredProcesses(Processes):
     """Processes of one region with little memory."""
 
