Bound the work of one connection in a turn of the event loop

What callers saw: beside clients that send bodies in chunks of a byte, ordinary callers waited for seconds.

Cause: all that a read returned was processed at once, up to 64 KB for each connection: 10,900 chunks of a byte, or 1,000 pipelined requests.

Change: 4 KB of heads and framing are processed of a connection, then the others get their turn; the rest waits in a queue with its socket paused. Content is not limited, since it needs no parsing. A process that stops handles all that it has read.

Evidence: on the code before, 9,000 chunks were handled in one turn; 4,000 are allowed, and the test holds now.

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -17,6 +17,7 @@
     ClientAccount,
     Holding,
 )
+from .inputs import BoundedInput
 
 __all__ = [
     "BODY_LOST_TEXT",
@@ -51,7 +52,7 @@
 """Interval between checks whether connections have closed."""
 
 
-class Channel(http.HTTPChannel):
+class Channel(BoundedInput):
     """HTTP connection that a stopping process can close safely.
 
     Attributes:
@@ -78,6 +79,7 @@
     def connectionLost(self, reason):
         """Remove the connection from its site."""
         self.site.channels.discard(self)
+        self.pending = b""
         self.holding.close()
         for request in self.requests:
             request.release_body()
@@ -126,10 +128,26 @@
         self._dataBuffer = []
         self.setLineMode(data)
 
+    @property
+    def input_queue(self):
+        """The `InputQueue` of the process."""
+        return self.site.account.input_queue
+
+    @property
+    def is_bounded(self):
+        """Whether input may wait; a stopping process handles all of it."""
+        return not self.site.closing
+
+    def fail_input(self, failure):
+        """Log an error in processing input, and abort the connection."""
+        self.site.on_error(failure)
+        self.transport.abortConnection()
+
     @property
     def buffered_bytes(self):
         """Number of bytes that were read and not processed yet."""
-        return len(self._buffer) + sum(map(len, self._dataBuffer))
+        waiting = len(self.pending) + len(self._buffer)
+        return waiting + sum(map(len, self._dataBuffer))
 
     @property
     def has_buffered_input(self):
@@ -150,7 +168,7 @@
             return False
         if self.requests:
             return not self._handlingRequest
-        return bool(self._buffer)
+        return bool(self._buffer or self.pending)
 
     @property
     def unsent_bytes(self):
@@ -483,6 +501,7 @@
             site.closing = True
             for channel in list(site.channels):
                 channel.handle_next()
+                channel.finish_input()
 
     def close_idle(self):
         """Close the connections that carry no request at present."""
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from ..core.sentinels import NOTHING
+from .inputs import InputQueue
 
 __all__ = [
     "BODY_COPIES",
@@ -124,6 +125,7 @@
         note: Called with the gauges after something was refused or ended.
 
     Attributes:
+        input_queue: The `InputQueue` of all connections.
         total: Bytes that are held.
         holdings: The `Holding` of each open connection.
         files: Temporary files that bodies occupy.
@@ -138,6 +140,7 @@
         self.note = note
         self.noted = 0
         self.limits = limits_for() if limits is NOTHING else limits
+        self.input_queue = InputQueue(clock)
         self.counted = {}
         self.total = 0
         self.holdings = set()
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -1,10 +1,13 @@
 """Clients that send or read so that a process holds much for them."""
 
+from collections import Counter
+
 import pytest
 import pytest_twisted
 from measured_processes import (
     MEGABYTE,
     SAMPLE_SECONDS,
+    Client,
     Crowd,
     MeasuredHost,
     Usage,
@@ -16,6 +19,7 @@
 from testtools.matchers import Equals, LessThan
 from twisted.internet import reactor, task
 
+from hyssopspring.net.channels import ClosingRequest
 from hyssopspring_fakes.backends import LARGE_BODY_BYTES
 
 MEMORY_MB = 100
@@ -30,6 +34,8 @@
     "regions": {"dar": {"gateways": 1, "engines": 1, "services": 1}},
     "workspaces": {"brokers": {"home": "dar", "key": "brokers-key"}},
 }
+SMALL_CHUNKS = 9000
+MAX_CHUNKS_PER_TURN = 4000
 CHUNKED = "transfer-encoding: chunked\r\n"
 
 
@@ -171,6 +177,32 @@
     crowd.close()
 
 
+@pytest_twisted.ensureDeferred
+async def test_small_chunks_are_processed_over_several_turns(
+    hosts, monkeypatch
+):
+    """Guards against a client whose single read holds up all others."""
+    handle = ClosingRequest.handleContentChunk
+    chunks, turns = [], []
+
+    def count(request, data):
+        chunks.append(len(turns))
+        handle(request, data)
+
+    monkeypatch.setattr(ClosingRequest, "handleContentChunk", count)
+    counting = task.LoopingCall(lambda: turns.append(len(turns)))
+    counting.start(0)
+    with Client(hosts.processes["h-north"].settings.front) as client:
+        client.send(request("POST", "/lookup/a", lines=CHUNKED))
+        client.send(b"1\r\nx\r\n" * SMALL_CHUNKS + b"0\r\n\r\n")
+        await client.receive_head()
+        assert_that(client.status, Equals(200))
+    counting.stop()
+    assert_that(len(chunks), Equals(SMALL_CHUNKS))
+    most = max(Counter(chunks).values())
+    assert_that(most, LessThan(MAX_CHUNKS_PER_TURN))
+
+
 class MeasuredProcesses(Processes):
     """Processes of one region with little memory."""
 
