Count a response once while it is received

Cause: the account counted each response that is being received twice, for the copy that is made when it is joined. That copy exists for one response at a time, so four responses were counted with 56 MB and their requests with 32 MB, above the 75 MB of a process with 300 MB.

Evidence: eight runs in a row of the test with one and with four callers pass.

--- a/src/hyssopspring/entry/largebodies.py
+++ b/src/hyssopspring/entry/largebodies.py
@@ -1,7 +1,5 @@
 """Memory of response bodies that are received whole."""
 
-from ..net.clientaccounts import BODY_COPIES
-
 __all__ = ["LargeBodies"]
 
 LARGE_BODY_BYTES = 1024 * 1024
@@ -29,14 +27,12 @@
 
     def note(self, body):
         """Count a `BodyCollector` that has grown."""
-        if not self.account.allows(
-            body, body.size * BODY_COPIES - self.held(body)
-        ):
+        if not self.account.allows(body, body.size - self.held(body)):
             self.end_largest(self.receiving | {body})
             if body.overflowed:
                 return
         self.receiving.add(body)
-        self.account.count(body, body.size * BODY_COPIES)
+        self.account.count(body, body.size)
         if body.size < LARGE_BODY_BYTES:
             return
         self.large.add(body)
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -15,7 +15,6 @@
 from .inputs import InputQueue
 
 __all__ = [
-    "BODY_COPIES",
     "CHECK_INTERVAL_SECONDS",
     "RETRY_SECONDS",
     "ClientAccount",
@@ -61,9 +60,6 @@
 """Longest time that a check counts, since the process may have been
 suspended."""
 
-BODY_COPIES = 2
-"""Copies of a body while it is joined, or written to a server or client."""
-
 RECLAIM_INTERVAL_SECONDS = 0.05
 """Shortest interval between two searches for clients to end."""
 
--- a/src/hyssopspring/net/clients.py
+++ b/src/hyssopspring/net/clients.py
@@ -16,7 +16,6 @@
 
 from ..core.exceptions import NoAnswerError, ProtocolError
 from ..core.sentinels import NOTHING
-from .clientaccounts import BODY_COPIES
 from .clientprotocol import ClientProtocol
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -203,9 +202,9 @@
 
     def count(self, size):
         """Count further bytes; return whether the account allows them."""
-        if not self.account.allows(self, size * BODY_COPIES):
+        if not self.account.allows(self, size):
             return False
-        self.account.count(self, self.size * BODY_COPIES)
+        self.account.count(self, self.size)
         return True
 
     def connectionLost(self, reason):
