Leave the socket unread while earlier input waits

What callers would see: a process whose memory grows beside clients that pipeline requests and read the responses.

The HTTP library resumes reading as a response is complete or was read, also while earlier input waits, so that input could be read faster than it is processed. As the process stopped, all input that waited was processed at once.

Change: the socket is paused again while input waits, and 16 KB are read of it at a time, so that each connection has little of it. Input that waits in the process is not the client's delay. A stopping process goes on with its queue, and refuses what is left at its end.

Evidence: on the commit before, the test sees the socket being read ("producing") after such a resume.

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -133,11 +133,6 @@
         """The `InputQueue` of the process."""
         return self.site.account.input_queue
 
-    @property
-    def is_bounded(self):
-        """Whether input may wait; a stopping process handles all of it."""
-        return not self.site.closing
-
     def fail_input(self, failure):
         """Log an error in processing input, and abort the connection."""
         self.site.on_error(failure)
@@ -501,7 +496,6 @@
             site.closing = True
             for channel in list(site.channels):
                 channel.handle_next()
-                channel.finish_input()
 
     def close_idle(self):
         """Close the connections that carry no request at present."""
@@ -547,7 +541,7 @@
         await task.deferLater(self.reactor, 0)
         while self.channels and self.reactor.seconds() < until:
             for channel in self.channels:
-                if channel.is_receiving:
+                if channel.is_receiving and not channel.pending:
                     channel.refuse_incomplete()
             self.end_lingering()
             self.close_idle()
@@ -555,6 +549,8 @@
         # Timers come before sockets, so that requests may be unread.
         await task.deferLater(self.reactor, 0)
         for channel in self.channels:
+            if channel.pending and channel.is_receiving:
+                channel.refuse_incomplete()
             channel.write_unsent()
 
     def abort(self):
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -368,7 +368,8 @@
             The seconds, or `NOTHING` if nothing is expected of it.
         """
         timeout = self.channel.timeOut or READ_SECONDS
-        if self.channel.is_closing:
+        # Input that waits in this process is not the client's delay.
+        if self.channel.is_closing or self.channel.pending:
             return NOTHING
         if unsent:
             return max(READ_SECONDS, timeout)
--- a/src/hyssopspring/net/inputs.py
+++ b/src/hyssopspring/net/inputs.py
@@ -7,6 +7,9 @@
 
 __all__ = ["BoundedInput", "InputQueue"]
 
+READ_BYTES = 16 * 1024
+"""Bytes that are read of a connection at a time."""
+
 MAX_PART_BYTES = 4096
 """Bytes of heads and of the framing of chunks that are processed of one
 connection before others get their turn. A single read may hold thousands of
@@ -59,7 +62,7 @@
     """HTTP connection that processes its input in bounded parts.
 
     A subclass provides `input_queue`, the `InputQueue` of the process,
-    `is_bounded`, `is_closing` and `fail_input`.
+    `is_closing` and `fail_input`.
 
     Attributes:
         pending: Input that waits for a later turn of the event loop.
@@ -67,6 +70,26 @@
 
     pending = b""
 
+    def connectionMade(self):
+        """Read little at a time, as what is read may have to wait."""
+        super().connectionMade()
+        self.transport.bufferSize = READ_BYTES
+
+    def requestDone(self, request):
+        """Go on with the next request."""
+        super().requestDone(request)
+        self.keep_paused()
+
+    def resumeProducing(self):
+        """Go on after the client has read what was written."""
+        super().resumeProducing()
+        self.keep_paused()
+
+    def keep_paused(self):
+        """Leave the socket unread while earlier input waits."""
+        if self.pending:
+            self.transport.pauseProducing()
+
     def dataReceived(self, data):
         """Process data, now or after the data that waits."""
         if self.pending:
@@ -86,7 +109,7 @@
         # What was buffered during a request comes before the rest.
         self.pending += self.process_input(data)
         if self.pending:
-            self.transport.pauseProducing()
+            self.keep_paused()
             self.input_queue.add(self)
 
     def process_input(self, data):
@@ -97,7 +120,7 @@
                 return data
             size = min(len(data), self.content_bytes)
             if not size:
-                if left <= 0 and self.is_bounded:
+                if left <= 0:
                     return data
                 size = min(len(data), STEP_BYTES)
                 left -= size
@@ -125,8 +148,3 @@
             self._waitingForTransport
             or buffered > self._optimisticEagerReadSize
         )
-
-    def finish_input(self):
-        """Process all input that waits."""
-        while self.pending and not self.is_closing:
-            self.continue_input()
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -16,10 +16,14 @@
 )
 from test_processes import Processes
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, LessThan
+from testtools.matchers import Equals, GreaterThan, LessThan
 from twisted.internet import reactor, task
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
+from hyssopspring.entry.web import WebFactory, respond_refusal
 from hyssopspring.net.channels import ClosingRequest
+from hyssopspring.net.inprogress import InProgress
 from hyssopspring_fakes.backends import LARGE_BODY_BYTES
 
 MEMORY_MB = 100
@@ -34,6 +38,7 @@
     "regions": {"dar": {"gateways": 1, "engines": 1, "services": 1}},
     "workspaces": {"brokers": {"home": "dar", "key": "brokers-key"}},
 }
+PIPELINED = 1000
 SMALL_CHUNKS = 9000
 MAX_CHUNKS_PER_TURN = 4000
 CHUNKED = "transfer-encoding: chunked\r\n"
@@ -251,3 +256,42 @@
     assert processes.running[name].poll() is None
     assert_that(usage.bytes / MEGABYTE, LessThan(GATEWAY_MEMORY_MB))
     crowd.close()
+
+
+class Transport(StringTransport):
+    """Transport without a network, whose client reads everything at once."""
+
+    dataBuffer = b""
+    offset = 0
+    _tempDataLen = 0
+
+
+def test_the_socket_stays_unread_while_input_waits():
+    """Guards against input that is read faster than it is processed."""
+    clock = Clock()
+    site = WebFactory(
+        lambda one: respond_refusal(one, 404, "no such page"),
+        raise_failure,
+        clock,
+        InProgress(clock, respond_refusal),
+        max_idle_seconds=lambda: 15.0,
+        max_body_bytes=lambda: MEGABYTE,
+    )
+    channel = site.buildProtocol(None)
+    channel.makeConnection(Transport())
+    channel.dataReceived(request("GET", "/") * PIPELINED)
+    answered = []
+    while channel.pending:
+        answered.append(channel.transport.value().count(b" 404 "))
+        channel.pauseProducing()
+        channel.resumeProducing()
+        assert_that(channel.transport.producerState, Equals("paused"))
+        channel.input_queue.run()
+    assert_that(channel.transport.producerState, Equals("producing"))
+    assert_that(channel.transport.value().count(b" 404 "), Equals(PIPELINED))
+    assert_that(len(answered), GreaterThan(PIPELINED // 200))
+
+
+def raise_failure(failure):
+    """Raise the error of a failure."""
+    failure.raiseException()
