End no client as slow whose request was read whole

What callers would see: a connection that is closed without a response, if clients hold too much just after a slow upload has ended.

Cause: whether a client is expected to proceed was taken from the last check, up to half a second ago. A request that was read whole since then is in progress, and its connection was aborted.

Change: whether a request or a response is incomplete is asked as clients are chosen.

Evidence: found by reading; the test sees the connection aborted on the commit before.

--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -325,12 +325,23 @@
         self.body_bytes += size
         self.count()
 
+    @property
+    def is_incomplete(self):
+        """Whether a request or a response of the connection is incomplete.
+
+        A request that was read whole is not, while it is in progress.
+        """
+        channel = self.channel
+        if channel.is_closing:
+            return False
+        return channel.is_receiving or channel.unsent_bytes > 0
+
     def is_slow(self, now):
         """Return whether its client progresses little for what it holds."""
         since = self.waiting_since
         if since is NOTHING or now - since < SLOW_AFTER_SECONDS:
             return False
-        if not self.counted or self.channel.is_closing:
+        if not self.counted or not self.is_incomplete:
             return False
         return self.rate * SLOW_TURNOVER_SECONDS < self.counted
 
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -23,6 +23,7 @@
 
 from hyssopspring.entry.web import WebFactory, respond_refusal
 from hyssopspring.net.channels import ClosingRequest
+from hyssopspring.net.clientaccounts import CHECK_INTERVAL_SECONDS
 from hyssopspring.net.inprogress import InProgress
 from hyssopspring_fakes.backends import LARGE_BODY_BYTES
 
@@ -266,19 +267,26 @@
     _tempDataLen = 0
 
 
-def test_the_socket_stays_unread_while_input_waits():
-    """Guards against input that is read faster than it is processed."""
+@pytest.fixture
+def channel():
+    """Return a connection to a site that leaves requests in progress."""
     clock = Clock()
     site = WebFactory(
-        lambda one: respond_refusal(one, 404, "no such page"),
+        lambda one: None,
         raise_failure,
         clock,
         InProgress(clock, respond_refusal),
         max_idle_seconds=lambda: 15.0,
         max_body_bytes=lambda: MEGABYTE,
     )
-    channel = site.buildProtocol(None)
-    channel.makeConnection(Transport())
+    made = site.buildProtocol(None)
+    made.makeConnection(Transport())
+    return made
+
+
+def test_the_socket_stays_unread_while_input_waits(channel):
+    """Guards against input that is read faster than it is processed."""
+    channel.site.handle = lambda one: respond_refusal(one, 404, "no page")
     channel.dataReceived(request("GET", "/") * PIPELINED)
     answered = []
     while channel.pending:
@@ -292,6 +300,22 @@
     assert_that(len(answered), GreaterThan(PIPELINED // 200))
 
 
+def test_a_request_that_was_read_whole_is_not_ended_as_slow(channel):
+    """Guards against a close without a response after a slow upload."""
+    clock, account = channel.site.reactor, channel.site.account
+    head = request("POST", "/", BODY[:30_000], announced=60_000)
+    channel.dataReceived(head)
+    for _ in range(20):
+        account.check()
+        clock.advance(CHECK_INTERVAL_SECONDS)
+    assert channel.holding.is_slow(clock.seconds())
+    channel.dataReceived(BODY[:30_000])
+    account.count("others", account.limits.max_bytes)
+    account.reclaim()
+    assert_that(channel.transport.disconnected, Equals(False))
+    assert_that(channel.holding.counted, Equals(120_000))
+
+
 def raise_failure(failure):
     """Raise the error of a failure."""
     failure.raiseException()
