Collect garbage by the size of the bodies that were released

What callers saw: waves of large bodies, each closed before the next, add to the memory of a process until the machine ends it.

Cause: reference cycles keep a request and its body until a garbage collection, and the collector counts objects, not their sizes.

Change: garbage is collected once a quarter of what clients may hold was released.

Ruled out: the threshold of malloc for large blocks (259 and 230 MB after ten waves with it fixed and garbage collected as before).

--- a/src/hyssopspring/net/channels.py
+++ b/src/hyssopspring/net/channels.py
@@ -371,6 +371,7 @@
     def release_body(self):
         """Release the body, which cannot be read any more."""
         self.channel.holding.add_body(-self.body_bytes)
+        self.channel.site.account.note_released(self.body_bytes)
         self.body_bytes = 0
         self.body = NOTHING
         self.close_content()
--- a/src/hyssopspring/net/clientaccounts.py
+++ b/src/hyssopspring/net/clientaccounts.py
@@ -7,6 +7,7 @@
 """
 
 import fcntl
+import gc
 import resource
 import termios
 from dataclasses import dataclass
@@ -71,6 +72,11 @@
 """A client counts as slow from the first time on if it would take the second
 one to send or read as much as it holds."""
 
+COLLECT_FRACTION = 0.25
+"""Fraction of the maximum after which garbage is collected, in bytes of bodies
+that were released. The collector counts objects and not their sizes, and
+reference cycles keep bodies until it runs."""
+
 CLOSED_AT_ONCE = 32
 """Idle connections that are closed when a listener has too many."""
 
@@ -141,6 +147,7 @@
         self.total = 0
         self.holdings = set()
         self.files = 0
+        self.released = 0
         self.next_reclaim = 0.0
         self.next_close = 0.0
         self.bodies_refused = 0
@@ -166,6 +173,13 @@
             self.reclaim()
         return self.total + size <= self.limits.max_bytes
 
+    def note_released(self, size):
+        """Collect garbage once enough bytes of bodies were released."""
+        self.released += size
+        if self.released >= self.limits.max_bytes * COLLECT_FRACTION:
+            self.released = 0
+            self.clock.callLater(0, gc.collect)
+
     def reclaim(self):
         """End the clients that progress least for what they hold."""
         now = self.clock.seconds()
--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -31,6 +31,7 @@
 MAX_FDS = 300
 BODY = b"x" * MEGABYTE
 ANSWER_BYTES = 900_000
+WAVES = 12
 GATEWAY_MEMORY_MB = 150
 TOPOLOGY = {
     "round_trip_ms": 60,
@@ -118,6 +119,16 @@
     await check(host, [Crowd(host.front, 120, whole) for _ in range(3)])
 
 
+@pytest_twisted.ensureDeferred
+async def test_memory_of_bodies_is_used_again(host):
+    """Guards against bodies that stay in memory after their requests."""
+    whole = request("POST", "/lookup/a", BODY)
+    for _ in range(WAVES):
+        crowd = Crowd(host.front, 120, whole)
+        await check(host, [crowd])
+        crowd.close()
+
+
 @pytest.mark.parametrize(("count", "pipelined"), [(120, 1), (20, 10)])
 @pytest_twisted.ensureDeferred
 async def test_unread_responses_stay_within_the_memory(host, count, pipelined):
