Use a region at once when it is heard from again

What callers saw: a stream that its server broke off inside an event was cut, although a server of another region could have sent the rest.

Cause: the set of live regions is cached for 0.1 s. A heartbeat or a roster of a region that was not live did not discard the cached set, so that a request in that time found no other region and was refused as overloaded. A trace showed live regions {north} 12 ms after the load report of south.

The new test fails before the change, for heartbeats and for rosters.

Change: a host that is seen discards the cached set if its region is not part of it.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -445,6 +445,7 @@
             self.send_initial_state(member)
         self.heard[member.name] = member.incarnation
         member.last_heartbeat_at = now
+        self.members.note_seen(member)
         leaves = message.leaving and not member.leaving
         subscribes = (
             message.report is Subscription.ROSTERS
--- a/src/hyssopspring/entry/rosters.py
+++ b/src/hyssopspring/entry/rosters.py
@@ -92,7 +92,7 @@
         for row in message.rows:
             member = self.members.by_id.get(row.id)
             if member is not None:
-                apply_row(member, row, now)
+                self.apply_row(member, row, now)
             elif (
                 row.id != self.members.own.id
                 and row.id not in self.waiting_rows
@@ -139,7 +139,12 @@
             )
             known = self.members.by_id.get(member.id)
             if row is not NOTHING and known is not None:
-                apply_row(known, row, received_at)
+                self.apply_row(known, row, received_at)
+
+    def apply_row(self, member, row, now):
+        """Apply a row that was received at *now*."""
+        apply_row(member, row, now)
+        self.members.note_seen(member)
 
     def drop_waiting_rows(self, now):
         """Forget the rows whose hosts have not become known in time."""
--- a/src/hyssopspring/traffic/members.py
+++ b/src/hyssopspring/traffic/members.py
@@ -290,6 +290,11 @@
             self.live_regions = self.find_regions(now)
         return self.live_regions
 
+    def note_seen(self, member):
+        """Let the region of a host that was seen count as live at once."""
+        if member.region not in self.live_regions:
+            self.live_regions_at = NOTHING
+
     def find_regions(self, now):
         """Return the regions in which any host was seen recently."""
         found = {
--- a/tests/test_rosters.py
+++ b/tests/test_rosters.py
@@ -5,6 +5,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, LessThan
 
+from hyssopspring.core.sentinels import NOTHING
 from hyssopspring.entry.messages import Roster, RosterRow
 from hyssopspring.entry.rosters import HostState, apply_row
 from hyssopspring.traffic.members import PLACER_WARMUP_SECONDS, Member
@@ -127,6 +128,24 @@
         assert network.agree(region)
 
 
+@pytest.mark.parametrize("kind", ["heartbeat", "roster"])
+def test_a_region_that_comes_back_is_used_at_once(network, kind):
+    """Guards against streams cut for the lack of a region just heard from."""
+    now = network.clock.seconds()
+    here, there = network.hosts["north-1"], network.hosts["west-1"]
+    for member in here.members.others.values():
+        if member.region == "west":
+            member.last_heartbeat_at = member.reported_alive_at = now - 60.0
+    here.members.live_regions_at = NOTHING
+    assert_that(here.members.regions(now), Equals({"north", "south"}))
+    if kind == "heartbeat":
+        here.membership.handle_heartbeat(there.membership.heartbeat())
+    else:
+        roster = there.membership.rosters.roster("west", now)
+        here.membership.handle_roster(roster)
+    assert_that(here.members.regions(now), Equals(set(REGIONS)))
+
+
 def test_hosts_of_other_regions_stay_known(network):
     """Guards against remote regions that count as down although they are up.
 
