Map large blocks, so that freed bodies return their memory

Cause: glibc raises the size from which on it maps blocks to that of the largest block freed, here that of a body. Later bodies come from the heap, and small blocks above them keep their memory; holes that are partly reused no longer fit a body. Two objects at most held a body while 13 MB were resident, and a full collection returned nothing.

Ruled out: files (none left after a wave), objects that hold bodies, load (the same beside 10 and 24 busy processes).

--- a/src/hyssopspring/admin.py
+++ b/src/hyssopspring/admin.py
@@ -9,6 +9,7 @@
 from .core.sentinels import NOTHING
 from .logs import start_logging
 from .net.administration import AdminApi, end_request
+from .net.allocation import map_large_blocks
 from .net.channels import Listeners
 from .net.clients import make_agent
 from .net.control import ControlClient
@@ -137,6 +138,7 @@
     """Run an admin server until the process receives a stop signal."""
     from twisted.internet import reactor
 
+    map_large_blocks()
     start_logging(settings.log)
     admin = Admin(settings, reactor, wall=time.time)
     signals = StopSignals(
--- a/src/hyssopspring/entry/launch.py
+++ b/src/hyssopspring/entry/launch.py
@@ -51,6 +51,9 @@
     with deferred_modules():
         from .process import run_command
 
+    from ..net.allocation import map_large_blocks
+
+    map_large_blocks()
     options = None if sys.argv[1:] else environment_options()
     gc.freeze()
     gc.enable()
--- a/src/hyssopspring/gateway.py
+++ b/src/hyssopspring/gateway.py
@@ -16,6 +16,7 @@
 from .core.servers import ServerTable
 from .core.trust import Trust, TrustLevel
 from .logs import start_logging
+from .net.allocation import map_large_blocks
 from .net.answers import respond_outcome
 from .net.backends import BackendClient
 from .net.bus import Bus
@@ -486,6 +487,7 @@
 
     from twisted.internet import reactor
 
+    map_large_blocks()
     start_logging(settings.log)
     gateway = Gateway(settings, reactor, wall=time.time)
     signals = StopSignals(
