--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -228,6 +228,7 @@
         Raises:
             TimeoutError: One of them is not ready in time.
         """
+        text = ""
         for _ in range(START_ATTEMPTS):
             late = await self.try_start()
             if late is None:
