Log which host counts the requests at a cold server

The lines could not tell whether a cold server above its bound was taken for a warm one, or placed at by several hosts that each count for themselves. A placement there now says how long the server is cold and which of how many requests of its placing host it is. A refused datagram names the type of its message and how long this host has run. No change of logic.

--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -176,7 +176,10 @@
             known = self.members.is_known(ip)
         if not known:
             self.timeline.note(
-                EventKind.PEER_REFUSED, why=f"unexpected sender {ip}"
+                EventKind.PEER_REFUSED,
+                why=f"unexpected sender {ip}",
+                message=type(message).__name__,
+                up_seconds=round(self.members.own.up_seconds, 1),
             )
             return
         self.handlers[type(message)](message)
--- a/src/hyssopspring/traffic/coldrates.py
+++ b/src/hyssopspring/traffic/coldrates.py
@@ -54,6 +54,21 @@
             times = self.sent[server_id] = deque(maxlen=16)
         times.append(now)
 
+    def describe(self, server, bound, now):
+        """Return text on a request to a cold server, for a log line.
+
+        Args:
+            server: The `Server`.
+            bound: Requests a second that it tolerates.
+            now: The time.
+        """
+        count = len(self.sent.get(server.entry.id, ()))
+        return (
+            f"{server.entry.id} is cold for {server.cold_until - now:.1f} s "
+            f"more, request {count} of {self.allowance(bound)} within "
+            f"{self.window} s by this placing host"
+        )
+
     def forget(self, server_id):
         """Remove the counts of a server that is gone."""
         self.sent.pop(server_id, None)
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -652,6 +652,11 @@
         cold = server.usability(now) is Usability.COLD
         source = candidate.copy_from if candidate.copied else ""
         evidence = self.limits.describe(entry.id, now)
+        service = self.service_of(entry.service)
+        if cold and service.cold_rate and not evidence:
+            evidence = self.cold_rates.describe(
+                server, self.cold_bound(service), now
+            )
         return Placed(
             entry.id,
             entry.address,
