Share the bound of a cold server among the hosts that place

Callers saw streams cut: cold servers got more requests in a second than they may get from all hosts together (FAILBACK), and crash at a rate well above.

Cause: each host that ranked itself first among the placing hosts gave out an allowance of its own, a third of the bound, on the assumption that no more than three hosts place at a time. Nothing kept to that number. A host ranks itself first when it has heard of no other (after its start, or cut off), and when the last heartbeats of all others say that they have lost the store while it has just reached it again: after a cut of a region dozens do so within half a second.

All hosts had been told that it was cold; five hosts placed there, three of them for themselves only.

Change: a host uses the part of the bound that its share of the region's placements allows, as for the limits that servers name. The shares of all hosts add up to 1; half of the bound is left for hosts that were cut off and still count for the one that placed for them, and no host gets more than before. Hosts that have just started get none, as they may not know the others, nor do hosts that hear a minority of the region and have forgotten the rest.

--- a/src/hyssopspring/entry/limiting.py
+++ b/src/hyssopspring/entry/limiting.py
@@ -3,7 +3,7 @@
 from ..core.hashing import short_id
 from ..core.sentinels import NOTHING
 from ..traffic.decisions import Placed, PlacedRemotely, RateLimited
-from ..traffic.members import Subscription
+from ..traffic.members import STARTUP_DISCOVERY_SECONDS, Subscription
 from ..traffic.serverhealth import NOT_RUN
 from .messages import TokenTransfer, TokenTransferRequest
 
@@ -55,6 +55,7 @@
         self.recent_fallback_at = {}
         self.cached_share = 0.0
         self.cached_at = -SHARE_CACHE_SECONDS
+        self.region_hosts = 1
 
     def note_asked(self, host, *, is_fallback, recent_fallback):
         """Record a placement query of another host.
@@ -85,14 +86,41 @@
             self.cached_share = self.compute_share(now)
         return self.cached_share
 
-    def compute_share(self, now):
-        """Compute the current share."""
-        own = self.members.own
-        others = [
+    def confirmed_share(self):
+        """Return the share as far as it holds beside hosts that are cut off.
+
+        The shares of all hosts add up to 1 at most, whether they hear each
+        other or not. A host that has just started may not know the others,
+        and one that hears a minority of them cannot tell that the rest are
+        gone.
+        """
+        if self.members.own.up_seconds < STARTUP_DISCOVERY_SECONDS:
+            return 0.0
+        share = self.share()
+        known = 1 + len(self.other_hosts())
+        return share * min(1.0, known / self.region_hosts)
+
+    def other_hosts(self):
+        """Return the other hosts of the region that do not shut down."""
+        return [
             member
             for member in self.members.others.values()
-            if member.region == own.region and not member.leaving
+            if member.region == self.members.own.region and not member.leaving
         ]
+
+    def count_region(self):
+        """Count the hosts of the region; only a majority lowers the count."""
+        now = self.clock.seconds()
+        others = self.other_hosts()
+        known = 1 + len(others)
+        heard = 1 + sum(self.members.is_up(member, now) for member in others)
+        if known > self.region_hosts or 2 * heard > self.region_hosts:
+            self.region_hosts = known
+
+    def compute_share(self, now):
+        """Compute the current share."""
+        own = self.members.own
+        others = self.other_hosts()
         first, *rest = self.members.placers(now)
         if first is own:
             shares = [
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -24,6 +24,7 @@
 from ..platform.settings import read_settings
 from ..platform.store import PlatformStore
 from ..signals import StopSignals
+from ..traffic.coldrates import ColdRates
 from ..traffic.crashes import CrashTracker
 from ..traffic.mechanisms import parse_disabled
 from ..traffic.members import Members
@@ -166,6 +167,7 @@
             self.rng,
             self.members.regions,
             limits=self.server_limits,
+            cold_rates=ColdRates(placement_share.confirmed_share),
             started_at=self.started_at,
             disabled=settings.disabled_mechanisms,
         )
@@ -480,6 +482,7 @@
         self.stored.tick()
         self.state.stream_origins.tick()
         self.membership.send_heartbeats()
+        self.limiter.placement_share.count_region()
 
     def gauges(self):
         """Return the current values of the gauges, by name."""
--- a/src/hyssopspring/traffic/coldrates.py
+++ b/src/hyssopspring/traffic/coldrates.py
@@ -10,29 +10,37 @@
 on their way to it."""
 
 CONCURRENT_PLACERS = 3
-"""Maximum number of hosts that may place requests for one region at the same
-time while their views of the live hosts differ. All of them together must stay
-within the bound."""
+"""Maximum number of hosts that may place requests for one region one after the
+other within the window. None has a record of what the others have sent."""
+
+MAX_TOTAL_SHARE = 2.0
+"""Maximum sum of the shares of all hosts. A host that has just been cut off
+counts for itself, and for a moment still for the host that placed for it."""
 
 
 class ColdRates:
     """Count the requests to each cold server.
 
-    A cold server crashes at a rate well above its bound. The one host that
-    places requests for a region counts exactly. The allowance leaves a share
-    for other hosts that act as the placing host at the same time.
+    A cold server crashes at a rate well above its bound, which applies to all
+    hosts together. Each host uses the part of the bound that corresponds to
+    the hosts that rely on it. A host that hears no others gets none.
 
     Args:
+        share: Called for the share of the region's placements that this host
+            makes, from 0 to 1.
         window: Seconds over which requests are counted.
     """
 
-    def __init__(self, *, window=WINDOW_SECONDS):
+    def __init__(self, share=lambda: 1.0, *, window=WINDOW_SECONDS):
+        self.share = share
         self.window = window
         self.sent = {}
 
     def allowance(self, bound):
-        """Return the requests that one host may send in a window."""
-        return max(0, int(bound // CONCURRENT_PLACERS))
+        """Return the requests that this host may send in a window."""
+        largest = bound / CONCURRENT_PLACERS
+        own = bound * self.share() / MAX_TOTAL_SHARE
+        return max(0, int(min(largest, own)))
 
     def is_allowed(self, server_id, bound, now):
         """Return whether a request may be sent to the server at *now*."""
@@ -66,7 +74,8 @@
         return (
             f"{server.entry.id} is cold for {server.cold_until - now:.1f} s "
             f"more, request {count} of {self.allowance(bound)} within "
-            f"{self.window} s by this placing host"
+            f"{self.window} s by its placing host, whose share is "
+            f"{self.share():.2f}"
         )
 
     def forget(self, server_id):
--- a/src/hyssopspring/traffic/placing.py
+++ b/src/hyssopspring/traffic/placing.py
@@ -147,6 +147,7 @@
             hosts.
         limits: The `ServerLimits`. If left out, this host counts for its whole
             region.
+        cold_rates: The `ColdRates`; the same holds.
         started_at: Time at which this host started, or `NOTHING`.
         disabled: Each `Mechanism` that is disabled.
     """
@@ -161,6 +162,7 @@
         live_regions,
         *,
         limits=NOTHING,
+        cold_rates=NOTHING,
         started_at=NOTHING,
         disabled=frozenset(),
     ):
@@ -186,7 +188,7 @@
         self.views = {}
         self.placements = {}
         self.placements_by_host = {}
-        self.cold_rates = ColdRates()
+        self.cold_rates = cold_rates or ColdRates()
         self.remote_regions = RemoteRegions(
             region,
             registry,
--- a/tests/test_coldbound.py
+++ b/tests/test_coldbound.py
@@ -7,7 +7,10 @@
 from testtools.matchers import GreaterThan, LessThan
 from twisted.internet import defer
 
-from hyssopspring.traffic.members import STARTUP_DISCOVERY_SECONDS
+from hyssopspring.traffic.members import (
+    MAX_CONTACT_AGE_SECONDS,
+    STARTUP_DISCOVERY_SECONDS,
+)
 
 COLD_BOUND = 2.2 * 1.5 + 3.0
 """Requests in a second that the users' rule allows at a cold server."""
@@ -120,6 +123,27 @@
     assert_that(await busiest_second(cold_fleet), LessThan(COLD_BOUND))
 
 
+@pytest_twisted.ensureDeferred
+async def test_hosts_that_regain_the_store_keep_the_bound_of_a_cold_server(
+    cold_fleet,
+):
+    """Guards against hosts that each rank themselves first after an outage.
+
+    Each has just reached the store again; the last heartbeats of the others
+    say that they have not.
+    """
+    add_north(cold_fleet)
+    await all_know_the_engine(cold_fleet)
+    await one_host_places(cold_fleet)
+    for name in NORTH:
+        coordinator = cold_fleet.processes[name].coordinator
+        mute(cold_fleet.processes[name])
+        for member in coordinator.members.others.values():
+            member.contact_age = 2 * MAX_CONTACT_AGE_SECONDS
+    await cold_fleet.until(lambda: first_hosts(cold_fleet) == set(NORTH))
+    assert_that(await busiest_second(cold_fleet), LessThan(COLD_BOUND))
+
+
 @pytest_twisted.ensureDeferred
 async def test_a_cold_server_is_used_by_the_host_that_places(cold_fleet):
     """Guards against a cold server that gets nothing in a calm region."""
