--- a/src/hyssopspring/entry/membership.py
+++ b/src/hyssopspring/entry/membership.py
@@ -15,7 +15,6 @@
 from ..traffic.serverhealth import AttemptResult
 from ..traffic.speedhandover import SpeedHandover
 from ..traffic.work import RANKS, Placement
-from .coordinator import load_from_row
 from .hostentries import member_from_entry
 from .messages import (
     AttemptEndedMessage,
@@ -39,6 +38,7 @@
     ViewResponse,
     WorkspaceLimitMessage,
 )
+from .placementmessages import load_from_row
 from .rosters import Rosters
 from .streammessages import (
     StreamAnswer,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from hyssopspring.entry.coordinator import (
+from hyssopspring.entry.messages import decode_message, encode_message
+from hyssopspring.entry.placementmessages import (
     answer_message,
     decision_from_message,
     query_from_message,
     query_message,
 )
-from hyssopspring.entry.messages import decode_message, encode_message
 from hyssopspring.traffic.decisions import PlacementQuery, Refused
 from hyssopspring.traffic.decoding import DecodeTimes
 from hyssopspring.traffic.enginework import EngineWork
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -8,17 +8,17 @@
 from twisted.internet import defer, task
 
 from hyssopspring.core.events import HybridClock, Timeline
-from hyssopspring.entry.coordinator import (
-    PlacementCoordinator,
-    answer_message,
-    decision_from_message,
-    query_message,
-)
+from hyssopspring.entry.coordinator import PlacementCoordinator
 from hyssopspring.entry.messages import (
     AttemptEndedMessage,
     decode_message,
     encode_message,
 )
+from hyssopspring.entry.placementmessages import (
+    answer_message,
+    decision_from_message,
+    query_message,
+)
 from hyssopspring.traffic.decisions import (
     Placed,
     PlacedRemotely,
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -9,11 +9,6 @@
 from testtools.matchers import Equals, Is
 
 from hyssopspring.core.sentinels import NOTHING
-from hyssopspring.entry.coordinator import (
-    end_message,
-    query_from_message,
-    query_message,
-)
 from hyssopspring.entry.membership import decode_placement, gaps_from_message
 from hyssopspring.entry.messages import (
     AttemptEndedMessage,
@@ -22,6 +17,11 @@
     decode_message,
     encode_message,
 )
+from hyssopspring.entry.placementmessages import (
+    end_message,
+    query_from_message,
+    query_message,
+)
 from hyssopspring.traffic.decisions import PlacementQuery
 from hyssopspring.traffic.mechanisms import Mechanism
 from hyssopspring.traffic.pauses import (
--- a/tests/test_serverspeeds.py
+++ b/tests/test_serverspeeds.py
@@ -9,7 +9,7 @@
 from twisted.web.http_headers import Headers
 
 from hyssopspring.core.sentinels import INVALID, NOTHING
-from hyssopspring.entry.coordinator import load_from_row, load_row
+from hyssopspring.entry.placementmessages import load_from_row, load_row
 from hyssopspring.platform.headers import read_head
 from hyssopspring.traffic.decisions import PlacementQuery
 from hyssopspring.traffic.mechanisms import Mechanism
