Match answers to placement queries by who asked, who answers, and what

Cause: the number by which an answer is matched began at 0 in each process, and neither the host that answers nor the request was compared. Class: an answer matched by less than who asked, who was asked and what was asked.

Change: numbers begin at a random 40-bit one in each process; answers name the host that answers, which must be the one that was asked; a grant is compared with the service, the excluded servers and the regions of the request before it is used, else logged (grant_unused) and released. Answers of earlier releases name no host and are matched by their number.

Looked for elsewhere: view responses, token transfers and stream answers carry what they answer (a stamp of the clock or the stream itself); not changed.

Evidence: six new cases in test_coordinator.py fail on the code before, where each of these grants is used.

--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -45,6 +45,11 @@
 """Seconds for which the ranking of placing hosts is cached, because ranking
 the hosts of a large region takes as long as answering a query."""
 
+FIRST_NUMBER_BITS = 40
+"""Bits of the random number from which requests are counted. Answers to the
+queries of a former process may arrive after its host has started again; they
+must not be taken for answers to the queries of the new one."""
+
 MAX_QUERIES_PER_TURN = 4
 """Queries that are answered in one turn of the event loop, before sockets
 are polled again; they take 1 ms."""
@@ -116,6 +121,7 @@
         limiter: The `WorkspaceLimiter`.
         retry_after_pauses: The `RetryAfterPauses`: the pauses that servers
             requested from this host.
+        rng: Random number generator.
         guarded: Called with a function to run; logs its unexpected failure.
     """
 
@@ -130,6 +136,7 @@
         timeline,
         limiter,
         retry_after_pauses,
+        rng,
         guarded=lambda work: work(),
     ):
         self.members = members
@@ -142,7 +149,7 @@
         self.limiter = limiter
         self.retry_after_pauses = retry_after_pauses
         self.guarded = guarded
-        self.number = 0
+        self.number = rng.getrandbits(FIRST_NUMBER_BITS)
         self.pending_queries = {}
         self.expired_queries = {}
         self.placements = {}
@@ -246,12 +253,10 @@
             decision = await self.send_query(
                 member, ask, is_fallback=is_fallback
             )
-            if self.is_usable(decision, ask.version):
+            if self.is_usable(decision, ask):
                 self.track_placement(number, ask, decision, member.name)
                 return decision
-            if isinstance(decision, Placed):
-                self.log_unused_grant(ask, decision, member)
-                self.release_grant(number, decision.server_id, member)
+            self.reject_grant(ask, decision, member)
         ask = self.exclude_paused(ask)
         return self.decide_locally(ask, cold_allowed=False)
 
@@ -301,7 +306,7 @@
         elif isinstance(decision, PlacedRemotely) and ask.cost:
             self.away_placers[number] = placer
 
-    def is_usable(self, decision, version=""):
+    def is_usable(self, decision, ask):
         """Return whether a decision of another host may be used.
 
         The state of the other host may be older than that of this one. A
@@ -311,18 +316,27 @@
 
         Args:
             decision: The decision, or `NOTHING`.
-            version: Version that the server must have, or an empty string.
+            ask: The `PlacementQuery`.
         """
         if decision is NOTHING:
             return False
+        if isinstance(decision, PlacedRemotely):
+            return not ask.regions or decision.region in ask.regions
         if not isinstance(decision, Placed):
             return True
-        return not self.exclusion_reason(decision, version)
+        return not self.exclusion_reason(decision, ask)
 
-    def exclusion_reason(self, placed, version):
+    def exclusion_reason(self, placed, ask):
         """Return why this host does not use a placement, or ``""``."""
         server_id = placed.server_id
-        if version and self.version_of(placed) != version:
+        listed = self.registry.servers.get(server_id)
+        if listed is not None and listed.entry.service != ask.service:
+            return "service"
+        if server_id in ask.excluded:
+            return "excluded"
+        if ask.regions and self.members.own.region not in ask.regions:
+            return "region"
+        if ask.version and self.version_of(placed) != ask.version:
             return "version"
         now = self.clock.seconds()
         usability = self.registry.usability(server_id, now)
@@ -344,15 +358,23 @@
         listed = self.registry.version_of(placed.server_id)
         return listed if placed.version in ("", listed) else ""
 
-    def log_unused_grant(self, ask, placed, member):
-        """Log a grant that this host does not use, and why."""
+    def reject_grant(self, ask, decision, member):
+        """Log and release a grant that this host does not use."""
+        if isinstance(decision, Placed):
+            server_id = decision.server_id
+            why = self.exclusion_reason(decision, ask)
+        elif isinstance(decision, PlacedRemotely):
+            server_id, why = "", "region"
+        else:
+            return
         self.timeline.note(
             EventKind.GRANT_UNUSED,
-            server=placed.server_id,
+            server=server_id,
             service=ask.service,
             placed_by=member.name,
-            why=self.exclusion_reason(placed, ask.version),
+            why=why,
         )
+        self.release_grant(ask.number, server_id, member)
 
     def send_query(self, member, ask, *, is_fallback=False):
         """Query another host; return a deferred of the decision.
@@ -396,10 +418,11 @@
 
     def handle_answer(self, message):
         """Handle the answer of a placing host."""
-        query = self.pending_queries.pop(message.number, None)
-        if query is None:
+        query = self.pending_queries.get(message.number)
+        if query is None or message.placer not in ("", query.member.name):
             self.release_late_grant(message)
             return
+        del self.pending_queries[message.number]
         if query.timer is not NOTHING:
             query.timer.cancel()
         decision = decision_from_message(message)
@@ -417,9 +440,12 @@
         were not released, its servers would look loaded by requests that
         run elsewhere.
         """
-        member = self.expired_queries.pop(message.number, None)
+        member = self.expired_queries.get(message.number)
         if member is None or not isinstance(message, PlacementGrantMessage):
             return
+        if message.placer not in ("", member.name):
+            return
+        del self.expired_queries[message.number]
         if message.server_id or message.region:
             self.release_grant(message.number, message.server_id, member)
 
@@ -473,7 +499,7 @@
         )
         decision = self.decide(ask, cold_allowed=is_first)
         self.datagrams.send(
-            answer_message(ask.number, decision), member.control
+            answer_message(ask.number, decision, self.host), member.control
         )
 
     def record_load(self, server_id, number, load):
--- a/src/hyssopspring/entry/messages.py
+++ b/src/hyssopspring/entry/messages.py
@@ -136,6 +136,7 @@
         slowdown: Its current slowdown, for a log line.
         slowdown_age: Seconds since it reported its load.
         version: Version of the server, or an empty string if unknown.
+        placer: Host that answers, or an empty string from earlier releases.
     """
 
     number: int
@@ -152,6 +153,7 @@
     slowdown: float = 1.0
     slowdown_age: float = 0.0
     version: str = ""
+    placer: str = ""
 
 
 class PlacementRefusalMessage(
@@ -167,6 +169,7 @@
         evidence: Source of the limit that holds the request back, for a log
             line.
         promised: Whether the caller is served if it returns at that time.
+        placer: As in a `PlacementGrantMessage`.
     """
 
     number: int
@@ -175,6 +178,7 @@
     servers: int
     evidence: str = ""
     promised: bool = False
+    placer: str = ""
 
 
 class WorkspaceLimitMessage(
@@ -189,6 +193,7 @@
         units: Units of the limit that this host may use.
         level: Tokens that were left.
         demand: Tokens a second that are requested at this host.
+        placer: As in a `PlacementGrantMessage`.
     """
 
     number: int
@@ -197,6 +202,7 @@
     units: int
     level: int
     demand: int
+    placer: str = ""
 
 
 class TokenTransferRequest(
--- a/src/hyssopspring/entry/placementmessages.py
+++ b/src/hyssopspring/entry/placementmessages.py
@@ -154,8 +154,14 @@
     )
 
 
-def answer_message(number, decision):
-    """Return the message that carries a decision."""
+def answer_message(number, decision, placer=""):
+    """Return the message that carries a decision.
+
+    Args:
+        number: Number of the request at the querying host.
+        decision: The decision.
+        placer: Name of the host that answers.
+    """
     if isinstance(decision, RateLimited):
         return WorkspaceLimitMessage(
             number,
@@ -164,6 +170,7 @@
             decision.units,
             decision.level,
             decision.demand,
+            placer,
         )
     if isinstance(decision, Refused):
         return PlacementRefusalMessage(
@@ -173,10 +180,19 @@
             decision.servers,
             decision.evidence,
             decision.promised,
+            placer,
         )
     if isinstance(decision, PlacedRemotely):
         return PlacementGrantMessage(
-            number, "", "", 5, decision.predicted, False, decision.region, ""
+            number,
+            "",
+            "",
+            5,
+            decision.predicted,
+            False,
+            decision.region,
+            "",
+            placer=placer,
         )
     return PlacementGrantMessage(
         number,
@@ -193,6 +209,7 @@
         round(decision.slowdown, 2),
         round(decision.slowdown_age, 2),
         decision.version,
+        placer,
     )
 
 
--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -207,6 +207,7 @@
             self.timeline,
             self.limiter,
             self.retry_after_pauses,
+            self.rng,
             self.run_guarded,
         )
         connections = Connections(
--- a/tests/test_coordinator.py
+++ b/tests/test_coordinator.py
@@ -32,7 +32,7 @@
 from hyssopspring.traffic.retryafter import RetryAfterPauses
 from hyssopspring.traffic.routes import Service
 from hyssopspring.traffic.serverhealth import AttemptResult
-from hyssopspring.traffic.servers import Registry
+from hyssopspring.traffic.servers import Registry, ServerEntry
 
 DECISIONS = [
     Placed("server", "127.0.0.1:80", 3, 0.25),
@@ -99,7 +99,7 @@
     )
 
 
-def make_coordinator(own, other):
+def make_coordinator(own, other, seed=1):
     """Return a host's `PlacementCoordinator`, its clock and sent messages."""
     clock = task.Clock()
     members = Members(make_member(own))
@@ -126,6 +126,7 @@
         timeline,
         Unlimited(),
         RetryAfterPauses(registry, random.Random(1)),
+        random.Random(seed),
     )
     return coordinator, clock, sent
 
@@ -192,3 +193,70 @@
     assert_that((message.host, message.number), Equals(("asker", number)))
     assert_that(message.server_id, Equals("server"))
     assert_that(address, Equals("placer:2"))
+
+
+def place(coordinator, **more):
+    """Begin to place a request; return the deferred number and decision."""
+    ask = PlacementQuery(host="", number=0, service="plain", **more)
+    return defer.ensureDeferred(coordinator.place(ask))
+
+
+def list_server(coordinator, **more):
+    """List the server that `DECISIONS` name."""
+    values = {"id": "server", "service": "plain", "data_centre": "north-a"}
+    coordinator.registry.put(
+        ServerEntry(address="127.0.0.1:80", **{**values, **more}), 0.0
+    )
+
+
+def test_an_answer_to_a_former_process_is_not_used():
+    """Guards against another request's grant after a host starts again.
+
+    Its placing host was frozen and answers the queries of both processes.
+    """
+    former, _, former_sent = make_coordinator("asker", "placer", seed=1)
+    place(former)
+    coordinator, _, _ = make_coordinator("asker", "placer", seed=2)
+    done = place(coordinator)
+    query, _ = former_sent[-1]
+    coordinator.handle_answer(
+        answer_message(query.number, DECISIONS[0], "placer")
+    )
+    assert not done.called
+
+
+def test_an_answer_of_a_host_that_was_not_asked_is_not_used():
+    """Guards against the grant of a host that is no longer asked.
+
+    Its placing host counts a request that the asked host places as well.
+    """
+    coordinator, _, sent = make_coordinator("asker", "placer")
+    done = place(coordinator)
+    number = sent[-1][0].number
+    coordinator.handle_answer(answer_message(number, DECISIONS[0], "other"))
+    assert not done.called
+    coordinator.handle_answer(answer_message(number, DECISIONS[0], "placer"))
+    assert_that(done.result, Equals((number, DECISIONS[0])))
+
+
+@pytest.mark.parametrize(
+    ("entry", "ask", "decision"),
+    [
+        ({"service": "other"}, {}, DECISIONS[0]),
+        ({}, {"excluded": ("server",)}, DECISIONS[0]),
+        ({}, {"regions": frozenset({"south"})}, DECISIONS[0]),
+        ({}, {"regions": frozenset({"north"})}, DECISIONS[4]),
+    ],
+)
+def test_a_grant_that_the_request_does_not_allow_is_not_used(
+    entry, ask, decision
+):
+    """Guards against a request at a server or region that it may not reach."""
+    coordinator, _, sent = make_coordinator("asker", "placer")
+    list_server(coordinator, **entry)
+    done = place(coordinator, **ask)
+    number = sent[-1][0].number
+    coordinator.handle_answer(answer_message(number, decision, "placer"))
+    _, used = done.result
+    assert used != decision
+    assert isinstance(sent[-1][0], AttemptEndedMessage)
