Read decimal numbers of any length in the headers of servers

Cause: the pattern of decimal numbers took at most nine digits before and after the point. Class: a valid form that a reader takes for invalid. Server-Limit, Retry-After and the slowdown of X-Server-Load share one reader, which now takes any number of digits up to 100 bytes, and numbers that begin or end with the point. Signs and exponents stay invalid; values stay bounded as before.

--- a/src/hyssopspring/platform/headers.py
+++ b/src/hyssopspring/platform/headers.py
@@ -54,9 +54,12 @@
 MAX_KEY_BYTES = 200
 """Maximum length of an API key of a caller."""
 
-DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
+DECIMAL = re.compile(rb"\d+\.?\d*|\.\d+")
 """Format of decimal numbers in response headers of backend servers."""
 
+MAX_DECIMAL_BYTES = 100
+"""Maximum length of a decimal number, so that its value is finite."""
+
 MAX_RATE_LIMIT = 1e6
 """Requests per second above which a rate limit is treated as invalid."""
 
@@ -310,7 +313,7 @@
     numbers = [part.strip() for part in values[0].split(b",")]
     if len(values) > 1 or len(numbers) not in (3, 4):
         return INVALID
-    if not all(DECIMAL.fullmatch(number) for number in numbers):
+    if not all(is_decimal(number) for number in numbers):
         return INVALID
     if not all(number.isdigit() for number in numbers[:3]):
         return INVALID
@@ -358,6 +361,11 @@
     if not values:
         return NOTHING
     text = values[0].strip()
-    if len(values) > 1 or not DECIMAL.fullmatch(text):
+    if len(values) > 1 or not is_decimal(text):
         return INVALID
     return float(text)
+
+
+def is_decimal(text):
+    """Return whether *text* is a decimal number without sign or exponent."""
+    return len(text) <= MAX_DECIMAL_BYTES and bool(DECIMAL.fullmatch(text))
