Keep the pause that a server asks for, and await an answer after it

Cause: a pause was cut to 60 s, and after it 1, 2, 4 and 8 requests went to the server a quarter of a second apart, before its refusal of the first had come. Class: a request to a server whose last word is not known yet.

Then one request goes there and no other until it is answered; one that ends without an answer makes way for another one. The ramp begins with the answer. The record of a server that is gone is dropped at the end of its pause.

The test that cut a pause of an hour to a minute stated the fault; in its place a pause of an hour is kept and one of years is bounded. The test of the ramp asks for the same steps after an answer.

--- a/src/hyssopspring/entry/coordinator.py
+++ b/src/hyssopspring/entry/coordinator.py
@@ -13,7 +13,7 @@
     PlacementQuery,
     Refused,
 )
-from ..traffic.serverhealth import AttemptResult
+from ..traffic.serverhealth import ANSWERS, AttemptResult
 from ..traffic.servers import Usability
 from ..traffic.work import Demand
 from .limiting import RECENT_FALLBACK_SECONDS
@@ -301,7 +301,7 @@
                 placed_at=self.clock.seconds(),
             )
             self.retry_after_pauses.record_sent(
-                decision.server_id, self.clock.seconds()
+                decision.server_id, number, self.clock.seconds()
             )
         elif isinstance(decision, PlacedRemotely) and ask.cost:
             self.away_placers[number] = placer
@@ -527,6 +527,12 @@
         if placement is None:
             return
         placement.started = True
+        self.retry_after_pauses.record_end(
+            placement.placed.server_id,
+            number,
+            self.clock.seconds(),
+            is_answered=True,
+        )
         self.placer.record_response_start(
             self.host, number, seconds, self.clock.seconds()
         )
@@ -550,6 +556,12 @@
         if placement is None:
             return
         server_id = placement.placed.server_id
+        self.retry_after_pauses.record_end(
+            server_id,
+            number,
+            self.clock.seconds(),
+            is_answered=result in ANSWERS,
+        )
         self.handle_end(self.host, number, server_id, result, gaps)
         message = end_message(
             self.host, number, server_id, result, gaps, placement.load
--- a/src/hyssopspring/traffic/retryafter.py
+++ b/src/hyssopspring/traffic/retryafter.py
@@ -6,16 +6,14 @@
 
 __all__ = ["RetryAfterPause", "RetryAfterPauses"]
 
-MAX_RETRY_AFTER_PAUSE_SECONDS = 60.0
-"""Longest pause that is applied, in seconds. With one request a minute, the
-host finds out whether a server that requested a longer pause accepts requests
-again."""
+MAX_RETRY_AFTER_PAUSE_SECONDS = 86400.0
+"""Longest pause that is applied, in seconds."""
 
 RAMP_STEP_SECONDS = 0.25
 RAMP_SECONDS = 1.0
-"""After a pause a host sends one request, and twice as many with each step,
-for this many seconds. Otherwise all requests that had waited would arrive at
-once."""
+"""After a pause a host sends one request. Once that is answered it sends two,
+and twice as many with each step, for this many seconds. Otherwise all requests
+that had waited would arrive at once."""
 
 SPREAD_SECONDS = 0.5
 """Seconds over which the retries of callers are spread after a pause."""
@@ -31,7 +29,10 @@
         until: Time of its end.
         requested_at: Time at which the server requested it.
         request: Request that the server rejected then.
-        sent: Number of requests sent to it since the end.
+        trial: Number of the first request after the end while it is in
+            progress, or `NOTHING`.
+        answered_at: Time at which such a request was answered, or `NOTHING`.
+        sent: Number of requests sent since then.
     """
 
     server_id: str
@@ -39,14 +40,35 @@
     until: float
     requested_at: float
     request: str
+    trial: object = NOTHING
+    answered_at: object = NOTHING
     sent: int = 0
 
     def is_blocked(self, now):
         """Whether the host must not send a request now."""
-        since = now - self.until
-        if since < 0:
+        if now < self.until:
             return True
-        return self.sent >= 2 ** int(since / RAMP_STEP_SECONDS)
+        if self.answered_at is NOTHING:
+            return self.trial is not NOTHING
+        steps = 1 + int((now - self.answered_at) / RAMP_STEP_SECONDS)
+        return self.sent >= 2**steps
+
+    def record_sent(self, number, now):
+        """Count a request that is sent after the end."""
+        if now < self.until:
+            return
+        if self.answered_at is not NOTHING:
+            self.sent += 1
+        elif self.trial is NOTHING:
+            self.trial = number
+
+    def record_end(self, number, now, *, is_answered):
+        """Note that a request was answered, or ended without an answer."""
+        if self.trial is NOTHING or self.trial != number:
+            return
+        self.trial = NOTHING
+        if is_answered:
+            self.answered_at = now
 
     def describe(self, now):
         """Return which response requested it and when, for a log line."""
@@ -59,7 +81,9 @@
 
     def is_over(self, now):
         """Whether requests to the server are no longer restricted."""
-        return now - self.until >= RAMP_SECONDS
+        if self.answered_at is NOTHING:
+            return False
+        return now - self.answered_at >= RAMP_SECONDS
 
 
 class RetryAfterPauses:
@@ -101,18 +125,18 @@
     def pause_of(self, server_id, now):
         """Return the `RetryAfterPause` of a server, or `NOTHING`.
 
-        A server whose entry has lapsed may be listed again.
+        A server whose entry has lapsed may be listed again before the end.
         """
         pause = self.pauses.get(server_id, NOTHING)
         if pause is NOTHING:
             return NOTHING
-        replaced = (
-            server_id in self.registry.servers
-            and not self.registry.is_current_instance(
+        if server_id in self.registry.servers:
+            gone = not self.registry.is_current_instance(
                 server_id, pause.instance_id
             )
-        )
-        if replaced or pause.is_over(now):
+        else:
+            gone = now >= pause.until
+        if gone or pause.is_over(now):
             del self.pauses[server_id]
             return NOTHING
         return pause
@@ -130,11 +154,23 @@
         """Return the number of servers to which this host must not send."""
         return len(self.blocked(now))
 
-    def record_sent(self, server_id, now):
-        """Count a request that is sent to a server after its pause."""
+    def record_sent(self, server_id, number, now):
+        """Count a request that is sent to a server after its pause.
+
+        Args:
+            server_id: The server.
+            number: Number of the request at this host.
+            now: The time.
+        """
+        pause = self.pause_of(server_id, now)
+        if pause is not NOTHING:
+            pause.record_sent(number, now)
+
+    def record_end(self, server_id, number, now, *, is_answered):
+        """Note that a request to a server was answered, or ended without."""
         pause = self.pause_of(server_id, now)
         if pause is not NOTHING:
-            pause.sent += 1
+            pause.record_end(number, now, is_answered=is_answered)
 
     def first_to_end(self, server_ids, now):
         """Return the `RetryAfterPause` that ends first, or `NOTHING`.
--- a/src/hyssopspring/traffic/serverhealth.py
+++ b/src/hyssopspring/traffic/serverhealth.py
@@ -44,6 +44,9 @@
 """Results that show that the server has not run the request."""
 
 
+ANSWERS = (AttemptResult.ANSWERED, AttemptResult.ERROR, AttemptResult.FULL)
+"""Results that show that the server has answered the request itself."""
+
 NOT_SENT = (AttemptResult.UNREACHED, AttemptResult.UNUSED)
 """Results that show that the server has received nothing."""
 
--- a/tests/test_retryafter.py
+++ b/tests/test_retryafter.py
@@ -164,7 +164,7 @@
     sent = 0
     for hundredth in range(int(since * 100), int(until * 100)):
         if not pauses.is_blocked("s1", hundredth / 100):
-            pauses.record_sent("s1", hundredth / 100)
+            pauses.record_sent("s1", hundredth, hundredth / 100)
             sent += 1
     return sent
 
@@ -174,13 +174,40 @@
     pauses.record("s1", "r1", 3.0, 0.0)
     assert_that(sent_from(pauses, 0.0, 3.0), Equals(0))
     assert_that(sent_from(pauses, 3.0, 3.2), Equals(1))
-    assert_that(sent_from(pauses, 3.2, 3.9), Equals(7))
-    assert_that(sent_from(pauses, 4.0, 5.0), Equals(100))
+    pauses.record_end("s1", 300, 3.2, is_answered=True)
+    assert_that(sent_from(pauses, 3.2, 3.4), Equals(2))
+    assert_that(sent_from(pauses, 3.4, 4.1), Equals(14))
+    assert_that(sent_from(pauses, 4.2, 5.2), Equals(100))
 
 
-def test_the_length_of_a_pause_is_bounded(pauses):
-    """Guards against a faulty server that requests a pause of an hour."""
+def test_one_request_waits_for_its_answer_after_a_pause(pauses):
+    """Guards against further requests before a slow refusal arrives."""
+    pauses.record("s1", "r1", 90.0, 0.0)
+    assert_that(sent_from(pauses, 90.0, 95.0), Equals(1))
+    pauses.record("s1", "r2", 90.0, 95.0)
+    pauses.record_end("s1", 9000, 95.0, is_answered=True)
+    assert_that(sent_from(pauses, 95.0, 185.0), Equals(0))
+    assert_that(sent_from(pauses, 185.0, 186.0), Equals(1))
+
+
+def test_another_request_follows_one_that_is_not_answered(pauses):
+    """Guards against a server left alone as one caller gave up."""
+    pauses.record("s1", "r1", 3.0, 0.0)
+    assert_that(sent_from(pauses, 3.0, 4.0), Equals(1))
+    pauses.record_end("s1", 300, 4.0, is_answered=False)
+    assert_that(sent_from(pauses, 4.0, 5.0), Equals(1))
+
+
+def test_a_pause_of_an_hour_is_kept_whole(pauses):
+    """Guards against requests to a server that has asked for a long pause."""
     pauses.record("s1", "r1", 3600.0, 0.0)
+    assert_that(pauses.is_blocked("s1", 3599.0), Equals(True))
+    assert_that(pauses.is_blocked("s1", 3601.0), Equals(False))
+
+
+def test_the_length_of_a_pause_is_bounded(pauses):
+    """Guards against a faulty server that requests a pause of years."""
+    pauses.record("s1", "r1", 1e9, 0.0)
     assert_that(
         pauses.is_blocked("s1", MAX_RETRY_AFTER_PAUSE_SECONDS - 1),
         Equals(True),
@@ -191,6 +218,14 @@
     )
 
 
+def test_the_pause_of_a_server_that_is_gone_is_forgotten(pauses, registry):
+    """Guards against a record for each server that ever asked for a pause."""
+    pauses.record("s1", "r1", 3600.0, 0.0)
+    registry.remove("s1", 1.0, outage=False)
+    assert_that(pauses.blocked(3601.0), Equals([]))
+    assert_that(pauses.pauses, Equals({}))
+
+
 def test_the_longer_of_two_pauses_applies(pauses):
     """Guards against a second, shorter pause that ends a long one."""
     assert_that(pauses.record("s1", "r1", 5.0, 0.0), Equals(True))
