Read what other regions know while the store turns a whole region away

Cause: of a host of another region only a newer version of the configuration was read. Evacuations and the entries of servers have no version. Class: what the operator or the servers write reaches a host by one path only.

Change: a host of another region that is ahead by any revision for 1.5 s is read, as one with a newer configuration was.

Hosts of the region read it from these as before. Not measured at size. Not covered: servers that are removed without saying that they leave.

--- a/src/hyssopspring/entry/mirrors.py
+++ b/src/hyssopspring/entry/mirrors.py
@@ -309,6 +309,11 @@
             if self.version_of(entry) is not NOTHING:
                 self.put(entry)
 
+    def put_all(self, entries):
+        """Apply those of some entries that are newer than the known ones."""
+        for entry in entries:
+            self.put(entry)
+
     def put(self, entry):
         """Apply one entry unless it is older than the known one."""
         known = self.entries.get(entry.key)
--- a/src/hyssopspring/entry/replication.py
+++ b/src/hyssopspring/entry/replication.py
@@ -42,10 +42,9 @@
 which this host's own watch may deliver what a neighbour already has."""
 
 REMOTE_READ_DELAY_SECONDS = 1.5
-"""Time for which a host of another region must have a newer configuration
-before its snapshot is read. Of the snapshot only the configuration matters
-here. The store brings a change much sooner, unless it has lost the change in a
-restore."""
+"""Time for which a host of another region must be ahead before its snapshot
+is read. The store brings a change much sooner, unless it has lost the change
+in a restore or turns all hosts of this region away."""
 
 MAX_NEIGHBOURS_READ = 2
 """Hosts of its region, besides seeds, that a starting host reads from."""
@@ -114,6 +113,8 @@
         self.newest_reported_version = 0
         self.newest_reported_at = 0.0
         self.remote_ahead = NOTHING
+        self.remote_ahead_since = 0.0
+        self.remote_revisions = (0, 0)
 
     def broadcast_changes(self, prefix, changes, outage):
         """Broadcast changes from a watch to the hosts of the region.
@@ -266,7 +267,9 @@
         """
         self.record_behind(member)
         if member.region != self.state.members.own.region:
-            if member.version > self.state.keeper.version:
+            if self.is_remote_ahead(member):
+                if self.remote_ahead is NOTHING:
+                    self.remote_ahead_since = self.state.clock.seconds()
                 self.remote_ahead = member
                 self.check()
             return
@@ -276,6 +279,11 @@
             self.fetching = True
             self.spawn(self.read_host(member.relay))
 
+    def is_remote_ahead(self, member):
+        """Return whether a host of another region has what was not read."""
+        seen = tuple(map(max, self.revisions, self.remote_revisions))
+        return member.is_ahead(self.state.keeper.version, seen)
+
     def check(self):
         """Read a host of another region once this is due.
 
@@ -285,14 +293,14 @@
         member = self.remote_ahead
         if member is NOTHING or self.fetching:
             return
-        if member.version <= self.state.keeper.version:
+        if not self.is_remote_ahead(member):
             self.remote_ahead = NOTHING
             return
         now = self.state.clock.seconds()
-        if now - self.newest_reported_at > REMOTE_READ_DELAY_SECONDS:
+        if now - self.remote_ahead_since > REMOTE_READ_DELAY_SECONDS:
             self.remote_ahead = NOTHING
             self.fetching = True
-            self.spawn(self.read_host(member.relay))
+            self.spawn(self.read_host(member.relay, is_remote=True))
 
     def is_neighbour_due(self, now):
         """Return whether to read a neighbour that has been ahead for long."""
@@ -338,14 +346,19 @@
         pairs = zip(addresses, found, strict=True)
         return [pair for pair in pairs if pair[1] is not NOTHING]
 
-    async def read_host(self, address):
-        """Read and apply another host's snapshot."""
+    async def read_host(self, address, *, is_remote=False):
+        """Read and apply another host's snapshot.
+
+        Args:
+            address: Its address for requests of other hosts.
+            is_remote: Whether it is in another region.
+        """
         try:
             snapshot = await self.fetch_snapshot(address)
         finally:
             self.fetching = False
         if snapshot is not NOTHING:
-            self.apply_snapshot(snapshot, address)
+            self.apply_snapshot(snapshot, address, is_remote=is_remote)
         else:
             self.on_peer_unreadable()
 
@@ -381,19 +394,38 @@
             self.on_host_written(Entry(row.key, row.value, row.revision))
         return snapshot
 
-    def apply_snapshot(self, snapshot, address):
+    def apply_snapshot(self, snapshot, address, *, is_remote=False):
         """Apply the parts of another host's snapshot that are newer.
 
         The other host may have a configuration that the store lost in a
         restore, whichever of the two has seen the newer revision.
+
+        In a snapshot from another region the entries of servers of this one
+        may be missing only because they do not reach the store either. It
+        removes none.
+
+        Args:
+            snapshot: The `Snapshot`.
+            address: Address that it was read from.
+            is_remote: Whether that host is in another region.
         """
         origin = Origin(Channel.COPY, address)
         rows = (snapshot.operator, snapshot.servers)
+        revisions = snapshot.full_revisions()
+        if is_remote:
+            self.remote_revisions = tuple(
+                map(max, self.remote_revisions, revisions)
+            )
+        operator = next(iter(self.mirrors.values()))
         for mirror, revision, items_ in zip(
-            self.mirrors.values(), snapshot.full_revisions(), rows, strict=True
+            self.mirrors.values(), revisions, rows, strict=True
         ):
             entries = decode_entries(items_, era_of(revision))
-            if revision > mirror.newest_revision:
+            is_same_era = era_of(revision) == mirror.era
+            if is_remote and is_same_era and mirror is not operator:
+                mirror.origin = origin
+                mirror.put_all(entries)
+            elif revision > mirror.newest_revision:
                 mirror.replace(entries, revision, origin=origin)
             else:
                 mirror.origin = origin
