--- a/src/hyssopspring/entry/process.py
+++ b/src/hyssopspring/entry/process.py
@@ -35,6 +35,7 @@
 from ..traffic.routes import ConfigurationKeeper, RequestLimits, Service
 from ..traffic.serverlimits import ServerLimits
 from ..traffic.servers import Registry
+from .callerhosts import CallerHosts
 from .callers import CallerApi
 from .coldchecks import COLD_CHECK_INTERVAL_SECONDS, ColdChecks
 from .connections import Connections
@@ -363,7 +364,10 @@
         handlers[ColdServerMessage] = self.cold_checks.merge
         self.callers = CallerApi(self.state, self.views)
         self.relay = RelayApi(self.state, self.store_sync.replication.snapshot)
-        self.pages = DirectoryHandler(self.hosts_for, self.is_ready)
+        self.pages = DirectoryHandler(
+            CallerHosts(self.members, self.keeper, self.reactor).hosts_for,
+            self.is_ready,
+        )
 
     def service(self, name):
         """Return the `Service` of *name* in the configuration in force."""
@@ -505,45 +509,6 @@
         """Return whether this host accepts requests."""
         return bool(self.keeper.current) and not self.members.own.leaving
 
-    def hosts_for(self, name, region, data_centre):
-        """Return the addresses that callers of a region should use.
-
-        A request body must not reach a region that is neither the caller's nor
-        a home region of its route. The result is therefore the hosts of the
-        caller's region; failing these, the hosts of the home regions of the
-        name's routes; failing these, hosts that are shutting down but still
-        serve.
-
-        Args:
-            name: Host name that the caller wants to reach.
-            region: Region of the caller.
-            data_centre: Its data centre.
-        """
-        now = self.reactor.seconds()
-        live = self.members.listed(now)
-        homes = self.home_regions_of(name)
-        choices = (
-            [one for one in live if one.region == region],
-            [one for one in live if one.region in homes],
-            self.members.leaving(now, region),
-            live,
-        )
-        for members in choices:
-            if members:
-                return [member.front for member in members]
-        return []
-
-    def home_regions_of(self, name):
-        """Return the regions that are a home of all region-bound routes."""
-        if not self.keeper.current:
-            return frozenset()
-        bound = [
-            route.homes
-            for route in self.keeper.current.by_host.get(name.lower(), ())
-            if route.homes
-        ]
-        return frozenset.intersection(*bound) if bound else frozenset()
-
     def log_failure(self, failure):
         """Log an unexpected error at once, as the process may end with it."""
         self.timeline.note(EventKind.UNEXPECTED, error=failure.getTraceback())
