--- a/tests/test_misbehavingclients.py
+++ b/tests/test_misbehavingclients.py
@@ -289,6 +289,7 @@
         InProgress(clock, respond_refusal),
         max_idle_seconds=lambda: 15.0,
         max_body_bytes=lambda: MEGABYTE,
+        max_head_bytes=lambda: 16 * 1024,
     )
     made = site.buildProtocol(None)
     made.makeConnection(Transport())
