Keep the bound of cold servers that tolerate many requests

A cold server got any number of requests in a second if its bound let one host send 17 or more.

Cause: a host kept the times of the last 16 requests only and compared their number with its allowance.

Change: all requests within the window are counted.

--- a/src/hyssopspring/traffic/coldrates.py
+++ b/src/hyssopspring/traffic/coldrates.py
@@ -45,12 +45,14 @@
 
     def is_allowed(self, server_id, bound, now):
         """Return whether a request may be sent to the server at *now*."""
-        times = self.sent.get(server_id)
-        if times is None:
-            return self.allowance(bound) > 0
+        return len(self.recent(server_id, now)) < self.allowance(bound)
+
+    def recent(self, server_id, now):
+        """Return the times of the requests to a server within the window."""
+        times = self.sent.get(server_id, ())
         while times and now - times[0] > self.window:
             times.popleft()
-        return len(times) < self.allowance(bound)
+        return times
 
     def count(self, server_id, now):
         """Count a request to a server, whether it is cold or not.
@@ -58,10 +60,8 @@
         Requests to a warm server count as well: it may turn out that it was
         already cold when they were sent.
         """
-        times = self.sent.get(server_id)
-        if times is None:
-            times = self.sent[server_id] = deque(maxlen=16)
-        times.append(now)
+        self.recent(server_id, now)
+        self.sent.setdefault(server_id, deque()).append(now)
 
     def last_sent_at(self, server_id):
         """Return the time of the last request that this host has placed."""
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -32,6 +32,18 @@
         assert len(within) <= COLD_REQUESTS_PER_SECOND
 
 
+def test_a_large_cold_bound_is_kept():
+    """Guards against a bound above the number of requests that are counted."""
+    placers = [ColdRates() for _ in range(CONCURRENT_PLACERS)]
+    bound, sent = 1000 * 1.5 + 3.0, 0
+    for _ in range(2000):
+        for placer in placers:
+            if placer.is_allowed("s1", bound, 0.0):
+                placer.count("s1", 0.0)
+                sent += 1
+    assert 0 < sent <= bound
+
+
 def test_requests_before_the_cold_state_arrives_count():
     """Guards against ignoring requests sent before a server's cold state.
 
